Prove the callers', trainers' and operators' promises under faults

Cause: the path ran on a quiet machine only; no test broke a connection, lost an answer, killed an entry or took the platform away while it served.

The accept loop owns its connections, so an entry that is killed leaves none behind.

--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,8 +1,6 @@
 //! `snipeway-demo`: everything in one process, on free loopback ports.
 
 pub mod cli;
-mod contracts;
-mod fleet;
 mod run;
 
 pub use run::run;
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -11,20 +11,20 @@
 use load::Trainer;
 use load::callers;
 use load::trainer;
-use operate::Contracts;
+use rig::Make;
+use rig::Rig;
+use rig::contracts::token;
+use rig::parts::SECRET;
+use standin::engine;
 
-use crate::contracts;
-use crate::contracts::PORTAL;
-use crate::contracts::TRAINER;
-use crate::fleet;
-use crate::fleet::Fleet;
-use crate::fleet::MEDIAN;
+/// The customer that trains.
+const TRAINER: &str = "fitting-staff";
 
-/// Time in which the contracts must be in force everywhere.
-const SPREAD: Duration = Duration::from_secs(19);
+/// The customer that looks up and orders.
+const PORTAL: &str = "order-portal";
 
-/// Time between two looks at whether they are.
-const LOOK: Duration = Duration::from_millis(20);
+/// Median length of a sample in tokens.
+const MEDIAN: u32 = 60;
 
 /// Runs the program.
 ///
@@ -39,28 +39,47 @@
     args::program::block(demo(steps, parsed.has("stay")))
 }
 
+fn make() -> Make {
+    Make {
+        engines: 3,
+        engine: engine::Make {
+            median: MEDIAN,
+            ..engine::Make::default()
+        },
+        control: true,
+        store: Some((1 << 20, 200e6)),
+        ..Make::default()
+    }
+}
+
+fn contracts() -> [String; 2] {
+    let staff = "rate = 200\nconcurrency = 256\nclass = 2\nstaleness = 1\nweighs = staleness\n";
+    let portal = "rate = 400\nconcurrency = 256\nclass = 5\n";
+    [
+        rig::contracts::text(TRAINER, staff),
+        rig::contracts::text(PORTAL, portal),
+    ]
+}
+
 async fn demo(steps: u32, stay: bool) -> eyre::Result<()> {
-    let fleet = fleet::start().await?;
-    let plat = plat::Client::new(vec![fleet.platform.addr]);
+    let rig = Rig::start(&make()).await?;
     let before = Instant::now();
-    let rev = contracts::apply(&Contracts::new(plat)).await?;
-    spread(&fleet, rev).await?;
+    rig.apply(&contracts()).await?;
     let spread = before.elapsed();
-    let addrs: Vec<_> = fleet.entries.iter().map(|entry| entry.addr).collect();
-    let done = work(&addrs, steps).await;
+    let done = work(&rig.addrs(), steps).await;
     let mut table = Table::default();
     table.row("contracts in force everywhere [ms]", spread.as_millis());
     load::run::trainer_rows(&mut table, "trainer", &done.trainer);
     load::run::callers_rows(&mut table, "lookups", &done.lookups);
     load::run::callers_rows(&mut table, "orders", &done.orders);
-    let twice = twice(&fleet);
+    let twice = rig.parts.twice().len() as u64;
     table.row("orders that ran more than once", twice);
     print!("{table}");
     let broken = done.broken() + twice;
     if stay {
-        self::stay(fleet).await?;
+        self::stay(rig).await?;
     } else {
-        leave(fleet).await?;
+        rig.leave().await?;
     }
     if broken > 0 {
         bail!("{broken} promises were broken");
@@ -69,17 +88,6 @@
     Ok(())
 }
 
-async fn spread(fleet: &Fleet, rev: i64) -> eyre::Result<()> {
-    let end = Instant::now() + SPREAD;
-    while fleet.entries.iter().any(|entry| entry.app.newest() < rev) {
-        if Instant::now() > end {
-            bail!("the contracts are not in force everywhere after {SPREAD:?}");
-        }
-        tokio::time::sleep(LOOK).await;
-    }
-    Ok(())
-}
-
 struct Done {
     trainer: trainer::Seen,
     lookups: callers::Seen,
@@ -96,7 +104,7 @@
 async fn work(entries: &[SocketAddr], steps: u32) -> Done {
     let trainer = Trainer {
         entries: entries.to_vec(),
-        token: TRAINER.into(),
+        token: token(TRAINER),
         model: "fitting"
             .parse()
             .unwrap_or_else(|_| unreachable!("a good name")),
@@ -111,7 +119,7 @@
     };
     let callers = |path: &str, rate: f64, once: bool| Callers {
         entries: entries.to_vec(),
-        token: PORTAL.into(),
+        token: token(PORTAL),
         path: path.into(),
         rate,
         span: Duration::from_millis(1_500) * steps,
@@ -129,58 +137,25 @@
     }
 }
 
-/// Orders that the services' own logs show more than once.
-fn twice(fleet: &Fleet) -> u64 {
-    let mut keys: Vec<_> = fleet.services.iter().flat_map(|s| s.log()).collect();
-    let all = keys.len();
-    keys.sort_unstable();
-    keys.dedup();
-    (all - keys.len()) as u64
-}
-
-async fn leave(fleet: Fleet) -> eyre::Result<()> {
-    for control in fleet.controls {
-        control.stop().await;
-    }
-    let leaving = fleet
-        .entries
-        .into_iter()
-        .map(|entry| tokio::spawn(entry.drain()));
-    let leaving: Vec<_> = leaving.collect();
-    for left in leaving {
-        if !left.await? {
-            bail!("an entry cut requests off when it left");
-        }
-    }
-    Ok(())
-}
-
 /// Keeps the fleet up until interrupted.
-async fn stay(fleet: Fleet) -> eyre::Result<()> {
-    let settings = &fleet.settings;
-    println!("\nplatform  http://{}", fleet.platform.addr);
-    for entry in &fleet.entries {
-        println!(
-            "entry     http://{}  ({})",
-            entry.addr, entry.app.settings.me.name
-        );
-    }
-    println!("tokens    {PORTAL} (order portal), {TRAINER} (tailoring staff)");
-    let file = std::env::temp_dir().join("snipeway-demo.ini");
-    let mut text = format!(
-        "[platform]\naddresses = {}\n[peers]\nsecret = the demo's shared key\n",
-        settings.platform[0]
-    );
-    for entry in &fleet.entries {
+async fn stay(rig: Rig) -> eyre::Result<()> {
+    let platform = rig.parts.platform.host.addr;
+    println!("\nplatform  http://{platform}");
+    let mut text = format!("[platform]\naddresses = {platform}\n[peers]\nsecret = {SECRET}\n");
+    for entry in rig.running() {
         let me = &entry.app.settings.me;
+        println!("entry     http://{}  ({})", entry.addr, me.name);
         text += &format!(
             "[peer {}]\ndomain = {}\naddress = {}\n",
             me.name, me.domain, entry.addr
         );
     }
+    println!("tokens    {} (order portal)", token(PORTAL));
+    println!("          {} (tailoring staff)", token(TRAINER));
+    let file = std::env::temp_dir().join("snipeway-demo.ini");
     std::fs::write(&file, text)?;
-    println!("operators snipeway --config {} status", file.display());
+    println!("operators snipeway status --config {}", file.display());
     println!("interrupt to end");
     serve::server::terminated().await;
-    leave(fleet).await
+    rig.leave().await
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 /// Bounds on connections.
 #[derive(Clone, Copy, Debug)]
@@ -92,6 +93,8 @@
 {
     let handler = Arc::new(handler);
     let graceful = GracefulShutdown::new();
+    // Dropping the set ends its connections, so that a server that is stopped at once leaves none.
+    let mut connections = JoinSet::new();
     let room = Arc::new(Semaphore::new(limits.connections));
     loop {
         let permit = tokio::select! {
@@ -113,10 +116,11 @@
             }
         };
         let connection = connect(stream, from, &handler, limits, &graceful);
-        tokio::spawn(async move {
+        connections.spawn(async move {
             connection.await;
             drop(permit);
         });
+        while connections.try_join_next().is_some() {}
     }
     drop(listener);
     tokio::time::timeout(limits.grace, graceful.shutdown())
--- a/crates/serve/src/sync.rs
+++ b/crates/serve/src/sync.rs
@@ -1,7 +1,7 @@
 //! Reading the platform for the failure domain.
 //!
 //! One instance reads for all of its failure domain, and its peers hear of it with the probes.
-//! Any other instance reads as well once it has not heard for [`PATIENCE`] that its contracts are
+//! Any other instance reads as well once it has not heard for some seconds that its contracts are
 //! the newest.
 
 use std::sync::Arc;
--- a/crates/snipeway/src/cmd/settle.rs
+++ b/crates/snipeway/src/cmd/settle.rs
@@ -18,7 +18,9 @@
         Applied::InForce(rev) => println!("in force at revision {rev}"),
         Applied::Replaced(rev) => println!("took effect; replaced since, at revision {rev} now"),
         _ => {
-            return Err(CommandError::NotKnown(customer.to_string(), change.as_str().into()).into());
+            return Err(
+                CommandError::NotKnown(customer.to_string(), change.as_str().into()).into(),
+            );
         }
     }
     Ok(())
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -15,6 +15,8 @@
     pub down: bool,
     /// It does what it is asked, then closes the connection without an answer.
     pub mute: bool,
+    /// The platform: so many transactions are carried out and left without an answer.
+    pub mute_writes: u32,
     /// It turns every call away with status 429.
     pub limited: bool,
     /// Milliseconds that each answer waits.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -24,6 +24,7 @@
 use crate::Faults;
 use crate::Host;
 use crate::host::Answer;
+use crate::host::cut;
 use crate::host::host;
 use messages::Grant;
 use messages::Id;
@@ -95,6 +96,16 @@
         items.map(pair).collect()
     }
 
+    /// Tells whether the answer to this transaction is to be lost.
+    fn is_muted(&self) -> bool {
+        let mut muted = false;
+        self.faults.change(|fault| {
+            muted = fault.mute_writes > 0;
+            fault.mute_writes = fault.mute_writes.saturating_sub(1);
+        });
+        muted
+    }
+
     fn range(&self, range: &Range) -> serde_json::Value {
         self.calls.range.fetch_add(1, Ordering::Relaxed);
         let mut store = self.store.lock();
@@ -221,7 +232,13 @@
     async fn answer(self: Arc<Self>, call: Call, bytes: Bytes) -> Reply {
         match call.uri.path() {
             "/v3/kv/range" => with(&bytes, |range| self.range(range)),
-            "/v3/kv/txn" => with(&bytes, |txn| self.txn(txn)),
+            "/v3/kv/txn" => {
+                let reply = with(&bytes, |txn| self.txn(txn));
+                match self.is_muted() {
+                    true => cut(),
+                    false => reply,
+                }
+            }
             "/v3/lease/grant" => with(&bytes, |grant| self.grant(grant)),
             "/v3/lease/keepalive" => with(&bytes, |lease| self.keepalive(lease)),
             "/v3/lease/revoke" => with(&bytes, |lease| self.revoke(lease)),
