--- a/crates/serve/src/steps/sample.rs
+++ b/crates/serve/src/steps/sample.rs
@@ -125,6 +125,7 @@
         },
         deadline: app.clock.now() + LIMIT,
     };
+    work.run.lock().sent(index, ordinal, work.clock.now());
     let before = begin.partial.tokens;
     let mut assembly = Assembly::resume(attempt, begin.partial);
     let mut progress = Progress {
--- a/crates/serve/src/steps/work.rs
+++ b/crates/serve/src/steps/work.rs
@@ -35,6 +35,9 @@
 /// Time between two reviews of the running samples.
 const REVIEW: Duration = Duration::from_millis(200);
 
+/// Samples that run or wait for an engine, in hundredths of what the engines can run.
+const AHEAD: usize = 110;
+
 /// Longest time that a worker waits for something to do.
 const IDLE: Duration = Duration::from_millis(200);
 
@@ -154,7 +157,7 @@
         while !self.is_cancelled() && !app.drain.is_begun() {
             let todo = match self.quiet() > PAUSED {
                 true => Todo::Wait,
-                false => self.run.lock().begin(self.clock.now()),
+                false => self.todo(),
             };
             match todo {
                 Todo::Begin(begin) => sample::make(app, self, begin).await,
@@ -166,6 +169,20 @@
         }
     }
 
+    /// Gives out a sample to begin, unless enough wait for an engine already: which one goes first
+    /// is chosen as late as possible, when more is known of their lengths.
+    fn todo(&self) -> Todo {
+        let slots = self
+            .desk
+            .all(|all| all.iter().map(|u| u.spec.slots).sum::<u32>());
+        let width = (slots as usize * AHEAD).div_ceil(100);
+        let mut run = self.run.lock();
+        match run.running() < width {
+            true => run.begin(),
+            false => Todo::Wait,
+        }
+    }
+
     /// Moves samples off slow engines, and ends the work when no trainer comes any more.
     async fn review(&self, app: &App) {
         while !self.is_cancelled() {
--- a/crates/step/src/run.rs
+++ b/crates/step/src/run.rs
@@ -46,7 +46,8 @@
 #[derive(Clone, Debug)]
 struct Live {
     ordinal: u32,
-    began: Millis,
+    /// When an engine got it; [`None`] while it waits for one.
+    sent: Option<Millis>,
     tokens: u32,
     so_far: u32,
 }
@@ -209,14 +210,14 @@
     }
 
     /// Gives a worker something to do.
-    pub fn begin(&mut self, now: Millis) -> Todo {
+    pub fn begin(&mut self) -> Todo {
         let waiting = self.waiting();
         if waiting.is_empty() {
             let over = self.slots.iter().all(|slot| matches!(slot, Slot::Held));
             return if over { Todo::Over } else { Todo::Wait };
         }
         let at = self.decide.pick(&waiting).min(waiting.len() - 1);
-        Todo::Begin(self.start(waiting[at], now))
+        Todo::Begin(self.start(waiting[at]))
     }
 
     fn waiting(&self) -> Vec<Waiting> {
@@ -243,13 +244,13 @@
         self.slots.iter().enumerate().filter_map(waits).collect()
     }
 
-    fn start(&mut self, sample: Waiting, now: Millis) -> Begin {
+    fn start(&mut self, sample: Waiting) -> Begin {
         let ordinal = self.next;
         self.next += 1;
         let slot = &mut self.slots[sample.index as usize];
         let live = Live {
             ordinal,
-            began: now,
+            sent: None,
             tokens: 0,
             so_far: sample.so_far,
         };
@@ -287,6 +288,14 @@
         }
     }
 
+    /// Notes that an engine got an attempt; its speed counts from here, not from when it began to
+    /// wait for an engine.
+    pub fn sent(&mut self, index: u32, ordinal: u32, now: Millis) {
+        if let Some(live) = self.live(index, ordinal) {
+            live.sent = Some(now);
+        }
+    }
+
     /// Notes how far an attempt is; tells whether it is still wanted.
     pub fn progress(&mut self, index: u32, ordinal: u32, tokens: u32) -> bool {
         let Some(live) = self.live(index, ordinal) else {
@@ -304,7 +313,8 @@
             self.counts.wasted += u64::from(sample.tokens);
             return Kept::Lost;
         };
-        let span = now.saturating_sub(live.began) as f64 / 1_000.0;
+        let sent = live.sent.unwrap_or(now);
+        let span = now.saturating_sub(sent) as f64 / 1_000.0;
         let made = sample.tokens.saturating_sub(live.so_far);
         if span > 0.0 && made > 0 {
             self.speed += SMOOTH * (f64::from(made) / span - self.speed);
@@ -346,7 +356,7 @@
             let Slot::Running(live) = slot else {
                 return None;
             };
-            let age = now.saturating_sub(live.began);
+            let age = now.saturating_sub(live.sent?);
             Some(Running {
                 index: index as u32,
                 speed: f64::from(live.tokens) * 1_000.0 / age.max(1) as f64,
--- a/crates/step/tests/run.rs
+++ b/crates/step/tests/run.rs
@@ -33,8 +33,11 @@
 }
 
 fn begin(run: &mut Run, now: u64) -> Option<Begin> {
-    match run.begin(now) {
-        Todo::Begin(begin) => Some(begin),
+    match run.begin() {
+        Todo::Begin(begin) => {
+            run.sent(begin.index, begin.ordinal, now);
+            Some(begin)
+        }
         Todo::Wait | Todo::Over => None,
     }
 }
@@ -84,7 +87,7 @@
     assert_eq!((first.samples.len(), first.done), (3, false));
     assert_eq!((second.samples.len(), second.done), (1, true));
     run.pull(&second.cursor, 1, 3, 10);
-    assert_eq!(run.begin(10), Todo::Over);
+    assert_eq!(run.begin(), Todo::Over);
 }
 
 // Symptom: samples are missing from a step, or the step never ends.
@@ -136,7 +139,7 @@
     let spec = spec(1, 2, 1);
     let full = Cursor::parse("Aw", 2).unwrap();
     let mut run = run(&spec, "longest", &full, 1);
-    assert_eq!(run.begin(0), Todo::Over);
+    assert_eq!(run.begin(), Todo::Over);
 
     run.pull(&Cursor::empty(2), 1, 9, 0);
 
@@ -256,6 +259,24 @@
     assert_eq!(moves, [1, 1, 0, 0, 0]);
 }
 
+// Symptom: samples are moved about without end, and the step takes longer than without moves.
+// Sequence: many samples wait for an engine; their speed counts from when they began to wait.
+// Cause: taking the wait for slowness of an engine.
+#[test]
+fn a_sample_that_waits_for_an_engine_is_not_slow() {
+    let spec = spec(1, 6, 1);
+    let mut run = run(&spec, "longest", &Cursor::empty(6), 1);
+    for _ in 0..5 {
+        let next = begin(&mut run, 0).unwrap();
+        run.progress(next.index, next.ordinal, 100);
+    }
+    let Todo::Begin(_waits) = run.begin() else {
+        panic!("nothing to begin");
+    };
+
+    assert_eq!(run.review(1_000), []);
+}
+
 #[parameterized(
     text = { "?", CursorError::Code },
     long = { "AAAA", CursorError::Length },
