Score samples, and cache weights on instances with a disk

Cause: contracts could not ask for scores; each engine fetched each version from the rate-limited store, so 600 engines cost 600 downloads.

Change: `scorer` and `unscored` in contracts (a dead scorer delays a sample or lets it pass, and never loses it); an entry with `[weights] folder` fetches a version once and hands it to its failure domain, and control names the next cache, and the store at last, when an order has to be given again. The two largest files of the entry's shell are split.

Conclusion: downloads grow with failure domains, not with engines.

--- a/bench/slopes.sh
+++ b/bench/slopes.sh
@@ -62,9 +62,12 @@
     done
     pids+=("${entries[@]}")
     sleep 3
+    local began
+    began=$(date +%s%N)
     "$bin/snipeway" contract apply etc/contracts/portal.ini --config "$work/operator.ini" \
         --wait 19 >"$work/apply.log"
-    # The news of the start have to die down: six go with a message, one message a second.
+    local spread=$((($(date +%s%N) - began) / 1000000))
+    # The news of the start have to die down: four go with a message, one message a second.
     sleep $((5 + size))
     local before=() bytes=0 calls=0 cpu=0 rss=0
     for pid in "${entries[@]}"; do before+=("$(ticks "$pid")"); done
@@ -81,9 +84,9 @@
         now=$(resident "${entries[at - 1]}")
         rss=$((now > rss ? now : rss))
     done
-    awk -v n="$size" -v s="$seconds" -v b="$bytes" -v c="$calls" -v t="$cpu" -v r="$rss" 'BEGIN {
-        printf "%d instances: %.3f%% of a core, %.1f MB at most, %.0f bytes/s of messages an instance; %.2f platform calls/s in all\n",
-            n, t / n / s, r / 1024, b / n / s, c / s
+    awk -v n="$size" -v s="$seconds" -v b="$bytes" -v c="$calls" -v t="$cpu" -v r="$rss" -v w="$spread" 'BEGIN {
+        printf "%d instances: %.3f%% of a core, %.1f MB at most, %.0f bytes/s of messages an instance; %.2f platform calls/s in all; contract in force on all after %d ms\n",
+            n, t / n / s, r / 1024, b / n / s, c / s, w
     }'
     stop
 }
--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -44,6 +44,11 @@
             "Writes to the platform at 10, 100 and 1,000 orders a second",
             &[],
         ),
+        cmd(
+            "limits",
+            "A contract's rate over 8 entries with an uneven balancer",
+            &[],
+        ),
         cmd(
             "trainer",
             "Idle time and staleness of a trainer",
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 mod cpu;
 mod goodput;
 mod journal;
+mod limits;
 mod overhead;
 mod slow;
 mod spread;
@@ -29,6 +30,7 @@
             "slow" => slow::run().await,
             "overhead" => overhead::run().await,
             "journal" => journal::run().await,
+            "limits" => limits::run().await,
             "trainer" => trainer::run(&parsed).await,
             "weights" => weights::run().await,
             _ => spread::run().await,
--- a/crates/bench/src/weights.rs
+++ b/crates/bench/src/weights.rs
@@ -15,13 +15,14 @@
 const SIZE: usize = 200_000;
 
 /// Bytes a second of the store.
-const RATE: f64 = 400e6;
+const RATE: f64 = 20e6;
 
 /// Longest time that is waited.
 const LIMIT: Duration = Duration::from_secs(60);
 
-fn make(engines: usize) -> Make {
+fn make(engines: usize, cache: bool) -> Make {
     Make {
+        cache,
         engines: engines / 2,
         engine: engine::Make {
             slots: 8,
@@ -63,11 +64,21 @@
     let mut table = Table::default();
     table.row("bytes of a version", SIZE);
     table.row("bytes a second of the store", format!("{RATE:.0}"));
-    for engines in [10, 100, 600] {
-        let rig = Rig::start(&make(engines)).await?;
+    for (engines, cache) in [10, 100, 600]
+        .into_iter()
+        .flat_map(|n| [(n, true), (n, false)])
+    {
+        let rig = Rig::start(&make(engines, cache)).await?;
         // The first announcement waits for the leases to be taken.
         announce(&rig, 2).await?;
         reach(&rig, 2).await;
+        let sent = || {
+            rig.parts
+                .store
+                .as_ref()
+                .map_or(0, |store| store.part.sent())
+        };
+        let before = sent();
         let mut worst = Duration::ZERO;
         for version in 3..6 {
             let start = Instant::now();
@@ -75,15 +86,18 @@
             reach(&rig, version).await;
             worst = worst.max(start.elapsed());
         }
+        let how = if cache {
+            "with caches"
+        } else {
+            "straight from the store"
+        };
+        let name = format!("{engines} engines, {how}");
         table.row(
-            format!("{engines} engines: announcement until all, worst of 3 [ms]"),
+            format!("{name}: announcement until all, worst of 3 [ms]"),
             worst.as_millis(),
         );
-        let download = engines as f64 * SIZE as f64 / RATE * 1_000.0;
-        table.row(
-            format!("{engines} engines: of that the store's rate [ms]"),
-            format!("{download:.0}"),
-        );
+        let bytes = (sent() - before) / 3;
+        table.row(format!("{name}: bytes from the store a version"), bytes);
         rig.leave().await?;
     }
     print!("{table}");
--- a/crates/contract/src/form.rs
+++ b/crates/contract/src/form.rs
@@ -14,6 +14,7 @@
 
 use crate::Contract;
 use crate::Rule;
+use crate::Unscored;
 use crate::Weighs;
 use crate::model::MAX_CLASS;
 
@@ -32,6 +33,27 @@
     }
 }
 
+impl FromStr for Unscored {
+    type Err = conf::Problem;
+
+    fn from_str(text: &str) -> Result<Self, conf::Problem> {
+        match text {
+            "wait" => Ok(Self::Wait),
+            "pass" => Ok(Self::Pass),
+            _ => Err(conf::Problem::Syntax { text: text.into() }),
+        }
+    }
+}
+
+impl Display for Unscored {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Wait => "wait",
+            Self::Pass => "pass",
+        })
+    }
+}
+
 impl Display for Weighs {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
@@ -93,6 +115,15 @@
         "SERVICE:METHOD:/path rules separated by commas",
         List::<Rule>(Vec::new()),
     );
+    let scorer = s.or(
+        "scorer",
+        "the name of a plain service",
+        List::<Name>(Vec::new()),
+    );
+    let unscored = s.or("unscored", "wait or pass", Unscored::Wait);
+    if scorer.0.len() > 1 {
+        s.refuse("scorer", "one name at most");
+    }
     if class > MAX_CLASS {
         s.refuse("class", "a priority class from 0 to 7");
     }
@@ -137,6 +168,8 @@
         staleness,
         weighs,
         once: once.0,
+        scorer: scorer.0.into_iter().next(),
+        unscored,
     })
 }
 
@@ -165,6 +198,9 @@
     line("staleness", &c.staleness);
     line("weighs", &c.weighs);
     line("once", &join(&c.once));
+    let scorer: Vec<_> = c.scorer.iter().collect();
+    line("scorer", &join(&scorer));
+    line("unscored", &c.unscored);
     out
 }
 
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -18,6 +18,7 @@
 pub use book::Stored;
 pub use model::Contract;
 pub use model::Rule;
+pub use model::Unscored;
 pub use model::Weighs;
 pub use token::Digest;
 
--- a/crates/contract/src/model.rs
+++ b/crates/contract/src/model.rs
@@ -24,6 +24,17 @@
     Staleness,
 }
 
+/// What becomes of a sample that cannot be scored.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Unscored {
+    /// It waits until it is scored.
+    #[default]
+    Wait,
+    /// It is delivered without a score.
+    Pass,
+}
+
 /// A call that is marked as non-idempotent: `SERVICE:METHOD:/path`, where the path is a prefix.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rule {
@@ -98,6 +109,12 @@
     pub weighs: Weighs,
     /// Calls marked as non-idempotent.
     pub once: Vec<Rule>,
+    /// The plain service that scores samples before they are delivered.
+    #[serde(default)]
+    pub scorer: Option<Name>,
+    /// What becomes of a sample that cannot be scored.
+    #[serde(default)]
+    pub unscored: Unscored,
 }
 
 impl Contract {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod holder;
 mod orders;
 mod run;
+mod sources;
 mod work;
 
 pub use run::Control;
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -16,6 +16,7 @@
 use wire::peer;
 use wire::peer::Status;
 
+use crate::sources::Sources;
 use crate::work::Work;
 
 /// Time between two questions to the entry.
@@ -77,7 +78,7 @@
             domain: settings.me.domain.clone(),
             instance: settings.me.name.clone(),
             engines,
-            store: settings.store.clone(),
+            sources: Sources::new(&settings.weights),
             plat: plat.clone(),
             http: http.clone(),
             clock,
--- a/crates/control/src/work.rs
+++ b/crates/control/src/work.rs
@@ -21,6 +21,7 @@
 use crate::holder::Taken;
 use crate::orders;
 use crate::orders::Given;
+use crate::sources::Sources;
 
 /// Time between two looks at the engines while a swap is under way.
 const BUSY: Duration = Duration::from_millis(100);
@@ -44,8 +45,7 @@
     pub(crate) domain: Name,
     pub(crate) instance: Name,
     pub(crate) engines: Vec<Spec>,
-    /// Where weights are fetched; empty when engines know it themselves.
-    pub(crate) store: String,
+    pub(crate) sources: Sources,
     pub(crate) plat: Client,
     pub(crate) http: net::Client,
     pub(crate) clock: Clock,
@@ -185,10 +185,7 @@
         let Some(engine) = self.engines.iter().find(|engine| engine.name == *name) else {
             return true;
         };
-        let source = match self.store.is_empty() {
-            true => String::new(),
-            false => format!("{}/{}/{version}", self.store, self.model),
-        };
+        let source = self.sources.next(name, &self.model, version);
         let order = |fence: fleet::Fence| Order {
             version,
             source,
--- a/crates/control/tests/control.rs
+++ b/crates/control/tests/control.rs
@@ -243,3 +243,48 @@
         reach(&rig, 3).await;
     });
 }
+
+fn cached() -> Make {
+    Make {
+        cache: true,
+        ..make()
+    }
+}
+
+// Symptom: new weights take minutes, though each engine's own network is idle.
+// Sequence: every engine of a failure domain fetches the same version from the rate-limited store.
+// Cause: one download an engine.
+#[test]
+fn a_cache_fetches_each_version_once() {
+    block(async {
+        let rig = Rig::start(&cached()).await.unwrap();
+
+        announce(&rig, 2).await;
+
+        reach(&rig, 2).await;
+        let store = rig.parts.store.as_ref().unwrap();
+        assert_eq!(
+            store.part.sent(),
+            2 * 100_000,
+            "once for each failure domain"
+        );
+    });
+}
+
+// Symptom: engines stay at old weights while a cache is broken.
+// Sequence: the instance with the cache is killed before the version is announced.
+// Cause: a cache without which nothing goes.
+#[test]
+fn without_its_cache_a_domain_fetches_from_the_store() {
+    block(async {
+        let mut rig = Rig::start(&cached()).await.unwrap();
+        announce(&rig, 2).await;
+        reach(&rig, 2).await;
+        rig.kill(0);
+        rig.controls.remove(0).stop().await;
+
+        announce(&rig, 3).await;
+
+        reach(&rig, 3).await;
+    });
+}
--- a/crates/fleet/src/rumour.rs
+++ b/crates/fleet/src/rumour.rs
@@ -64,7 +64,7 @@
 }
 
 /// Rumours in one message, so that its size stays bounded.
-const BATCH: usize = 6;
+const BATCH: usize = 4;
 
 /// Rumours that still have to be passed on, each a number of times that grows with the logarithm
 /// of the instances: enough for all to hear of it, and then no more traffic.
--- a/crates/rig/src/make.rs
+++ b/crates/rig/src/make.rs
@@ -25,6 +25,8 @@
     pub control: bool,
     /// Bytes of a weight version and bytes a second of the store; none without a store.
     pub store: Option<(usize, f64)>,
+    /// Whether the first entry of each failure domain caches weights, in a folder of its own.
+    pub cache: bool,
     /// Order of the queues.
     pub order: &'static str,
     /// Choice of upstreams.
@@ -51,6 +53,7 @@
             slots: 16,
             control: false,
             store: None,
+            cache: false,
             order: "fair",
             chooser: "scored",
             policy: "longest",
--- a/crates/rig/src/start.rs
+++ b/crates/rig/src/start.rs
@@ -29,6 +29,27 @@
 /// Time between two looks at whether they are.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// Adds the caches of an entry's failure domain to its settings, and its folder if it is one.
+fn with_cache(
+    text: &str,
+    name: &str,
+    domain: &str,
+    addr: SocketAddr,
+    caches: &[(&str, SocketAddr)],
+) -> String {
+    let near = caches.iter().filter(|(of, _)| *of == domain);
+    let list: Vec<_> = near.map(|(_, addr)| addr.to_string()).collect();
+    if list.is_empty() {
+        return text.to_owned();
+    }
+    let mut lines = format!("[weights]\ncaches = {}\n", list.join(", "));
+    if caches.iter().any(|(_, cache)| *cache == addr) {
+        let folder = std::env::temp_dir().join(format!("snipeway-cache-{name}-{}", addr.port()));
+        lines += &format!("folder = {}\n", folder.display());
+    }
+    text.replace("[weights]\n", &lines)
+}
+
 /// A fleet in this process.
 pub struct Rig {
     /// The stand-ins.
@@ -60,6 +81,11 @@
                 sockets.push((name, *domain, listener, addr));
             }
         }
+        let caches: Vec<_> = sockets
+            .iter()
+            .filter(|(name, ..)| make.cache && name.ends_with("-0"))
+            .map(|(_, domain, _, addr)| (*domain, *addr))
+            .collect();
         let mut rig = Self {
             parts,
             entries: Vec::new(),
@@ -68,7 +94,7 @@
         };
         for (name, domain, listener, addr) in sockets {
             let me = format!("[instance]\nname = {name}\ndomain = {domain}\nlisten = {addr}\n");
-            let file = format!("{text}{me}");
+            let file = format!("{}{me}", with_cache(&text, &name, domain, addr, &caches));
             let settings = serve::settings::read(&name, &file)?;
             let entry = Running::start_on(listener, settings)?;
             if make.control {
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -23,6 +23,7 @@
 
 use crate::Settings;
 use crate::audit;
+use crate::cache::Cache;
 use crate::clock::Clock;
 use crate::desk::Desk;
 use crate::history::History;
@@ -59,6 +60,8 @@
     pub leaving: AtomicBool,
     /// An operator told it to leave.
     pub leave: Notify,
+    /// Weight versions, on an instance that has a disk.
+    pub cache: Option<Cache>,
     /// What happened lately.
     pub history: History,
     /// One more than the monotonic time at which the contracts were last known to be the newest;
@@ -95,6 +98,11 @@
             leaving: AtomicBool::new(false),
             leave: Notify::new(),
             history: History::default(),
+            cache: settings
+                .weights
+                .folder
+                .clone()
+                .map(|folder| Cache::new(folder, &settings.weights.store)),
             known: AtomicU64::new(0),
             settings,
         }))
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -1,5 +1,7 @@
 //! Calls of plain services.
 
+mod keyed;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +9,6 @@
 use contract::Contract;
 use http::HeaderMap;
 use http::HeaderName;
-use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -20,11 +21,6 @@
 use net::Reply;
 use net::SendError;
 use net::body;
-use once::Answer;
-use once::Key;
-use once::Outcome;
-use once::Print;
-use once::record::MAX_BODY;
 use route::Attempt;
 use route::Kind;
 use route::Next;
@@ -36,8 +32,6 @@
 use route::retry::Failure;
 use route::retry::Stop;
 use wire::Problem;
-use wire::caller::KEY;
-use wire::caller::REPLAYED;
 use wire::caller::TIMEOUT;
 use wire::engine::RUNNING;
 use wire::problem::Type;
@@ -53,13 +47,6 @@
 /// Header by which an upstream says that it is leaving.
 const LEAVING: &str = "x-leaving";
 
-/// Time beyond the caller's deadline for which the answer of a non-idempotent call is awaited, so
-/// that the journal can tell what came of it.
-const AFTERMATH: Millis = 30_000;
-
-/// When to come back after a failure of the journal, in milliseconds.
-const JOURNAL: Millis = 1_000;
-
 /// When to come back after a failed upstream, in milliseconds.
 const UPSTREAM: Millis = 1_000;
 
@@ -114,7 +101,7 @@
     let path = call.rest(3);
     let plain = path.split('?').next().unwrap_or("/");
     let once = contract.is_once(&service, call.method.as_str(), plain);
-    let key = key(&call, contract, &service, once)?;
+    let key = keyed::key(&call, contract, &service, once)?;
     let errand = errand(app, call, path, once, deadline).await?;
     // Before the journal: what the contract does not allow must cost no write.
     let passage = limits::pass(app, &held, 0, trace)?;
@@ -125,7 +112,7 @@
         passage,
     };
     match key {
-        Some(key) => keyed(app, job, key, trace).await,
+        Some(key) => keyed::run(app, job, key, trace).await,
         None => Ok(pass_on(attempts(app, &job, trace).await?)),
     }
 }
@@ -180,34 +167,6 @@
     }
 }
 
-/// The key of a non-idempotent call that has one.
-fn key(
-    call: &Call,
-    contract: &Contract,
-    service: &str,
-    once: bool,
-) -> Result<Option<Key>, Problem> {
-    let Some(text) = call.header(KEY).filter(|_| once) else {
-        return Ok(None);
-    };
-    let key = Key::new(&contract.customer, service, text);
-    let key = key.map_err(|error| no(Type::BadRequest).because(format!("{KEY}: {error}")))?;
-    Ok(Some(key))
-}
-
-/// Refuses a key so old that the journal may have forgotten it.
-fn horizon(app: &App, headers: &HeaderMap) -> Result<(), Problem> {
-    let text = headers.get(KEY).and_then(|value| value.to_str().ok());
-    let Some(created) = text.and_then(once::key::created) else {
-        return Ok(());
-    };
-    // Half of the time for which keys are kept: clocks may differ by the other half.
-    if created + app.settings.journal.keep / 2 < app.clock.wall() {
-        return Err(Problem::new(Type::KeyExpired, Ran::Unknown));
-    }
-    Ok(())
-}
-
 async fn errand(
     app: &App,
     call: Call,
@@ -235,66 +194,6 @@
     })
 }
 
-/// Runs a non-idempotent call that has a key: the intent is written first, and the call goes on
-/// even when its caller goes away, so that the journal can tell what came of it.
-async fn keyed(
-    app: &Arc<App>,
-    mut job: Job,
-    key: Key,
-    trace: &mut Trace,
-) -> Result<Reply, Problem> {
-    let errand = &mut job.errand;
-    horizon(app, &errand.headers)?;
-    errand.patience = AFTERMATH;
-    let print = Print::new(errand.method.as_str(), &errand.path, &errand.body);
-    let attempt = trace.id.attempt(0);
-    let answer = app
-        .journal
-        .ask(app, key, print, attempt, errand.deadline)
-        .await;
-    trace.note(format!("journal: {}", word(&answer)));
-    match answer {
-        Answer::Run => (),
-        Answer::Ran(outcome) => return Ok(replay(outcome)),
-        Answer::Unknown => return Err(Problem::new(Type::KeyInDoubt, Ran::Unknown)),
-        Answer::Mismatch => return Err(no(Type::KeyMismatch)),
-        Answer::Refused => return Err(no(Type::Journal).after(JOURNAL)),
-    }
-    let left = errand.deadline.saturating_sub(app.clock.now());
-    let app = app.clone();
-    let mut inner = Trace::begin(trace.kind, app.clock);
-    inner.id = trace.id;
-    let task = tokio::spawn(async move {
-        let result = attempts(&app, &job, &mut inner).await;
-        match &result {
-            Ok(answer) => app.journal.done(&app, key, outcome(answer)),
-            Err(problem) if problem.ran == Ran::No => app.journal.free(&app, key, attempt).await,
-            Err(_) => (),
-        }
-        (result, inner)
-    });
-    match tokio::time::timeout(Duration::from_millis(left), task).await {
-        Ok(Ok((result, inner))) => {
-            trace.upstream = inner.upstream;
-            trace.attempts = inner.attempts;
-            trace.notes.extend(inner.notes);
-            result.map(pass_on)
-        }
-        Ok(Err(_)) => Err(Problem::new(Type::Internal, Ran::Unknown)),
-        Err(_) => Err(Problem::new(Type::Late, Ran::Unknown)),
-    }
-}
-
-fn word(answer: &Answer) -> &'static str {
-    match answer {
-        Answer::Run => "may run",
-        Answer::Ran(_) => "ran before; its answer is given again",
-        Answer::Unknown => "may have run before",
-        Answer::Mismatch => "the key names another request",
-        Answer::Refused => "could not be written",
-    }
-}
-
 /// Tries upstreams until one answers or the call is given up.
 async fn attempts(
     app: &Arc<App>,
@@ -427,29 +326,3 @@
     }
     Response::from_parts(head, body::full(bytes))
 }
-
-fn outcome(answer: &Response<Bytes>) -> Outcome {
-    let kind = answer.headers().get(header::CONTENT_TYPE);
-    let kind = kind.and_then(|kind| kind.to_str().ok()).unwrap_or("");
-    let bytes = answer.body();
-    Outcome {
-        status: answer.status().as_u16(),
-        kind: kind.into(),
-        body: (bytes.len() <= MAX_BODY).then(|| bytes.to_vec().into()),
-    }
-}
-
-/// Gives a recorded answer again.
-fn replay(outcome: Outcome) -> Reply {
-    let whole = outcome.body.is_some();
-    let bytes = outcome.body.unwrap_or_default().into_vec();
-    let mut reply = Response::new(body::full(bytes));
-    *reply.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::OK);
-    let headers = reply.headers_mut();
-    if let Ok(kind) = HeaderValue::from_str(&outcome.kind) {
-        headers.insert(header::CONTENT_TYPE, kind);
-    }
-    let how = if whole { "whole" } else { "status-only" };
-    headers.insert(REPLAYED, HeaderValue::from_static(how));
-    reply
-}
--- a/crates/serve/src/journal.rs
+++ b/crates/serve/src/journal.rs
@@ -4,13 +4,13 @@
 //! highest rank for the shard. That is for economy only: any instance may write to any shard, and
 //! the shard's head decides between two that do.
 
+mod driver;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
-use bytes::Bytes;
 use fleet::Member;
 use kernel::AttemptId;
 use kernel::Millis;
@@ -19,18 +19,9 @@
 use once::Outcome;
 use once::Print;
 use once::Record;
-use once::Segment;
 use once::Shard;
-use once::Work;
-use once::shard::Wrote;
 use parking_lot::Mutex;
 use plat::Client;
-use plat::Guard;
-use plat::PlatError;
-use plat::Put;
-use plat::Txn;
-use plat::client::Done;
-use plat::keys;
 use tokio::sync::Notify;
 use wire::peer;
 use wire::peer::Journaled;
@@ -39,6 +30,7 @@
 use crate::clock::Clock;
 use crate::gossip;
 use crate::settings;
+use driver::Driver;
 
 /// Longest time that a question waits for the platform; refusing sooner than the deadline leaves
 /// the caller time to go elsewhere.
@@ -47,21 +39,9 @@
 /// Failures in a row from which the platform counts as away and questions are refused at once.
 const AWAY: u32 = 2;
 
-/// Shortest time between two writes to a shard.
-const GAP: Duration = Duration::from_millis(40);
-
-/// Time that outcomes wait to be written together.
-const LAZY: Duration = Duration::from_millis(1_000);
-
-/// First pause after a failed call of the platform; it doubles with each.
+/// Time between two looks at whether everything is written.
 const PAUSE: Millis = 25;
 
-/// Longest pause after a failed call of the platform.
-const LONGEST: Millis = 1_000;
-
-/// Records in one write as bytes at most, far below the platform's largest value.
-const MOST: usize = 512 << 10;
-
 #[derive(Debug)]
 struct Cell {
     shard: Mutex<Shard>,
@@ -309,154 +289,3 @@
         .await
         .ok()
 }
-
-/// Carries out what one shard asks for.
-struct Driver {
-    at: u32,
-    cell: Arc<Cell>,
-    plat: Client,
-    clock: Clock,
-}
-
-impl Driver {
-    async fn run(self) {
-        let mut wrote = Instant::now() - GAP;
-        loop {
-            self.gather(wrote).await;
-            let work = self.cell.shard.lock().next(self.clock.wall());
-            let done = match work {
-                Work::Idle if self.is_away() => self.probe().await,
-                Work::Idle => {
-                    self.cell.work.notified().await;
-                    continue;
-                }
-                Work::Load { from } => self.load(from).await,
-                Work::Write { head, segment } => {
-                    wrote = Instant::now();
-                    self.write(head, &segment).await
-                }
-            };
-            self.cell.news.notify_waiters();
-            self.judge(done).await;
-        }
-    }
-
-    /// Lets records gather for the next write: at most so many writes a second go to one shard,
-    /// whatever the number of requests, and records that nobody waits for wait for company.
-    async fn gather(&self, wrote: Instant) {
-        let since = wrote.elapsed();
-        if since < GAP {
-            tokio::time::sleep(GAP - since).await;
-        }
-        // Whoever asks for a right to run ends the wait; another outcome does not.
-        let end = tokio::time::Instant::now() + LAZY;
-        while self.cell.shard.lock().is_lazy() {
-            let work = self.cell.work.notified();
-            if tokio::time::timeout_at(end, work).await.is_err() {
-                return;
-            }
-        }
-    }
-
-    fn is_away(&self) -> bool {
-        self.cell.failures.load(Ordering::Relaxed) > 0
-    }
-
-    async fn judge(&self, done: Result<(), PlatError>) {
-        let Err(error) = done else {
-            self.cell.failures.store(0, Ordering::Relaxed);
-            return;
-        };
-        if matches!(error, PlatError::Budget) {
-            // Our own calls are too many; that says nothing about the platform.
-            tokio::time::sleep(GAP).await;
-            return;
-        }
-        let failures = self.cell.failures.fetch_add(1, Ordering::Relaxed) + 1;
-        if failures == AWAY {
-            let error = error.to_string();
-            log::warn!(target: "journal", shard = self.at, error = error.as_str(); "platform away");
-        }
-        // Jitter keeps the instances from returning to the platform all at once.
-        let span = (PAUSE << failures.min(10)).min(LONGEST) as f64;
-        let pause = span * (0.5 + 0.5 * rand::random::<f64>());
-        tokio::time::sleep(Duration::from_millis(pause as u64)).await;
-    }
-
-    /// Finds out whether the platform is back though nobody waits for it.
-    async fn probe(&self) -> Result<(), PlatError> {
-        let key = keys::shard_head(self.at);
-        self.plat.get(&key).await.map(drop)
-    }
-
-    async fn load(&self, from: u64) -> Result<(), PlatError> {
-        let read = self.read(from).await;
-        let mut shard = self.cell.shard.lock();
-        match read {
-            Ok((head, segments)) => {
-                shard.loaded(head, segments);
-                Ok(())
-            }
-            Err(error) => {
-                shard.unread();
-                Err(error)
-            }
-        }
-    }
-
-    /// Reads the head and the segments from one on, in one consistent read: the head's key sorts
-    /// before those of the segments, so the range from the head on holds both. Segments that are
-    /// known already come along; they are few, since expired ones are deleted.
-    async fn read(&self, from: u64) -> Result<(i64, Vec<Segment>), PlatError> {
-        let range = self.plat.list(&keys::shard(self.at)).await?;
-        let head_key = keys::shard_head(self.at);
-        let first = keys::segment(self.at, from);
-        let mut head = 0;
-        let mut segments = Vec::new();
-        for item in range.items {
-            if item.key == head_key {
-                head = item.rev;
-            } else if item.key >= first {
-                let segment = Segment::decode(&item.value);
-                segments.push(segment.map_err(|_| PlatError::Garbled)?);
-            }
-        }
-        Ok((head, segments))
-    }
-
-    async fn write(&self, head: i64, segment: &Segment) -> Result<(), PlatError> {
-        let done = self.put(head, segment).await;
-        let wrote = match &done {
-            Ok(Done::At(rev)) => Wrote::Done(*rev),
-            Ok(Done::Conflict) => Wrote::Conflict,
-            Err(_) => Wrote::Unclear,
-        };
-        self.cell.shard.lock().wrote(wrote);
-        done.map(drop)
-    }
-
-    async fn put(&self, head: i64, segment: &Segment) -> Result<Done, PlatError> {
-        let bytes = segment.encode().map_err(|_| PlatError::Garbled)?;
-        if bytes.len() > MOST {
-            log::warn!(target: "journal", shard = self.at, bytes = bytes.len(); "large segment");
-        }
-        let key = keys::shard_head(self.at);
-        let seq = segment.seq.to_string();
-        let expired = (
-            keys::segment(self.at, 0),
-            keys::segment(self.at, segment.floor),
-        );
-        let txn = Txn {
-            guards: vec![Guard::on(key.as_str(), head)],
-            puts: vec![
-                Put::new(key, Bytes::from(seq).to_vec()),
-                Put::new(keys::segment(self.at, segment.seq), bytes),
-            ],
-            deletes: match segment.floor {
-                0 | 1 => Vec::new(),
-                _ => vec![expired],
-            },
-        };
-        self.plat.txn(&txn).await
-    }
-}
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod app;
 pub mod audit;
 pub mod auth;
+pub mod cache;
 pub mod clock;
 pub mod complete;
 pub mod desk;
--- a/crates/serve/src/poll.rs
+++ b/crates/serve/src/poll.rs
@@ -28,7 +28,7 @@
                 tokio::spawn(async move { ask(&app, &desk, &spec).await });
             }
         }
-        let pause = app.settings.poll as f64 * (0.9 + 0.2 * rand::random::<f64>());
+        let pause = app.settings.weights.poll as f64 * (0.9 + 0.2 * rand::random::<f64>());
         tokio::time::sleep(Duration::from_millis(pause as u64)).await;
     }
 }
--- a/crates/serve/src/router.rs
+++ b/crates/serve/src/router.rs
@@ -17,6 +17,7 @@
 use wire::problem::Type;
 
 use crate::App;
+use crate::cache;
 use crate::complete;
 use crate::forward;
 use crate::operator;
@@ -102,6 +103,13 @@
         draw!(route, app, Method::POST, peer::JOURNAL, peers::journal);
         draw!(route, app, Method::POST, peer::STEP_PULL, peers::pull);
         draw!(route, app, Method::POST, peer::STEP_END, peers::end);
+        draw!(
+            route,
+            app,
+            Method::GET,
+            "/weights/:model/:version",
+            cache::serve
+        );
         for path in ["/v1/services/:service", "/v1/services/:service/*"] {
             route
                 .request(every(), path)
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -81,6 +81,19 @@
     pub keep: Millis,
 }
 
+/// Weights and load reports.
+#[derive(Clone, Debug)]
+pub struct Weights {
+    /// Time between two load reports of an engine.
+    pub poll: Millis,
+    /// Where the weight store is; empty when engines know it themselves.
+    pub store: String,
+    /// Folder of this instance's cache; [`None`] when it has no disk.
+    pub folder: Option<PathBuf>,
+    /// Instances of this failure domain that have a cache.
+    pub caches: Vec<SocketAddr>,
+}
+
 /// Settings of an instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -102,10 +115,8 @@
     pub journal: Journal,
     /// The policy of steps.
     pub policy: &'static str,
-    /// Time between two load reports of an upstream.
-    pub poll: Millis,
-    /// Where the weight store is; empty when engines know it themselves.
-    pub store: String,
+    /// Weights and load reports.
+    pub weights: Weights,
     /// Logging.
     pub logs: logs::Settings,
 }
@@ -123,7 +134,7 @@
     let bounds = one(&mut doc, "limits", bounds);
     let journal = one(&mut doc, "journal", journal);
     let policy = one(&mut doc, "steps", policy);
-    let (poll, store) = one(&mut doc, "weights", weights);
+    let weights = one(&mut doc, "weights", weights);
     let logs = one(&mut doc, "log", log);
     let peers = many(&mut doc, "peer", peer);
     let pools = many(&mut doc, "pool", pool);
@@ -141,8 +152,7 @@
         bounds,
         journal,
         policy,
-        poll,
-        store,
+        weights,
         logs,
     })
 }
@@ -317,10 +327,27 @@
     plugin_of::<Policy>(s, "policy", "longest")
 }
 
-fn weights(s: &mut Section) -> (Millis, String) {
+fn weights(s: &mut Section) -> Weights {
     let poll = s.or("poll", SPAN, Span(1_000));
     let store = s.or("store", "the URL before /MODEL/VERSION", String::new());
-    (poll.0.max(10), store)
+    let folder = s.get::<PathBuf>("folder", "a folder");
+    let caches = s.or(
+        "caches",
+        "addresses separated by commas",
+        List::<SocketAddr>(Vec::new()),
+    );
+    if folder.is_some() && store.is_empty() {
+        s.refuse(
+            "store",
+            "the URL before /MODEL/VERSION, as there is a cache",
+        );
+    }
+    Weights {
+        poll: poll.0.max(10),
+        store,
+        folder,
+        caches: caches.0,
+    }
 }
 
 fn log(s: &mut Section) -> logs::Settings {
--- a/crates/serve/src/steps.rs
+++ b/crates/serve/src/steps.rs
@@ -8,6 +8,7 @@
 
 mod ledger;
 mod sample;
+mod score;
 mod work;
 
 use std::sync::Arc;
--- a/crates/serve/src/steps/sample.rs
+++ b/crates/serve/src/steps/sample.rs
@@ -14,6 +14,7 @@
 use step::run::Kept;
 use wire::engine::Generate;
 
+use super::score;
 use super::work::Work;
 use crate::App;
 use crate::desk::Permit;
@@ -140,7 +141,8 @@
     }
     match (end, assembly.close()) {
         (End::Whole, Ok(whole)) => {
-            let sample = whole.sample(index, begin.group);
+            let mut sample = whole.sample(index, begin.group);
+            score::score(app, work, &begin.prompt, &mut sample).await;
             let kept = work.run.lock().finish(ordinal, sample, work.clock.now());
             settle(app, work, kept);
         }
--- /dev/null
+++ b/crates/serve/src/steps/score.rs
@@ -0,0 +1,110 @@
+//! Scoring a sample before it is delivered, when the contract asks for it.
+
+use std::time::Duration;
+
+use contract::Contract;
+use contract::Unscored;
+use http::Method;
+use kernel::Millis;
+use limit::order::Entry;
+use net::client::uri;
+use route::Kind;
+use route::pool::Ask;
+use step::Sample;
+use wire::scorer::SCORE;
+use wire::scorer::Score;
+use wire::scorer::Scored;
+
+use super::work::Work;
+use crate::App;
+
+/// Time that a scorer has for one sample.
+const LIMIT: Millis = 5_000;
+
+/// Pause after a scorer that gave none.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Tries before a sample passes without a score, where the contract lets it.
+const TRIES: u32 = 3;
+
+/// Why there is no score.
+#[derive(Debug, thiserror::Error)]
+enum ScoreError {
+    /// The settings know no such service.
+    #[error("the settings have no service {0}")]
+    Unknown(String),
+    /// No scorer can take it now.
+    #[error("no scorer can take it now")]
+    Busy,
+    /// The scorer gave none.
+    #[error(transparent)]
+    Scorer(#[from] net::client::JsonError),
+}
+
+/// Asks for the score of a sample until there is one, or the contract lets it pass without.
+///
+/// The sample stays with the step meanwhile, so a scorer that is dead delays it and never loses
+/// it; the contract is read anew each time, so an amendment ends the wait.
+pub(super) async fn score(app: &App, work: &Work, prompt: &str, sample: &mut Sample) {
+    let mut tries = 0;
+    while !work.is_cancelled() {
+        let held = app.book.read().by_name(work.customer()).cloned();
+        let Some(held) = held else {
+            return;
+        };
+        let contract = &held.stored.contract;
+        let Some(scorer) = &contract.scorer else {
+            return;
+        };
+        match ask(app, contract, scorer, prompt, &sample.text).await {
+            Ok(score) => {
+                sample.score = Some(score);
+                return;
+            }
+            Err(error) => {
+                tries += 1;
+                if tries == 1 {
+                    work.note(format!(
+                        "sample {} is not scored yet: {error}",
+                        sample.index
+                    ));
+                }
+            }
+        }
+        if contract.unscored == Unscored::Pass && tries >= TRIES {
+            work.note(format!("sample {} passes without a score", sample.index));
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn ask(
+    app: &App,
+    contract: &Contract,
+    scorer: &str,
+    prompt: &str,
+    text: &str,
+) -> Result<f64, ScoreError> {
+    let desk = app.desks.get(scorer);
+    let desk = desk.filter(|desk| desk.kind == Kind::Service);
+    let desk = desk.ok_or_else(|| ScoreError::Unknown(scorer.into()))?;
+    let entry = Entry {
+        customer: contract.customer.clone(),
+        weight: contract.weight,
+        class: contract.class,
+        cost: 1.0,
+    };
+    let deadline = app.clock.now() + LIMIT;
+    let permit = desk.acquire(&entry, Ask::default(), deadline).await;
+    let permit = permit.map_err(|_| ScoreError::Busy)?;
+    let asked = Score {
+        prompt: prompt.into(),
+        text: text.to_owned(),
+    };
+    let uri = uri(permit.spec.addr, SCORE);
+    let limit = Duration::from_millis(LIMIT);
+    let scored: Result<Scored, _> = app.http.json(Method::POST, &uri, &asked, limit).await;
+    permit.end(scored.is_ok());
+    Ok(scored?.score)
+}
--- a/crates/serve/tests/steps.rs
+++ b/crates/serve/tests/steps.rs
@@ -365,3 +365,57 @@
         panic!("the step did not become whole");
     });
 }
+
+fn scored(unscored: &str) -> Make {
+    let more = format!("staleness = 1\nscorer = portal\nunscored = {unscored}\n");
+    Make {
+        services: 1,
+        contracts: vec![contracts::text("staff", &more)],
+        ..make()
+    }
+}
+
+#[test]
+fn samples_are_scored_before_they_are_delivered() {
+    block(async {
+        let rig = Rig::start(&scored("wait")).await.unwrap();
+        let mut trainer = Trainer::open(&rig, 4, 4).await;
+
+        trainer.finish().await;
+
+        trainer.check(4);
+        let right = |s: &Sample| s.score == Some(s.text.len() as f64);
+        assert!(trainer.got.iter().all(right));
+    });
+}
+
+// Symptom: samples are lost, or come without a score, while the scorer is dead.
+// Sequence: every scorer is down for a while; the contract says wait, or pass.
+// Cause: a sample that is handed to the scorer and kept nowhere else.
+#[parameterized(
+    wait = { "wait", true },
+    pass = { "pass", false },
+)]
+fn a_dead_scorer_loses_nothing(unscored: &str, delayed: bool) {
+    block(async {
+        let rig = Rig::start(&scored(unscored)).await.unwrap();
+        let down = |on: bool| {
+            for service in &rig.parts.services {
+                service.host.faults.change(|fault| fault.down = on);
+            }
+        };
+        down(true);
+        let mut trainer = Trainer::open(&rig, 2, 2).await;
+        for _ in 0..6 {
+            trainer.pull(64).await;
+        }
+        let early = trainer.got.len();
+        down(false);
+
+        trainer.finish().await;
+
+        trainer.check(2);
+        assert_eq!(early == 0, delayed);
+        assert_eq!(trainer.got.iter().all(|s| s.score.is_some()), delayed);
+    });
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -18,6 +18,9 @@
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::sync::Semaphore;
+use wire::scorer::SCORE;
+use wire::scorer::Score;
+use wire::scorer::Scored;
 
 use crate::Faults;
 use crate::Host;
@@ -81,6 +84,9 @@
         let factor = self.faults.get().factor();
         tokio::time::sleep(self.work.mul_f64(factor)).await;
         let count = self.served.fetch_add(1, Ordering::Relaxed) + 1;
+        if call.uri.path() == SCORE {
+            return score(&bytes);
+        }
         let status = match call.method {
             Method::POST => StatusCode::CREATED,
             _ => StatusCode::OK,
@@ -120,6 +126,17 @@
     }
 }
 
+/// Scores a sample by the length of its text.
+fn score(bytes: &[u8]) -> Reply {
+    match serde_json::from_slice::<Score>(bytes) {
+        Ok(asked) => {
+            let score = asked.text.len() as f64;
+            body::json(StatusCode::OK, &Scored { score })
+        }
+        Err(error) => body::reply(StatusCode::BAD_REQUEST, "text/plain", error.to_string()),
+    }
+}
+
 /// Counts a call out, also when its caller goes away.
 struct Leave<'a>(&'a AtomicU32);
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod engine;
 pub mod peer;
 pub mod problem;
+pub mod scorer;
 
 pub use problem::Problem;
--- /dev/null
+++ b/crates/wire/src/scorer.rs
@@ -0,0 +1,25 @@
+//! Messages with services that score samples.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Path at which a scorer is asked. Asking twice does no harm.
+pub const SCORE: &str = "/score";
+
+/// Asks for the score of a sample.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Score {
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// The text.
+    pub text: String,
+}
+
+/// The score of a sample.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Scored {
+    /// The score; higher is better.
+    pub score: f64,
+}
