Ask each engine from two instances, and pass on what changes

Change: the two live instances with the highest rank in the engine's failure domain ask it; when its version, its quarantine or its leaving changes they pass that on as news, and streams tell the version as well. An engine of unknown version may be tried; a stream that begins below the asked version ends at once and counts as no failure.

By count, 2 questions an engine and period instead of one from each instance.

Conclusion: questions grow with engines, not with engines times instances.

--- a/crates/fleet/src/rumour.rs
+++ b/crates/fleet/src/rumour.rs
@@ -30,6 +30,17 @@
         /// Milliseconds since 1970 at the instance that noticed.
         at: u64,
     },
+    /// What an engine states, as far as requests depend on it.
+    Engine {
+        /// The engine.
+        name: Name,
+        /// Its weight version; [`None`] when it states no single one.
+        version: Option<u64>,
+        /// Whether it says that it is leaving.
+        leaving: bool,
+        /// Milliseconds since 1970 at the instance that asked it.
+        at: u64,
+    },
     /// What customers ask of one instance, for the split of their limits.
     Demand {
         /// The instance.
@@ -50,6 +61,8 @@
     Upstream(Name),
     /// The demand on an instance.
     Demand(Name),
+    /// What an engine states.
+    Engine(Name),
 }
 
 impl Rumour {
@@ -58,6 +71,7 @@
         match self {
             Self::Member(member) => About::Member(member.name.clone()),
             Self::Upstream { name, .. } => About::Upstream(name.clone()),
+            Self::Engine { name, .. } => About::Engine(name.clone()),
             Self::Demand { from, .. } => About::Demand(from.clone()),
         }
     }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -91,6 +91,8 @@
     turn: u64,
     demands: Map<Name, Wanted>,
     upstreams: Map<Name, (bool, u64)>,
+    /// When the newest that is known of each engine was seen.
+    engines: Map<Name, u64>,
 }
 
 impl View {
@@ -105,6 +107,7 @@
             turn: 0,
             demands: Map::default(),
             upstreams: Map::default(),
+            engines: Map::default(),
         }
     }
 
@@ -257,6 +260,7 @@
         let new = match &rumour {
             Rumour::Member(member) => return self.hear_member(member, now),
             Rumour::Upstream { name, leaving, at } => self.hear_upstream(name, *leaving, *at),
+            Rumour::Engine { name, at, .. } => self.hear_engine(name, *at),
             Rumour::Demand { from, turn, rates } => self.hear_demand(from, *turn, rates, now),
         };
         if new {
@@ -305,6 +309,13 @@
         true
     }
 
+    fn hear_engine(&mut self, name: &Name, at: u64) -> bool {
+        let known = self.engines.entry(name.clone()).or_insert(0);
+        let news = at > *known;
+        *known = at.max(*known);
+        news
+    }
+
     fn hear_demand(&mut self, from: &Name, turn: u64, rates: &[Demand], now: Millis) -> bool {
         if *from == self.me.name {
             return false;
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -143,6 +143,25 @@
     assert_eq!(view.leaving("engine-1"), Some(true));
 }
 
+#[test]
+fn older_news_of_an_engine_do_not_count() {
+    let mut view = view("a", &[]);
+    let engine = |version, at| Rumour::Engine {
+        name: name("engine-1"),
+        version: Some(version),
+        leaving: false,
+        at,
+    };
+
+    let heard = [
+        view.hear(engine(3, 9), 0),
+        view.hear(engine(2, 7), 0),
+        view.hear(engine(3, 9), 0),
+    ];
+
+    assert_eq!(heard, [true, false, false]);
+}
+
 #[test]
 fn demands_of_peers_are_known_until_they_are_old() {
     let mut view = view("a", &["b"]);
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Tells whether the upstream says that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.said
+    }
+
     /// Tells whether the upstream is quarantined.
     pub fn is_quarantined(&self) -> bool {
         self.quarantined
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -128,7 +128,9 @@
     fn open(&self, ask: &Ask, now: Millis) -> Vec<usize> {
         let crowded = self.is_crowded(now);
         let able = |u: &Upstream| {
-            let versioned = u.spec.kind == Kind::Service || u.version.unwrap_or(0) >= ask.version;
+            // An engine of which nothing is known may do; its first chunk tells.
+            let known = u.version.is_none_or(|version| version >= ask.version);
+            let versioned = u.spec.kind == Kind::Service || known;
             versioned && part(u, now, crowded).is_some()
         };
         let all = 0..self.upstreams.len();
--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -183,6 +183,20 @@
     assert_eq!(pool.pick(&ask, 0), Pick::Busy);
 }
 
+// Symptom: a restarted instance leaves most engines idle until weights change again.
+// Sequence: it has heard no news of their versions; a sample asks for a version.
+// Cause: taking an unknown version for an old one.
+#[test]
+fn an_engine_of_unknown_version_may_do() {
+    let mut pool = pool("scored", &["a"], Kind::Engine);
+    let ask = Ask {
+        version: 5,
+        ..Ask::default()
+    };
+
+    assert_eq!(take(&mut pool, &ask, 0), Some(name("a")));
+}
+
 // Symptom: one upstream is overrun although each instance keeps to the reported load.
 // Sequence: the report says idle, is two seconds old, and the instance has filled the window.
 // Cause: trusting the lagging report alone.
--- a/crates/serve/src/complete.rs
+++ b/crates/serve/src/complete.rs
@@ -208,6 +208,7 @@
             top_p: job.asked.top_p,
             stop: job.asked.stop.clone(),
         },
+        floor: 0,
         deadline: job.deadline,
     }
 }
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -59,6 +59,9 @@
     /// A chunk could not be read.
     #[error("the stream could not be understood")]
     Garbled,
+    /// The engine's weights are older than what was asked for.
+    #[error("the engine has older weights than were asked for")]
+    Old,
     /// The engine contradicted itself.
     #[error(transparent)]
     Contradiction(#[from] Contradiction),
@@ -81,6 +84,8 @@
     pub attempt: AttemptId,
     /// The request, without what is there already.
     pub generate: Generate,
+    /// Lowest weight version that will do.
+    pub floor: u64,
     /// When it has to be over, on the monotonic clock.
     pub deadline: Millis,
 }
@@ -100,6 +105,7 @@
         Ok(end) => end,
         Err(_) => End::Early(Ran::Unknown, Why::Silent),
     };
+    learn(app, &permit, assembly.version());
     judge(app, permit, &end);
     end
 }
@@ -136,6 +142,9 @@
             Err(_) => return End::Early(attempt.fail(), Why::Silent),
         };
         match place(order.attempt, event, assembly) {
+            Ok(Some(_)) if assembly.version() < order.floor => {
+                return End::Early(attempt.fail(), Why::Old);
+            }
             Ok(Some(text)) => {
                 if !sink.take(text, assembly).await {
                     return End::Unwanted;
@@ -187,13 +196,23 @@
     }
 }
 
+/// Takes in the weight version that a stream named, which is newer than any report.
+fn learn(app: &App, permit: &Permit, version: u64) {
+    if let (Some(desk), 1..) = (app.desks.get(&permit.spec.pool), version) {
+        desk.update(&permit.spec.name, |upstream| {
+            upstream.version = Some(version)
+        });
+    }
+}
+
 /// Tells the pool what the attempt showed of the engine.
 fn judge(app: &App, permit: Permit, end: &End) {
     let name = permit.spec.name.clone();
     let desk = app.desks.get(&permit.spec.pool).cloned();
     match end {
         End::Whole => permit.end(true),
-        End::Unwanted => drop(permit),
+        // Old weights are no failure: the engine waits for its order.
+        End::Unwanted | End::Early(_, Why::Old) => drop(permit),
         End::Early(_, why) => {
             permit.end(false);
             if let (Some(desk), Why::Contradiction(fault)) = (desk, why) {
--- a/crates/serve/src/gossip.rs
+++ b/crates/serve/src/gossip.rs
@@ -25,6 +25,7 @@
 use crate::App;
 use crate::limits;
 use crate::meter;
+use crate::poll;
 
 /// Time that a probe may take.
 const PROBE: Duration = Duration::from_millis(400);
@@ -198,21 +199,16 @@
     rumours: &[Rumour],
 ) {
     let now = app.clock.now();
-    let mut upstreams = Vec::new();
+    let mut news = Vec::new();
     let mut view = app.view.lock();
     view.answered(from, now);
     for rumour in rumours {
-        let news = view.hear(rumour.clone(), now);
-        if let Rumour::Upstream { name, leaving, .. } = rumour
-            && news
-        {
-            upstreams.push((name.clone(), *leaving));
+        if view.hear(rumour.clone(), now) {
+            news.push(rumour);
         }
     }
     drop(view);
-    for (name, leaving) in upstreams {
-        crate::sync::leaving(app, &name, leaving);
-    }
+    news.into_iter().for_each(|rumour| act(app, rumour));
     // A peer at the same revision that has heard from the platform later vouches for it.
     if let Some(age) = known
         && newest == app.newest()
@@ -221,6 +217,24 @@
     }
 }
 
+/// Does what follows from a piece of news.
+fn act(app: &Arc<App>, rumour: &Rumour) {
+    match rumour {
+        Rumour::Upstream { name, leaving, .. } => crate::sync::leaving(app, name, *leaving),
+        Rumour::Engine {
+            name,
+            version,
+            leaving,
+            ..
+        } => {
+            for desk in app.desks.values() {
+                poll::believe(desk, name, *version, *leaving);
+            }
+        }
+        Rumour::Member(_) | Rumour::Demand { .. } => (),
+    }
+}
+
 /// Answers a probe.
 pub async fn pong(app: &Arc<App>, ping: Ping) -> Pong {
     take_in(app, &ping.from, ping.newest, ping.known, &ping.rumours);
--- a/crates/serve/src/poll.rs
+++ b/crates/serve/src/poll.rs
@@ -1,8 +1,12 @@
 //! Load reports of engines, asked for now and then.
+//!
+//! Each engine is asked by two instances of its failure domain, whatever the number of instances;
+//! when what it states changes they pass that on as news. Load itself comes with answers.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use fleet::Rumour;
 use http::Method;
 use route::Kind;
 use route::Sign;
@@ -13,6 +17,7 @@
 use crate::App;
 use crate::desk::Desk;
 use crate::history::Story;
+use crate::journal::rank;
 use wire::caller::Note;
 
 /// Time that a report may take.
@@ -24,6 +29,9 @@
         for desk in app.desks.values().filter(|desk| desk.kind == Kind::Engine) {
             let specs: Vec<Spec> = desk.all(|all| all.iter().map(|u| u.spec.clone()).collect());
             for spec in specs {
+                if !is_mine(&app, &spec) {
+                    continue;
+                }
                 let (app, desk) = (app.clone(), desk.clone());
                 tokio::spawn(async move { ask(&app, &desk, &spec).await });
             }
@@ -33,7 +41,36 @@
     }
 }
 
-async fn ask(app: &App, desk: &Arc<Desk>, spec: &Spec) {
+/// Instances that ask an engine: one could be cut off from it without being silent to its peers.
+const ASKERS: usize = 2;
+
+/// Tells whether this instance asks the engine: those with the highest rank do, among the live
+/// ones of the engine's failure domain, or of all when none there is live.
+fn is_mine(app: &App, spec: &Spec) -> bool {
+    let view = app.view.lock();
+    let mut live: Vec<_> = view
+        .live()
+        .filter(|member| member.domain == spec.domain)
+        .map(|member| member.name.clone())
+        .collect();
+    if live.is_empty() {
+        live = view.live().map(|member| member.name.clone()).collect();
+    }
+    live.sort_by_key(|name| std::cmp::Reverse(rank(name, &*spec.name)));
+    live.iter().take(ASKERS).any(|name| *name == view.me().name)
+}
+
+/// Takes over what an engine states.
+pub fn believe(desk: &Arc<Desk>, name: &str, version: Option<u64>, leaving: bool) {
+    desk.update(name, |upstream| {
+        upstream.version = version.or(upstream.version);
+        upstream.health.leave(Sign::Said, leaving);
+        // An engine in the middle of a failed swap may use either version for the next token.
+        upstream.health.quarantine(version.is_none());
+    });
+}
+
+async fn ask(app: &Arc<App>, desk: &Arc<Desk>, spec: &Spec) {
     let uri = net::client::uri(spec.addr, LOAD);
     let answer: Result<Load, _> = app.http.json(Method::GET, &uri, &(), LIMIT).await;
     let Ok(load) = answer else {
@@ -43,19 +80,24 @@
     let single = load.stated.single();
     let before = desk.all(|all| {
         let found = all.iter().find(|u| u.spec.name == spec.name);
-        found.map(|u| (u.version, u.health.is_quarantined()))
-    });
-    let now = app.clock.now();
-    desk.update(&spec.name, |upstream| {
-        upstream.report(load.running, now);
-        upstream.version = single.or(upstream.version);
-        upstream.health.leave(Sign::Said, load.leaving);
-        // An engine in the middle of a failed swap may use either version for the next token.
-        upstream.health.quarantine(single.is_none());
+        found.map(|u| (u.version, u.health.is_quarantined(), u.health.is_leaving()))
     });
-    if let Some((version, quarantined)) = before {
-        tell(app, spec, version, single, quarantined);
+    desk.heard(&spec.name, load.running);
+    believe(desk, &spec.name, single, load.leaving);
+    let Some((version, quarantined, leaving)) = before else {
+        return;
+    };
+    let same = version == single.or(version) && quarantined == single.is_none();
+    if !same || leaving != load.leaving {
+        let rumour = Rumour::Engine {
+            name: spec.name.clone(),
+            version: single,
+            leaving: load.leaving,
+            at: app.clock.wall(),
+        };
+        app.view.lock().hear(rumour, app.clock.now());
     }
+    tell(app, spec, version, single, quarantined);
 }
 
 /// Notes what changed, for `explain`.
--- a/crates/serve/src/steps/sample.rs
+++ b/crates/serve/src/steps/sample.rs
@@ -21,6 +21,7 @@
 use crate::generate;
 use crate::generate::End;
 use crate::generate::Sink;
+use crate::generate::Why;
 use crate::limits;
 use crate::limits::Passage;
 use crate::meter;
@@ -124,6 +125,7 @@
             top_p: None,
             stop: Vec::new(),
         },
+        floor: begin.version,
         deadline: app.clock.now() + LIMIT,
     };
     work.run.lock().sent(index, ordinal, work.clock.now());
@@ -147,6 +149,9 @@
             settle(app, work, kept);
         }
         (_, Ok(_)) => work.run.lock().fail(index, ordinal, Partial::default()),
+        (End::Early(_, Why::Old), Err(_)) => {
+            work.run.lock().fail(index, ordinal, Partial::default());
+        }
         (_, Err(open)) => {
             work.avoid.lock().insert(index, engine);
             work.run.lock().fail(index, ordinal, open.partial().clone());
