Let a share of a limit go up only after news have had time to come

Each entry knew only old reports of the others and took the whole limit. Ruled out: the burst (20 calls) and the even split (its property test holds).

Change: a share goes down at once, and up only after 6 s in which the reports asked for more.

Conclusion: errs low at the start of an uneven rush instead of high at the start of an even one.

--- a/crates/limit/src/share.rs
+++ b/crates/limit/src/share.rs
@@ -1,5 +1,7 @@
 //! The part of a contract's limit that one instance may use.
 
+use kernel::Millis;
+
 /// The part of a contract's limit that one instance may use, from 0 to 1.
 ///
 /// # Examples
@@ -19,6 +21,12 @@
 /// begins has something before its peers have heard of it.
 const FLOOR: f64 = 0.1;
 
+/// Part of the way that a share goes up with each report.
+const GROW: f64 = 0.3;
+
+/// Time that reports have to arrive from all instances before a share goes up.
+const SETTLE: Millis = 6_000;
+
 impl Share {
     /// The whole limit: for an instance that is alone.
     pub const WHOLE: Self = Self(1.0);
@@ -50,3 +58,53 @@
         (part as u32).clamp(1, whole.max(1))
     }
 }
+
+/// The share of one instance over time: it goes down at once, and up only after a while.
+///
+/// When all instances' demand begins at the same moment, each knows only old reports of the others
+/// and would take the whole limit until news come. Waiting for the news keeps the limit; the price
+/// is that an instance which is asked alone gets more than its even part only after some seconds.
+///
+/// # Examples
+///
+/// ```
+/// use limit::Share;
+/// use limit::share::Split;
+///
+/// let mut split = Split::new(Share::split(8, &[], 0.0));
+/// split.adapt(Share::WHOLE, 0);
+/// assert_eq!(split.share().part(), 0.125);
+/// split.adapt(Share::WHOLE, 6_000);
+/// assert!(split.share().part() > 0.3);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Split {
+    share: Share,
+    rising: Option<Millis>,
+}
+
+impl Split {
+    /// Begins with a share.
+    pub fn new(share: Share) -> Self {
+        let rising = None;
+        Self { share, rising }
+    }
+
+    /// The share now.
+    pub fn share(&self) -> Share {
+        self.share
+    }
+
+    /// Takes in what the newest reports say.
+    pub fn adapt(&mut self, target: Share, now: Millis) {
+        if target.0 <= self.share.0 {
+            self.share = target;
+            self.rising = None;
+            return;
+        }
+        let since = *self.rising.get_or_insert(now);
+        if now >= since + SETTLE {
+            self.share = Share(self.share.0 + GROW * (target.0 - self.share.0));
+        }
+    }
+}
--- a/crates/limit/tests/limit.rs
+++ b/crates/limit/tests/limit.rs
@@ -12,6 +12,7 @@
 use limit::Share;
 use limit::order::Entry;
 use limit::queue::Popped;
+use limit::share::Split;
 use proptest::prelude::*;
 use yare::parameterized;
 
@@ -149,6 +150,28 @@
     assert_eq!(queue.pop(1, 0), None);
 }
 
+// Symptom: a customer gets 1.6 times its contract for the first seconds of a rush.
+// Sequence: the demand begins at 8 instances at once; none has heard of the others' yet.
+// Cause: a share that follows the reports upwards at once.
+#[test]
+fn a_share_waits_for_news_before_it_goes_up() {
+    let even = Share::split(8, &[], 0.0);
+    let alone = Share::split(8, &[], 75.0);
+    let mut split = Split::new(even);
+
+    for second in 0..6 {
+        split.adapt(alone, second * 1_000);
+    }
+    let before = split.share();
+    split.adapt(alone, 6_000);
+    let after = split.share();
+    split.adapt(even, 7_000);
+
+    assert_eq!(before, even);
+    assert!(after > even);
+    assert_eq!(split.share(), even);
+}
+
 proptest! {
     // Over any demands, the shares of instances that hold the same reports add up to the limit.
     #[test]
--- a/crates/serve/src/limits.rs
+++ b/crates/serve/src/limits.rs
@@ -11,6 +11,7 @@
 use limit::Gate;
 use limit::Pass;
 use limit::Share;
+use limit::share::Split;
 use route::Attempt;
 use wire::Problem;
 use wire::problem::Type;
@@ -29,6 +30,7 @@
 struct Door {
     rev: i64,
     gate: Gate,
+    split: Split,
     arrived: u32,
     demand: f64,
 }
@@ -84,12 +86,13 @@
         let door = doors.entry(customer.clone()).or_insert_with(|| Door {
             rev: held.rev,
             gate: Gate::new(contract, share, now),
+            split: Split::new(share),
             arrived: 0,
             demand: 0.0,
         });
         if door.rev < held.rev {
             door.rev = held.rev;
-            door.gate.resize(contract, share, now);
+            door.gate.resize(contract, door.split.share(), now);
         }
         f(door, now)
     })
@@ -174,7 +177,8 @@
     let now: Millis = app.clock.now();
     app.limits.doors.with(customer, |doors| {
         if let Some(door) = doors.get_mut(customer) {
-            door.gate.resize(contract, share, now);
+            door.split.adapt(share, now);
+            door.gate.resize(contract, door.split.share(), now);
         }
     });
     demand
