Do not panic when whoever reads the output stops early

Cause: `snipeway status | head -4`, as in a walk through the README, ended with a panic: println! takes a closed pipe for a fault.

--- a/crates/args/src/lib.rs
+++ b/crates/args/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod complete;
 pub mod help;
 pub mod man;
+pub mod output;
 pub mod parse;
 pub mod program;
 pub mod spec;
--- a/crates/args/src/program.rs
+++ b/crates/args/src/program.rs
@@ -19,7 +19,7 @@
     let parsed = match parse(spec, std::env::args_os().skip(1)) {
         Ok(Parse::Run(parsed)) => parsed,
         Ok(Parse::Show(text)) => {
-            print!("{text}");
+            crate::output::write(format_args!("{text}"));
             return ExitCode::from(DONE);
         }
         Err(error) => {
--- a/crates/bench/src/journal.rs
+++ b/crates/bench/src/journal.rs
@@ -66,6 +66,6 @@
         table.row(format!("{name}: ran twice"), rig.parts.twice().len());
         rig.leave().await?;
     }
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     Ok(())
 }
--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -104,6 +104,6 @@
         "calls a second and core, by that",
         format!("{:.0}", 1.0 / added.max(1e-9)),
     );
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     rig.leave().await
 }
--- a/crates/bench/src/slow.rs
+++ b/crates/bench/src/slow.rs
@@ -75,6 +75,6 @@
             rig.leave().await?;
         }
     }
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     Ok(())
 }
--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -50,7 +50,7 @@
         "platform down right after the first entry has it: all [ms]",
         took.as_millis(),
     );
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     rig.leave().await
 }
 
--- a/crates/bench/src/surge.rs
+++ b/crates/bench/src/surge.rs
@@ -102,6 +102,6 @@
             format!("{} of {}", other.whole, other.sent),
         );
     }
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     Ok(())
 }
--- a/crates/bench/src/trainer.rs
+++ b/crates/bench/src/trainer.rs
@@ -123,7 +123,7 @@
     table.row("idle, policy to baseline", format!("{idle:.2}"));
     let stale = policy.staleness.mean() / baseline.staleness.mean().max(1e-9);
     table.row("mean staleness, policy to baseline", format!("{stale:.2}"));
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     if policy.broken() > 0 {
         bail!("{} samples broke a promise", policy.broken());
     }
--- a/crates/bench/src/weights.rs
+++ b/crates/bench/src/weights.rs
@@ -100,6 +100,6 @@
         table.row(format!("{name}: bytes from the store a version"), bytes);
         rig.leave().await?;
     }
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     Ok(())
 }
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -74,7 +74,7 @@
     load::run::callers_rows(&mut table, "orders", &done.orders);
     let twice = rig.parts.twice().len() as u64;
     table.row("orders that ran more than once", twice);
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     let broken = done.broken() + twice;
     if stay {
         self::stay(rig).await?;
@@ -84,7 +84,7 @@
     if broken > 0 {
         bail!("{broken} promises were broken");
     }
-    println!("every promise was kept");
+    args::say!("every promise was kept");
     Ok(())
 }
 
@@ -140,22 +140,22 @@
 /// Keeps the fleet up until interrupted.
 async fn stay(rig: Rig) -> eyre::Result<()> {
     let platform = rig.parts.platform.host.addr;
-    println!("\nplatform  http://{platform}");
+    args::say!("\nplatform  http://{platform}");
     let mut text = format!("[platform]\naddresses = {platform}\n[peers]\nsecret = {SECRET}\n");
     for entry in rig.running() {
         let me = &entry.app.settings.me;
-        println!("entry     http://{}  ({})", entry.addr, me.name);
+        args::say!("entry     http://{}  ({})", entry.addr, me.name);
         text += &format!(
             "[peer {}]\ndomain = {}\naddress = {}\n",
             me.name, me.domain, entry.addr
         );
     }
-    println!("tokens    {} (order portal)", token(PORTAL));
-    println!("          {} (tailoring staff)", token(TRAINER));
+    args::say!("tokens    {} (order portal)", token(PORTAL));
+    args::say!("          {} (tailoring staff)", token(TRAINER));
     let file = std::env::temp_dir().join("snipeway-demo.ini");
     std::fs::write(&file, text)?;
-    println!("operators snipeway status --config {}", file.display());
-    println!("interrupt to end");
+    args::say!("operators snipeway status --config {}", file.display());
+    args::say!("interrupt to end");
     serve::server::terminated().await;
     rig.leave().await
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -14,7 +14,7 @@
     let file: String = parsed.need("config", "a file")?;
     let settings = serve::settings::read(&file, &conf::load(&file)?)?;
     if parsed.has("check") {
-        println!("{file}: good");
+        args::say!("{file}: good");
         return Ok(());
     }
     logs::begin(&settings.logs)?;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -40,7 +40,7 @@
         foreign += seen.foreign;
         callers_rows(&mut table, &name, &seen);
     }
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     if foreign > 0 {
         bail!("{foreign} answers were not the caller's own");
     }
@@ -73,7 +73,7 @@
         broken += seen.broken();
         trainer_rows(&mut table, &name, &seen);
     }
-    print!("{table}");
+    args::output::write(format_args!("{table}"));
     if broken > 0 {
         bail!("{broken} samples broke a promise");
     }
--- a/crates/snipeway/src/cmd/apply.rs
+++ b/crates/snipeway/src/cmd/apply.rs
@@ -35,19 +35,19 @@
     let customer = contract.customer.to_string();
     match contracts.apply(who, base, contract).await? {
         Applied::InForce(rev) => {
-            println!("in force at the platform at revision {rev}");
+            args::say!("in force at the platform at revision {rev}");
             wait(parsed, settings, rev).await
         }
         Applied::Unchanged(rev) => {
-            println!("unchanged at revision {rev}");
+            args::say!("unchanged at revision {rev}");
             wait(parsed, settings, rev).await
         }
         Applied::Replaced(rev) => {
-            println!("took effect, and was replaced since; the contract is at revision {rev}");
+            args::say!("took effect, and was replaced since; the contract is at revision {rev}");
             Ok(())
         }
         Applied::Conflict { rev, theirs } => {
-            println!("another change came first:");
+            args::say!("another change came first:");
             print(&theirs);
             Err(CommandError::Conflict(rev).into())
         }
@@ -58,14 +58,14 @@
 /// Prints a difference.
 pub(crate) fn print(diff: &[Diff]) {
     if diff.is_empty() {
-        println!("no difference");
+        args::say!("no difference");
     }
     for line in diff {
         if let Some(before) = &line.before {
-            println!("- {before}");
+            args::say!("- {before}");
         }
         if let Some(after) = &line.after {
-            println!("+ {after}");
+            args::say!("+ {after}");
         }
     }
 }
@@ -80,7 +80,7 @@
         let names: Vec<_> = names.iter().map(ToString::to_string).collect();
         names.join(", ")
     };
-    println!("in force on: {}", names(&spread.there));
+    args::say!("in force on: {}", names(&spread.there));
     if spread.behind.is_empty() && spread.silent.is_empty() {
         return Ok(());
     }
--- a/crates/snipeway/src/cmd/check.rs
+++ b/crates/snipeway/src/cmd/check.rs
@@ -8,7 +8,7 @@
     let mut mistakes = Vec::new();
     for file in &parsed.operands {
         match contract::form::read(file, &conf::load(file)?) {
-            Ok(contract) => println!("{file}: good, for {}", contract.customer),
+            Ok(contract) => args::say!("{file}: good, for {}", contract.customer),
             Err(found) => mistakes.extend(found.0),
         }
     }
--- a/crates/snipeway/src/cmd/drain.rs
+++ b/crates/snipeway/src/cmd/drain.rs
@@ -12,7 +12,7 @@
         None => Err(CommandError::Instance(name.clone()).into()),
         Some(Err(error)) => Err(CommandError::Asked(name.clone(), error).into()),
         Some(Ok(())) => {
-            println!("{name} is leaving");
+            args::say!("{name} is leaving");
             Ok(())
         }
     }
--- a/crates/snipeway/src/cmd/explain.rs
+++ b/crates/snipeway/src/cmd/explain.rs
@@ -17,7 +17,7 @@
         if let Ok(story) = answer {
             told = true;
             let customer = story.customer.as_deref().unwrap_or("-").to_owned();
-            println!("{about} at {name}, contract {customer}:");
+            args::say!("{about} at {name}, contract {customer}:");
             notes(&story.notes);
         }
     }
@@ -37,24 +37,34 @@
     for note in notes {
         let at = Timestamp::from_millisecond(note.at as i64);
         let at = at.map_or_else(|_| note.at.to_string(), |at| at.to_string());
-        println!("  {at}  {}", note.what);
+        args::say!("  {at}  {}", note.what);
     }
 }
 
 fn step(state: &StepState) {
-    println!(
+    args::say!(
         "step {} at {}, contract {}:",
-        state.step, state.instance, state.customer
+        state.step,
+        state.instance,
+        state.customer
     );
-    println!(
+    args::say!(
         "  {} samples: {} with the trainer, {} ready, {} running",
-        state.total, state.held, state.ready, state.running
+        state.total,
+        state.held,
+        state.ready,
+        state.running
     );
     let c = &state.counts;
-    println!(
+    args::say!(
         "  {} attempts: {} resumed, {} moved, {} too old and made again, {} given up; {} tokens \
          thrown away",
-        c.begun, c.resumed, c.moved, c.stale, c.lost, c.wasted
+        c.begun,
+        c.resumed,
+        c.moved,
+        c.stale,
+        c.lost,
+        c.wasted
     );
     notes(&state.events);
 }
--- a/crates/snipeway/src/cmd/history.rs
+++ b/crates/snipeway/src/cmd/history.rs
@@ -18,16 +18,19 @@
 pub(crate) fn print(rev: i64, audit: &Audit) {
     let at = Timestamp::from_millisecond(audit.at as i64);
     let at = at.map_or_else(|_| audit.at.to_string(), |at| at.to_string());
-    println!(
+    args::say!(
         "revision {rev} on {}: {} by {} at {at} (change {})",
-        audit.base, audit.after.customer, audit.who, audit.change
+        audit.base,
+        audit.after.customer,
+        audit.who,
+        audit.change
     );
     for line in contract::form::diff(audit.before.as_ref(), &audit.after) {
         if let Some(before) = line.before {
-            println!("  - {before}");
+            args::say!("  - {before}");
         }
         if let Some(after) = line.after {
-            println!("  + {after}");
+            args::say!("  + {after}");
         }
     }
 }
--- a/crates/snipeway/src/cmd/list.rs
+++ b/crates/snipeway/src/cmd/list.rs
@@ -5,13 +5,17 @@
 /// Lists the contracts with their revisions.
 pub(crate) async fn run(parsed: &Parsed) -> eyre::Result<()> {
     let settings = super::load(parsed)?;
-    println!(
+    args::say!(
         "{:24} {:>9} {:>9} {:>11} {:>6}",
-        "CUSTOMER", "REVISION", "RATE", "CONCURRENCY", "CLASS"
+        "CUSTOMER",
+        "REVISION",
+        "RATE",
+        "CONCURRENCY",
+        "CLASS"
     );
     for held in super::contracts(&settings).list().await? {
         let c = &held.stored.contract;
-        println!(
+        args::say!(
             "{:24} {:>9} {:>9} {:>11} {:>6}",
             c.customer.to_string(),
             held.rev,
--- a/crates/snipeway/src/cmd/settings.rs
+++ b/crates/snipeway/src/cmd/settings.rs
@@ -10,7 +10,7 @@
     let mut mistakes = Vec::new();
     for file in &parsed.operands {
         match check(kind, file, &conf::load(file)?)? {
-            Ok(()) => println!("{file}: good"),
+            Ok(()) => args::say!("{file}: good"),
             Err(found) => mistakes.extend(found.0),
         }
     }
--- a/crates/snipeway/src/cmd/settle.rs
+++ b/crates/snipeway/src/cmd/settle.rs
@@ -15,8 +15,8 @@
         .settle(&customer, change)
         .await?
     {
-        Applied::InForce(rev) => println!("in force at revision {rev}"),
-        Applied::Replaced(rev) => println!("took effect; replaced since, at revision {rev} now"),
+        Applied::InForce(rev) => args::say!("in force at revision {rev}"),
+        Applied::Replaced(rev) => args::say!("took effect; replaced since, at revision {rev} now"),
         _ => {
             return Err(
                 CommandError::NotKnown(customer.to_string(), change.as_str().into()).into(),
--- a/crates/snipeway/src/cmd/show.rs
+++ b/crates/snipeway/src/cmd/show.rs
@@ -10,7 +10,10 @@
     let customer: Name = parsed.operands[0].parse()?;
     let held = super::contracts(&settings).show(&customer).await?;
     let held = held.ok_or(ContractError::Missing(customer))?;
-    println!("; revision {}, change {}", held.rev, held.stored.change);
-    print!("{}", contract::form::write(&held.stored.contract));
+    args::say!("; revision {}, change {}", held.rev, held.stored.change);
+    args::output::write(format_args!(
+        "{}",
+        contract::form::write(&held.stored.contract)
+    ));
     Ok(())
 }
--- a/crates/snipeway/src/cmd/status.rs
+++ b/crates/snipeway/src/cmd/status.rs
@@ -14,9 +14,15 @@
     let settings = super::load(parsed)?;
     let mut silent = 0;
     let mut upstreams: BTreeMap<Name, Vec<(Name, UpstreamState)>> = BTreeMap::new();
-    println!(
+    args::say!(
         "{:20} {:12} {:9} {:>9} {:>11} {:6} {:>5}",
-        "INSTANCE", "DOMAIN", "STATE", "REVISION", "KNOWN [ms]", "READER", "LIVE"
+        "INSTANCE",
+        "DOMAIN",
+        "STATE",
+        "REVISION",
+        "KNOWN [ms]",
+        "READER",
+        "LIVE"
     );
     for (name, answer) in super::fleet(&settings).status().await {
         match answer {
@@ -29,13 +35,17 @@
             }
             Err(error) => {
                 silent += 1;
-                println!("{:20} {error}", name.to_string());
+                args::say!("{:20} {error}", name.to_string());
             }
         }
     }
-    println!(
+    args::say!(
         "\n{:20} {:12} {:>8} {:>8} {:>12}  STANDING",
-        "UPSTREAM", "POOL", "RUNNING", "VERSION", "LATENCY [ms]"
+        "UPSTREAM",
+        "POOL",
+        "RUNNING",
+        "VERSION",
+        "LATENCY [ms]"
     );
     for (name, seen) in &upstreams {
         upstream(name, seen);
@@ -51,7 +61,7 @@
     let known = status
         .known
         .map_or_else(|| "never".into(), |age| age.to_string());
-    println!(
+    args::say!(
         "{:20} {:12} {:9} {:>9} {:>11} {:6} {:>5}",
         status.me.name.to_string(),
         status.me.domain.to_string(),
@@ -84,7 +94,7 @@
     } else {
         odd.join(", ")
     };
-    println!(
+    args::say!(
         "{:20} {:12} {running:>8} {version:>8} {latency:>12.1}  {standing}",
         name.to_string(),
         first.pool.to_string()
--- a/crates/snipeway/src/cmd/token.rs
+++ b/crates/snipeway/src/cmd/token.rs
@@ -11,7 +11,7 @@
     let mut bytes = [0; BYTES];
     rand::rng().fill_bytes(&mut bytes);
     let token = hex::encode(bytes);
-    println!("token, for the customer: {token}");
-    println!("token-sha256 = {}", Digest::of(&token));
+    args::say!("token, for the customer: {token}");
+    args::say!("token-sha256 = {}", Digest::of(&token));
     Ok(())
 }
