Follow a platform whose watches are silent; apply contracts by revision

Cause: found by reading. A watch that says nothing for minutes, as the published protocol allows, let the contracts look unconfirmed after 8 s, so every instance would have begun to read; the stand-in sends progress every 2 s, which hid it. And contracts read as a list went in by key under a lock each: a peer that asked in between could take a high revision for all below it and never get one.

Change: the reader makes a small read every 3 s and reads all anew every minute; offers are sorted by revision and applied under one lock; the stand-in has a fault `quiet`.

Figures: a_silent_watch_does_not_make_every_instance_read: at most 12 reads in 12 s from 4 instances in 2 failure domains, all confirmed within 8 s.

Conclusion: reads grow with failure domains, with silent watches too.

--- a/crates/plat/src/watch.rs
+++ b/crates/plat/src/watch.rs
@@ -11,9 +11,9 @@
 use crate::client::item;
 use crate::proto;
 
-/// Silence after which a watch is taken for dead. The platform sends progress more often; a watch
-/// over a connection that was cut without a word would else wait for ever.
-const SILENCE: Duration = Duration::from_secs(20);
+/// Silence after which a watch is taken for dead. The platform sends progress now and then, by
+/// default every ten minutes; whoever wants to know sooner has to read.
+const SILENCE: Duration = Duration::from_secs(11 * 60);
 
 /// What a watch gives.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -109,23 +109,27 @@
     }
 
     /// Puts contracts in force where they are newer; tells how many were.
-    pub fn offer(&self, contracts: Vec<InForce>, source: &str) -> usize {
+    ///
+    /// They go in by revision and under one lock: peers ask by the newest revision that they hold,
+    /// so whoever holds one must hold all below it, at every moment at which it can be asked.
+    pub fn offer(&self, mut contracts: Vec<InForce>, source: &str) -> usize {
+        contracts.sort_by_key(|new| new.rev);
         let mut applied = 0;
+        let mut book = self.book.write();
         for new in contracts {
-            let mut book = self.book.write();
             let customer = new.stored.contract.customer.clone();
             let before = book.by_name(&customer).map_or(0, |held| held.rev);
             let (rev, change) = (new.rev, new.stored.change.clone());
             if book.offer(new) == Offer::Stale {
                 continue;
             }
-            drop(book);
             applied += 1;
             let before = format!("revision {before}");
             let what = format!("contract in force from {source}");
             let instance = &self.settings.me.name;
             audit::line(instance, &what, &customer, &before, &change, rev);
         }
+        drop(book);
         if applied > 0 {
             let instance = self.settings.me.name.to_string();
             let newest = self.newest() as f64;
--- a/crates/serve/src/sync.rs
+++ b/crates/serve/src/sync.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use contract::Stored;
 use contract::book::InForce;
@@ -26,6 +27,13 @@
 /// Time between two looks at whether to read.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// Time between two small reads while a watch is silent.
+const CHECK: Duration = Duration::from_secs(3);
+
+/// Time after which everything is read anew: a connection that was cut without a word would leave
+/// a watch silent for good.
+const AGAIN: Duration = Duration::from_secs(60);
+
 /// First pause after a failure; it doubles with each.
 const PAUSE: Millis = 200;
 
@@ -76,10 +84,18 @@
     }
     let mut contracts = app.plat.watch(keys::CONTRACTS, range.rev + 1).await?;
     let mut upstreams = app.plat.watch(keys::LEAVING, listed.rev + 1).await?;
-    while app.view.lock().is_reader() {
+    let end = Instant::now() + AGAIN;
+    let mut check = tokio::time::interval(CHECK);
+    while app.view.lock().is_reader() && Instant::now() < end {
         tokio::select! {
             changes = contracts.next() => follow(app, changes?),
             changes = upstreams.next() => follow(app, changes?),
+            _ = check.tick() => {
+                // A watch is silent while nothing changes, for minutes on some platforms. A small
+                // read shows that the platform is there, or peers would all begin to read.
+                app.plat.get(keys::CONTRACTS).await?;
+                app.confirm(0);
+            }
         }
     }
     Ok(())
--- a/crates/serve/tests/spread.rs
+++ b/crates/serve/tests/spread.rs
@@ -1,5 +1,6 @@
 //! Contracts in force: everywhere within seconds, never reverting, whatever the platform does.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use contract::Contract;
@@ -144,6 +145,32 @@
     });
 }
 
+// Symptom: the platform's reads grow with the instances, and it turns calls away.
+// Sequence: nothing changes for a while, and the platform's watches say nothing meanwhile.
+// Cause: taking the silence of the reader's watch for news that are overdue.
+#[test]
+fn a_silent_watch_does_not_make_every_instance_read() {
+    block(async {
+        let rig = Rig::start(&make()).await.unwrap();
+        rig.parts
+            .platform
+            .host
+            .faults
+            .change(|fault| fault.quiet = true);
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let reads = || rig.parts.platform.part.calls.range.load(Ordering::Relaxed);
+        let before = reads();
+
+        tokio::time::sleep(Duration::from_secs(12)).await;
+
+        // Two readers with a small read every three seconds; all four would list twice as well.
+        let during = reads() - before;
+        assert!(during <= 12, "{during}");
+        let known = |entry: &serve::Running| entry.app.known().is_some_and(|age| age < 8_000);
+        assert!(rig.running().all(known));
+    });
+}
+
 #[test]
 fn an_old_token_stops_working() {
     block(async {
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -17,6 +17,8 @@
     pub mute: bool,
     /// The platform: so many transactions are carried out and left without an answer.
     pub mute_writes: u32,
+    /// The platform: watches say nothing while nothing changes.
+    pub quiet: bool,
     /// It turns every call away with status 429.
     pub limited: bool,
     /// Milliseconds that each answer waits.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -182,6 +182,7 @@
                 let _ = sender.send(Err(broken)).await;
                 return;
             }
+            let mut empty = false;
             let (message, over) = {
                 let mut store = self.store.lock();
                 store.expire();
@@ -189,6 +190,7 @@
                 match store.since(next, &create) {
                     Ok(events) => {
                         next = store.revision() + 1;
+                        empty = events.is_empty();
                         (
                             json!({"result": {"header": header, "events": events}}),
                             false,
@@ -206,7 +208,8 @@
                     }
                 }
             };
-            if sender.send(line(message)).await.is_err() || over {
+            let silent = empty && self.faults.get().quiet;
+            if !silent && sender.send(line(message)).await.is_err() || over {
                 return;
             }
             let _ = tokio::time::timeout(PROGRESS, news.changed()).await;
