Make the test of a silent watch able to fail, and say what it shows

What does happen without the small read is that contracts stay unconfirmed for 8.8 s and instances read that need not.

Change: the test asks how long the readers' contracts stay unconfirmed.

Conclusion: a test counts once it has been seen to fail.

--- a/crates/serve/tests/spread.rs
+++ b/crates/serve/tests/spread.rs
@@ -1,6 +1,5 @@
 //! Contracts in force: everywhere within seconds, never reverting, whatever the platform does.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use contract::Contract;
@@ -145,11 +144,11 @@
     });
 }
 
-// Symptom: the platform's reads grow with the instances, and it turns calls away.
+// Symptom: contracts look unconfirmed though nothing is wrong, and instances that need not read do.
 // Sequence: nothing changes for a while, and the platform's watches say nothing meanwhile.
 // Cause: taking the silence of the reader's watch for news that are overdue.
 #[test]
-fn a_silent_watch_does_not_make_every_instance_read() {
+fn a_silent_watch_does_not_leave_contracts_unconfirmed() {
     block(async {
         let rig = Rig::start(&make()).await.unwrap();
         rig.parts
@@ -157,17 +156,20 @@
             .host
             .faults
             .change(|fault| fault.quiet = true);
-        tokio::time::sleep(Duration::from_secs(4)).await;
-        let reads = || rig.parts.platform.part.calls.range.load(Ordering::Relaxed);
-        let before = reads();
+        let readers: Vec<_> = rig
+            .running()
+            .filter(|entry| entry.app.view.lock().is_reader())
+            .collect();
+        let mut oldest = 0;
 
-        tokio::time::sleep(Duration::from_secs(12)).await;
+        for _ in 0..120 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let ages = readers.iter().filter_map(|entry| entry.app.known());
+            oldest = ages.fold(oldest, u64::max);
+        }
 
-        // Two readers with a small read every three seconds; all four would list twice as well.
-        let during = reads() - before;
-        assert!(during <= 12, "{during}");
-        let known = |entry: &serve::Running| entry.app.known().is_some_and(|age| age < 8_000);
-        assert!(rig.running().all(known));
+        assert_eq!(readers.len(), 2, "one for each failure domain");
+        assert!(oldest < 6_000, "unconfirmed for {oldest} ms");
     });
 }
 
