Call things by the field's names

Cause: a newcomer's read of the entry's shell met words of our own: desk, door, errand, mill.

Change: Dispatcher (the queue and upstreams of a pool), Limiter (a contract's gate with its demand), Outbound (a call as it is sent), Broadcast (the rumours that are passed on). No behaviour changes.

Conclusion: names that need no explaining.

--- a/crates/fleet/src/rumour.rs
+++ b/crates/fleet/src/rumour.rs
@@ -83,11 +83,11 @@
 /// Rumours that still have to be passed on, each a number of times that grows with the logarithm
 /// of the instances: enough for all to hear of it, and then no more traffic.
 #[derive(Debug, Default)]
-pub struct Mill {
+pub struct Broadcast {
     rumours: Map<About, (Rumour, u32)>,
 }
 
-impl Mill {
+impl Broadcast {
     /// Adds a rumour in place of an older one about the same.
     pub fn add(&mut self, rumour: Rumour) {
         self.rumours.insert(rumour.about(), (rumour, 0));
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -10,8 +10,8 @@
 use crate::Life;
 use crate::Member;
 use crate::Rumour;
+use crate::rumour::Broadcast;
 use crate::rumour::Demand;
-use crate::rumour::Mill;
 
 /// Time between two probes of an instance.
 pub const PERIOD: Millis = 1_000;
@@ -87,7 +87,7 @@
 pub struct View {
     me: Member,
     others: BTreeMap<Name, Known>,
-    mill: Mill,
+    broadcast: Broadcast,
     turn: u64,
     demands: Map<Name, Wanted>,
     upstreams: Map<Name, (bool, u64)>,
@@ -98,12 +98,12 @@
 impl View {
     /// Makes the view of an instance that knows nobody.
     pub fn new(me: Member, _now: Millis) -> Self {
-        let mut mill = Mill::default();
-        mill.add(Rumour::Member(me.clone()));
+        let mut broadcast = Broadcast::default();
+        broadcast.add(Rumour::Member(me.clone()));
         Self {
             me,
             others: BTreeMap::new(),
-            mill,
+            broadcast,
             turn: 0,
             demands: Map::default(),
             upstreams: Map::default(),
@@ -208,7 +208,7 @@
         }
         for member in gone {
             self.demands.remove(&member.name);
-            self.mill.add(Rumour::Member(member));
+            self.broadcast.add(Rumour::Member(member));
         }
         self.others
             .retain(|_, k| k.member.life.is_live() || now < k.since + FORGET);
@@ -245,14 +245,14 @@
         };
         known.member.life = Life::Suspect;
         known.since = now;
-        self.mill.add(Rumour::Member(known.member.clone()));
+        self.broadcast.add(Rumour::Member(known.member.clone()));
         Silence::Suspected
     }
 
     /// The rumours to put into the next message.
     pub fn tell(&mut self) -> Vec<Rumour> {
         let instances = self.others.len() + 1;
-        self.mill.batch(instances)
+        self.broadcast.batch(instances)
     }
 
     /// Takes a rumour in; tells whether it was news, so that it is passed on.
@@ -264,7 +264,7 @@
             Rumour::Demand { from, turn, rates } => self.hear_demand(from, *turn, rates, now),
         };
         if new {
-            self.mill.add(rumour);
+            self.broadcast.add(rumour);
         }
         new
     }
@@ -285,7 +285,7 @@
         let since = now;
         self.others
             .insert(news.name.clone(), Known { member, since });
-        self.mill.add(Rumour::Member(news.clone()));
+        self.broadcast.add(Rumour::Member(news.clone()));
         true
     }
 
@@ -296,7 +296,7 @@
             return false;
         }
         self.me.incarnation = news.incarnation + 1;
-        self.mill.add(Rumour::Member(self.me.clone()));
+        self.broadcast.add(Rumour::Member(self.me.clone()));
         true
     }
 
@@ -333,7 +333,7 @@
     /// Reports this instance's own demand to its peers.
     pub fn demand(&mut self, turn: u64, rates: Vec<Demand>) {
         let from = self.me.name.clone();
-        self.mill.add(Rumour::Demand { from, turn, rates });
+        self.broadcast.add(Rumour::Demand { from, turn, rates });
     }
 
     /// What other live instances reported of a customer.
@@ -357,7 +357,7 @@
     /// Says goodbye: peers stop counting on this instance at once.
     pub fn leave(&mut self) {
         self.me.life = Life::Left;
-        self.mill.add(Rumour::Member(self.me.clone()));
+        self.broadcast.add(Rumour::Member(self.me.clone()));
     }
 }
 
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -25,7 +25,7 @@
 use crate::audit;
 use crate::cache::Cache;
 use crate::clock::Clock;
-use crate::desk::Desk;
+use crate::dispatcher::Dispatcher;
 use crate::history::History;
 use crate::journal::Journal;
 use crate::limits::Limits;
@@ -43,7 +43,7 @@
     /// The limits of each contract.
     pub limits: Limits,
     /// The queue and upstreams of each model and service.
-    pub desks: Map<Name, Arc<Desk>>,
+    pub dispatchers: Map<Name, Arc<Dispatcher>>,
     /// Towards upstreams and peers.
     pub http: net::Client,
     /// Towards the platform.
@@ -77,10 +77,10 @@
     /// Returns [`UnknownPlugin`] when the settings name a policy that is not there.
     pub fn new(settings: Settings) -> Result<Arc<Self>, UnknownPlugin> {
         let clock = Clock::default();
-        let mut desks = Map::default();
+        let mut dispatchers = Map::default();
         for pool in &settings.pools {
-            let desk = Desk::new(pool, &settings.me, &settings.upstreams, clock)?;
-            desks.insert(pool.name.clone(), Arc::new(desk));
+            let dispatcher = Dispatcher::new(pool, &settings.me, &settings.upstreams, clock)?;
+            dispatchers.insert(pool.name.clone(), Arc::new(dispatcher));
         }
         let view = view(&settings, clock);
         let plat = plat::Client::new(settings.platform.clone());
@@ -89,7 +89,7 @@
             clock,
             book: RwLock::default(),
             limits: Limits::default(),
-            desks,
+            dispatchers,
             http: net::Client::new(),
             plat,
             steps: Steps::default(),
--- a/crates/serve/src/complete.rs
+++ b/crates/serve/src/complete.rs
@@ -36,7 +36,7 @@
 
 use crate::App;
 use crate::auth;
-use crate::desk::Desk;
+use crate::dispatcher::Dispatcher;
 use crate::forward;
 use crate::generate;
 use crate::generate::End;
@@ -64,7 +64,7 @@
 /// A completion that passed its contract's limits.
 struct Job {
     asked: Completion,
-    desk: Arc<Desk>,
+    dispatcher: Arc<Dispatcher>,
     entry: Entry,
     class: u8,
     passage: Passage,
@@ -88,18 +88,20 @@
     serde_json::from_slice(&bytes).map_err(|error| no(Type::BadRequest).because(error.to_string()))
 }
 
-/// Finds the desk of a model that a contract covers.
+/// Finds the dispatcher of a model that a contract covers.
 ///
 /// # Errors
 ///
 /// Returns a refusal when the contract does not cover it or there is none.
-pub fn model(app: &App, held: &InForce, model: &str) -> Result<Arc<Desk>, Problem> {
+pub fn model(app: &App, held: &InForce, model: &str) -> Result<Arc<Dispatcher>, Problem> {
     if !held.stored.contract.has_model(model) {
         return Err(no(Type::NotCovered).because(format!("model {model:?}")));
     }
-    let desk = app.desks.get(model);
-    let desk = desk.filter(|desk| desk.kind == Kind::Engine).cloned();
-    desk.ok_or_else(|| no(Type::NotFound).because(format!("model {model:?}")))
+    let dispatcher = app.dispatchers.get(model);
+    let dispatcher = dispatcher
+        .filter(|dispatcher| dispatcher.kind == Kind::Engine)
+        .cloned();
+    dispatcher.ok_or_else(|| no(Type::NotFound).because(format!("model {model:?}")))
 }
 
 async fn accept(app: &Arc<App>, call: Call, trace: &mut Trace) -> Result<Job, Problem> {
@@ -111,7 +113,7 @@
         let detail = format!("max_tokens: expected 1 to {MAX_TOKENS}");
         return Err(no(Type::BadRequest).because(detail));
     }
-    let desk = model(app, &held, &asked.model)?;
+    let dispatcher = model(app, &held, &asked.model)?;
     let passage = limits::pass(app, &held, asked.max_tokens, trace)?;
     let entry = Entry {
         customer: contract.customer.clone(),
@@ -122,7 +124,7 @@
     let class = contract.class;
     Ok(Job {
         asked,
-        desk,
+        dispatcher,
         entry,
         class,
         passage,
@@ -142,10 +144,10 @@
         blocks: blocks(&job.asked.prompt),
         ..Ask::default()
     };
-    job.desk.earn();
+    job.dispatcher.earn();
     loop {
         let permit = match job
-            .desk
+            .dispatcher
             .acquire(&job.entry, ask.clone(), job.deadline)
             .await
         {
@@ -180,7 +182,7 @@
             attempts: trace.attempts,
             deadline: job.deadline,
         };
-        match job.desk.retry(failure) {
+        match job.dispatcher.retry(failure) {
             Next::Again(pause) => tokio::time::sleep(Duration::from_millis(pause)).await,
             Next::Stop(stop) => return Err(forward::given_up(stop, ran, why.to_string())),
         }
--- a/crates/serve/src/desk.rs
+++ b/crates/serve/src/dispatcher.rs
@@ -61,7 +61,7 @@
 }
 
 /// The queue and the upstreams of one model or service.
-pub struct Desk {
+pub struct Dispatcher {
     /// The model or service.
     pub name: Name,
     /// What serves it.
@@ -75,7 +75,7 @@
 pub struct Permit {
     /// The upstream.
     pub spec: Spec,
-    desk: Arc<Desk>,
+    dispatcher: Arc<Dispatcher>,
     began: Millis,
     ended: bool,
 }
@@ -83,7 +83,7 @@
 impl Permit {
     /// Ends with what came of it.
     pub fn end(mut self, well: bool) {
-        let latency = (self.desk.clock.now() - self.began) as f64;
+        let latency = (self.dispatcher.clock.now() - self.began) as f64;
         let outcome = match well {
             true => Outcome::Answered(latency),
             false => Outcome::Failed,
@@ -97,7 +97,8 @@
     /// that is far beyond it does.
     pub fn timed_out(mut self, limit: Millis) {
         let mut usual = 0.0;
-        self.desk.update(&self.spec.name, |u| usual = u.latency);
+        self.dispatcher
+            .update(&self.spec.name, |u| usual = u.latency);
         let outcome = match limit as f64 >= SILENT * usual {
             true => Outcome::Failed,
             false => Outcome::Neutral,
@@ -109,7 +110,7 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
-        self.desk.done(&self.spec.name, outcome);
+        self.dispatcher.done(&self.spec.name, outcome);
     }
 }
 
@@ -122,18 +123,18 @@
 
 /// Removes a request from the queue when its caller goes away while it waits.
 struct Cancel<'a> {
-    desk: &'a Desk,
+    dispatcher: &'a Dispatcher,
     ticket: limit::Ticket,
 }
 
 impl Drop for Cancel<'_> {
     fn drop(&mut self) {
-        self.desk.state.lock().queue.cancel(self.ticket);
+        self.dispatcher.state.lock().queue.cancel(self.ticket);
     }
 }
 
-impl Desk {
-    /// Makes the desk of a pool.
+impl Dispatcher {
+    /// Makes the dispatcher of a pool.
     ///
     /// # Errors
     ///
@@ -179,7 +180,10 @@
             Entered::Now(permit) => return Ok(permit),
             Entered::Later(ticket, receiver) => (ticket, receiver),
         };
-        let cancel = Cancel { desk: self, ticket };
+        let cancel = Cancel {
+            dispatcher: self,
+            ticket,
+        };
         let left = deadline.saturating_sub(self.clock.now());
         let waited = tokio::time::timeout(Duration::from_millis(left), receiver).await;
         drop(cancel);
@@ -223,7 +227,7 @@
     fn permit(self: &Arc<Self>, spec: Spec, now: Millis) -> Permit {
         Permit {
             spec,
-            desk: self.clone(),
+            dispatcher: self.clone(),
             began: now,
             ended: false,
         }
@@ -290,13 +294,13 @@
         decide(failure, &mut self.state.lock().budget, now, jitter)
     }
 
-    /// Changes the health of an upstream, if this desk has it.
+    /// Changes the health of an upstream, if this dispatcher has it.
     pub fn judge(self: &Arc<Self>, name: &str, f: impl FnOnce(&mut Health)) {
         self.state.lock().pool.judge(name, f);
         self.pump();
     }
 
-    /// Changes what is known of an upstream, if this desk has it.
+    /// Changes what is known of an upstream, if this dispatcher has it.
     pub fn update(self: &Arc<Self>, name: &str, f: impl FnOnce(&mut Upstream)) {
         if let Some(upstream) = self.state.lock().pool.find(name) {
             f(upstream);
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -38,7 +38,7 @@
 
 use crate::App;
 use crate::auth;
-use crate::desk::Desk;
+use crate::dispatcher::Dispatcher;
 use crate::limits;
 use crate::limits::Passage;
 use crate::refuse;
@@ -52,7 +52,7 @@
 
 /// A call as it is sent to an upstream, as often as need be.
 #[derive(Clone)]
-struct Errand {
+struct Outbound {
     method: Method,
     path: String,
     headers: HeaderMap,
@@ -94,21 +94,24 @@
     if !contract.has_service(&service) {
         return Err(no(Type::NotCovered).because(format!("service {service:?}")));
     }
-    let desk = app.desks.get(service.as_str());
-    let desk = desk.filter(|desk| desk.kind == Kind::Service).cloned();
-    let desk = desk.ok_or_else(|| no(Type::NotFound).because(format!("service {service:?}")))?;
+    let dispatcher = app.dispatchers.get(service.as_str());
+    let dispatcher = dispatcher
+        .filter(|dispatcher| dispatcher.kind == Kind::Service)
+        .cloned();
+    let dispatcher =
+        dispatcher.ok_or_else(|| no(Type::NotFound).because(format!("service {service:?}")))?;
     let deadline = app.clock.now() + timeout(&call, contract)?;
     let path = call.rest(3);
     let plain = path.split('?').next().unwrap_or("/");
     let once = contract.is_once(&service, call.method.as_str(), plain);
     let key = keyed::key(&call, contract, &service, once)?;
-    let errand = errand(app, call, path, once, deadline).await?;
+    let outbound = outbound(app, call, path, once, deadline).await?;
     // Before the journal: what the contract does not allow must cost no write.
     let passage = limits::pass(app, &held, 0, trace)?;
     let job = Job {
-        desk,
+        dispatcher,
         entry: entry(contract),
-        errand,
+        outbound,
         passage,
     };
     match key {
@@ -119,9 +122,9 @@
 
 /// A call that has passed its contract's limits.
 struct Job {
-    desk: Arc<Desk>,
+    dispatcher: Arc<Dispatcher>,
     entry: Entry,
-    errand: Errand,
+    outbound: Outbound,
     #[expect(dead_code, reason = "held for its drop, which frees the place")]
     passage: Passage,
 }
@@ -167,13 +170,13 @@
     }
 }
 
-async fn errand(
+async fn outbound(
     app: &App,
     call: Call,
     path: String,
     once: bool,
     deadline: Millis,
-) -> Result<Errand, Problem> {
+) -> Result<Outbound, Problem> {
     let mut headers = HeaderMap::new();
     let timeout = HeaderName::from_static(TIMEOUT);
     for (name, value) in &call.headers {
@@ -183,7 +186,7 @@
     }
     let idempotent = !once && call.method.is_idempotent();
     let body = read(app, call.body).await?;
-    Ok(Errand {
+    Ok(Outbound {
         method: call.method,
         path,
         headers,
@@ -200,12 +203,19 @@
     job: &Job,
     trace: &mut Trace,
 ) -> Result<Response<Bytes>, Problem> {
-    let Job { desk, errand, .. } = job;
+    let Job {
+        dispatcher,
+        outbound,
+        ..
+    } = job;
     let mut ask = Ask::default();
-    desk.earn();
+    dispatcher.earn();
     loop {
         let attempt = Attempt::new();
-        let permit = match desk.acquire(&job.entry, ask.clone(), errand.deadline).await {
+        let permit = match dispatcher
+            .acquire(&job.entry, ask.clone(), outbound.deadline)
+            .await
+        {
             Ok(permit) => permit,
             Err(refusal) => {
                 let problem = Problem::new(refusal.kind, attempt.refuse());
@@ -215,18 +225,18 @@
         let upstream = permit.spec.name.clone();
         trace.upstream = Some(upstream.clone());
         trace.attempts += 1;
-        let (ran, why) = match send(app, desk, errand, permit, attempt).await {
+        let (ran, why) = match send(app, dispatcher, outbound, permit, attempt).await {
             Ok(answer) => return Ok(answer),
             Err(failed) => failed,
         };
         trace.note(format!("attempt {} at {upstream}: {why}", trace.attempts));
         let failure = Failure {
             ran,
-            idempotent: errand.idempotent,
+            idempotent: outbound.idempotent,
             attempts: trace.attempts,
-            deadline: errand.deadline,
+            deadline: outbound.deadline,
         };
-        match desk.retry(failure) {
+        match dispatcher.retry(failure) {
             Next::Again(pause) => tokio::time::sleep(Duration::from_millis(pause)).await,
             Next::Stop(stop) => return Err(given_up(stop, ran, why)),
         }
@@ -252,27 +262,27 @@
 
 async fn send(
     app: &App,
-    desk: &Arc<Desk>,
-    errand: &Errand,
-    permit: crate::desk::Permit,
+    dispatcher: &Arc<Dispatcher>,
+    outbound: &Outbound,
+    permit: crate::dispatcher::Permit,
     attempt: Attempt<Unsent>,
 ) -> Result<Response<Bytes>, (Ran, String)> {
-    let uri = net::client::uri(permit.spec.addr, &errand.path);
-    let mut request = Request::new(Full::new(errand.body.clone()));
-    *request.method_mut() = errand.method.clone();
-    *request.headers_mut() = errand.headers.clone();
+    let uri = net::client::uri(permit.spec.addr, &outbound.path);
+    let mut request = Request::new(Full::new(outbound.body.clone()));
+    *request.method_mut() = outbound.method.clone();
+    *request.headers_mut() = outbound.headers.clone();
     match uri.parse() {
         Ok(uri) => *request.uri_mut() = uri,
         Err(_) => return Err((attempt.refuse(), "the path is no URI".into())),
     }
-    let left = (errand.deadline + errand.patience).saturating_sub(app.clock.now());
+    let left = (outbound.deadline + outbound.patience).saturating_sub(app.clock.now());
     let limit = Duration::from_millis(left);
     let attempt = attempt.send();
     let most = app.settings.bounds.answer;
     match app.http.fetch(request, limit, most).await {
         Ok(answer) => {
-            notice(desk, &permit.spec.name, &answer);
-            if failed(answer.status()) && errand.idempotent {
+            notice(dispatcher, &permit.spec.name, &answer);
+            if failed(answer.status()) && outbound.idempotent {
                 permit.end(false);
                 return Err((attempt.fail(), format!("status {}", answer.status())));
             }
@@ -305,14 +315,14 @@
 }
 
 /// Takes in what an answer says of its upstream besides.
-fn notice<B>(desk: &Arc<Desk>, name: &str, answer: &Response<B>) {
+fn notice<B>(dispatcher: &Arc<Dispatcher>, name: &str, answer: &Response<B>) {
     let headers = answer.headers();
     let number = |name: &str| headers.get(name)?.to_str().ok()?.parse::<u32>().ok();
     if headers.contains_key(LEAVING) {
-        desk.judge(name, |health| health.leave(Sign::Said, true));
+        dispatcher.judge(name, |health| health.leave(Sign::Said, true));
     }
     if let Some(running) = number(RUNNING) {
-        desk.heard(name, running);
+        dispatcher.heard(name, running);
     }
 }
 
--- a/crates/serve/src/forward/keyed.rs
+++ b/crates/serve/src/forward/keyed.rs
@@ -75,14 +75,14 @@
     key: Key,
     trace: &mut Trace,
 ) -> Result<Reply, Problem> {
-    let errand = &mut job.errand;
-    horizon(app, &errand.headers)?;
-    errand.patience = AFTERMATH;
-    let print = Print::new(errand.method.as_str(), &errand.path, &errand.body);
+    let outbound = &mut job.outbound;
+    horizon(app, &outbound.headers)?;
+    outbound.patience = AFTERMATH;
+    let print = Print::new(outbound.method.as_str(), &outbound.path, &outbound.body);
     let attempt = trace.id.attempt(0);
     let answer = app
         .journal
-        .ask(app, key, print, attempt, errand.deadline)
+        .ask(app, key, print, attempt, outbound.deadline)
         .await;
     trace.note(format!("journal: {}", word(&answer)));
     match answer {
@@ -92,7 +92,7 @@
         Answer::Mismatch => return Err(no(Type::KeyMismatch)),
         Answer::Refused => return Err(no(Type::Journal).after(JOURNAL)),
     }
-    let left = errand.deadline.saturating_sub(app.clock.now());
+    let left = outbound.deadline.saturating_sub(app.clock.now());
     let app = app.clone();
     let mut inner = Trace::begin(trace.kind, app.clock);
     inner.id = trace.id;
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -24,7 +24,7 @@
 use wire::engine::RUNNING;
 
 use crate::App;
-use crate::desk::Permit;
+use crate::dispatcher::Permit;
 
 /// Silence after which a stream counts as cut. An engine that holds a request back for want of a
 /// slot sends nothing either, so this is long.
@@ -191,15 +191,15 @@
 fn hear<B>(app: &App, permit: &Permit, answer: &http::Response<B>) {
     let running = answer.headers().get(RUNNING);
     let running = running.and_then(|value| value.to_str().ok()?.parse().ok());
-    if let (Some(desk), Some(running)) = (app.desks.get(&permit.spec.pool), running) {
-        desk.heard(&permit.spec.name, running);
+    if let (Some(dispatcher), Some(running)) = (app.dispatchers.get(&permit.spec.pool), running) {
+        dispatcher.heard(&permit.spec.name, running);
     }
 }
 
 /// Takes in the weight version that a stream named, which is newer than any report.
 fn learn(app: &App, permit: &Permit, version: u64) {
-    if let (Some(desk), 1..) = (app.desks.get(&permit.spec.pool), version) {
-        desk.update(&permit.spec.name, |upstream| {
+    if let (Some(dispatcher), 1..) = (app.dispatchers.get(&permit.spec.pool), version) {
+        dispatcher.update(&permit.spec.name, |upstream| {
             upstream.version = Some(version)
         });
     }
@@ -208,21 +208,21 @@
 /// Tells the pool what the attempt showed of the engine.
 fn judge(app: &App, permit: Permit, end: &End) {
     let name = permit.spec.name.clone();
-    let desk = app.desks.get(&permit.spec.pool).cloned();
+    let dispatcher = app.dispatchers.get(&permit.spec.pool).cloned();
     match end {
         End::Whole => permit.end(true),
         // Old weights are no failure: the engine waits for its order.
         End::Unwanted | End::Early(_, Why::Old) => drop(permit),
         End::Early(_, why) => {
             permit.end(false);
-            if let (Some(desk), Why::Contradiction(fault)) = (desk, why) {
+            if let (Some(dispatcher), Why::Contradiction(fault)) = (dispatcher, why) {
                 log::warn!(
                     target: "entry",
                     upstream = &*name,
                     error = fault.to_string().as_str();
                     "quarantined"
                 );
-                desk.judge(&name, |health| health.quarantine(true));
+                dispatcher.judge(&name, |health| health.quarantine(true));
             }
         }
     }
--- a/crates/serve/src/gossip.rs
+++ b/crates/serve/src/gossip.rs
@@ -131,7 +131,9 @@
     drop(view);
     let instance = app.settings.me.name.to_string();
     metrics::gauge!(meter::MEMBERS, "instance" => instance).set(live as f64);
-    app.desks.values().for_each(|desk| desk.share(live as u32));
+    app.dispatchers
+        .values()
+        .for_each(|dispatcher| dispatcher.share(live as u32));
 }
 
 /// Probes a peer, then through helpers if it is silent.
@@ -227,8 +229,8 @@
             leaving,
             ..
         } => {
-            for desk in app.desks.values() {
-                poll::believe(desk, name, *version, *leaving);
+            for dispatcher in app.dispatchers.values() {
+                poll::believe(dispatcher, name, *version, *leaving);
             }
         }
         Rumour::Member(_) | Rumour::Demand { .. } => (),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod cache;
 pub mod clock;
 pub mod complete;
-pub mod desk;
+pub mod dispatcher;
 pub mod forward;
 pub mod generate;
 pub mod gossip;
--- a/crates/serve/src/limits.rs
+++ b/crates/serve/src/limits.rs
@@ -27,7 +27,7 @@
 
 /// A contract's gate with its demand.
 #[derive(Debug)]
-struct Door {
+struct Limiter {
     rev: i64,
     gate: Gate,
     split: Split,
@@ -38,7 +38,7 @@
 /// The limits of contracts on this instance.
 #[derive(Debug, Default)]
 pub struct Limits {
-    doors: Shards<Name, Door>,
+    limiters: Shards<Name, Limiter>,
 }
 
 /// A request that passed its contract's limits; dropping it frees its place.
@@ -51,9 +51,9 @@
     /// Charges tokens that the request generated.
     pub fn charge(&self, tokens: u32) {
         let now = self.app.clock.now();
-        self.app.limits.doors.with(&self.customer, |doors| {
-            if let Some(door) = doors.get_mut(&self.customer) {
-                door.gate.charge(now, f64::from(tokens));
+        self.app.limits.limiters.with(&self.customer, |limiters| {
+            if let Some(limiter) = limiters.get_mut(&self.customer) {
+                limiter.gate.charge(now, f64::from(tokens));
             }
         });
     }
@@ -61,9 +61,9 @@
 
 impl Drop for Passage {
     fn drop(&mut self) {
-        self.app.limits.doors.with(&self.customer, |doors| {
-            if let Some(door) = doors.get_mut(&self.customer) {
-                door.gate.leave();
+        self.app.limits.limiters.with(&self.customer, |limiters| {
+            if let Some(limiter) = limiters.get_mut(&self.customer) {
+                limiter.gate.leave();
             }
         });
     }
@@ -76,25 +76,25 @@
 }
 
 /// Runs `f` on the gate of a contract, made or brought up to its revision first.
-fn with_gate<R>(app: &App, held: &InForce, f: impl FnOnce(&mut Door, Millis) -> R) -> R {
+fn with_gate<R>(app: &App, held: &InForce, f: impl FnOnce(&mut Limiter, Millis) -> R) -> R {
     let contract = &held.stored.contract;
     let customer = &contract.customer;
     let now = app.clock.now();
     // The share is read before the shard is locked, so that no two locks are held at once.
     let share = share(app, customer, 0.0);
-    app.limits.doors.with(customer, |doors| {
-        let door = doors.entry(customer.clone()).or_insert_with(|| Door {
+    app.limits.limiters.with(customer, |limiters| {
+        let limiter = limiters.entry(customer.clone()).or_insert_with(|| Limiter {
             rev: held.rev,
             gate: Gate::new(contract, share, now),
             split: Split::new(share),
             arrived: 0,
             demand: 0.0,
         });
-        if door.rev < held.rev {
-            door.rev = held.rev;
-            door.gate.resize(contract, door.split.share(), now);
+        if limiter.rev < held.rev {
+            limiter.rev = held.rev;
+            limiter.gate.resize(contract, limiter.split.share(), now);
         }
-        f(door, now)
+        f(limiter, now)
     })
 }
 
@@ -109,9 +109,9 @@
     tokens: u32,
     trace: &mut Trace,
 ) -> Result<Passage, Problem> {
-    let passed = with_gate(app, held, |door, now| {
-        door.arrived += 1;
-        door.gate.enter(now, f64::from(tokens))
+    let passed = with_gate(app, held, |limiter, now| {
+        limiter.arrived += 1;
+        limiter.gate.enter(now, f64::from(tokens))
     });
     match passed {
         Pass::Go => Ok(Passage {
@@ -133,7 +133,9 @@
 ///
 /// Returns the milliseconds after which to ask again.
 pub fn pass_sample(app: &Arc<App>, held: &InForce, tokens: f64) -> Result<Passage, Millis> {
-    let passed = with_gate(app, held, |door, now| door.gate.enter_sample(now, tokens));
+    let passed = with_gate(app, held, |limiter, now| {
+        limiter.gate.enter_sample(now, tokens)
+    });
     match passed {
         Pass::Go => Ok(Passage {
             app: app.clone(),
@@ -164,21 +166,21 @@
 
 fn adapt(app: &App, contract: &Contract) -> f64 {
     let customer = &contract.customer;
-    let demand = app.limits.doors.with(customer, |doors| {
-        let door = doors.get_mut(customer)?;
-        let arrived = f64::from(std::mem::take(&mut door.arrived));
-        door.demand += SMOOTH * (arrived - door.demand);
-        Some(door.demand)
+    let demand = app.limits.limiters.with(customer, |limiters| {
+        let limiter = limiters.get_mut(customer)?;
+        let arrived = f64::from(std::mem::take(&mut limiter.arrived));
+        limiter.demand += SMOOTH * (arrived - limiter.demand);
+        Some(limiter.demand)
     });
     let Some(demand) = demand else {
         return 0.0;
     };
     let share = share(app, customer, demand);
     let now: Millis = app.clock.now();
-    app.limits.doors.with(customer, |doors| {
-        if let Some(door) = doors.get_mut(customer) {
-            door.split.adapt(share, now);
-            door.gate.resize(contract, door.split.share(), now);
+    app.limits.limiters.with(customer, |limiters| {
+        if let Some(limiter) = limiters.get_mut(customer) {
+            limiter.split.adapt(share, now);
+            limiter.gate.resize(contract, limiter.split.share(), now);
         }
     });
     demand
--- a/crates/serve/src/operator.rs
+++ b/crates/serve/src/operator.rs
@@ -26,8 +26,8 @@
 fn state(app: &App) -> Status {
     let now = app.clock.now();
     let mut upstreams = Vec::new();
-    for desk in app.desks.values() {
-        desk.all(|all| upstreams.extend(all.iter().map(|u| upstream(u, now))));
+    for dispatcher in app.dispatchers.values() {
+        dispatcher.all(|all| upstreams.extend(all.iter().map(|u| upstream(u, now))));
     }
     upstreams.sort_by(|a, b| a.name.cmp(&b.name));
     let view = app.view.lock();
--- a/crates/serve/src/poll.rs
+++ b/crates/serve/src/poll.rs
@@ -15,7 +15,7 @@
 use wire::engine::Load;
 
 use crate::App;
-use crate::desk::Desk;
+use crate::dispatcher::Dispatcher;
 use crate::history::Story;
 use crate::journal::rank;
 use wire::caller::Note;
@@ -26,14 +26,19 @@
 /// Asks the engines of this failure domain for their load until the instance ends.
 pub async fn run(app: Arc<App>) {
     loop {
-        for desk in app.desks.values().filter(|desk| desk.kind == Kind::Engine) {
-            let specs: Vec<Spec> = desk.all(|all| all.iter().map(|u| u.spec.clone()).collect());
+        for dispatcher in app
+            .dispatchers
+            .values()
+            .filter(|dispatcher| dispatcher.kind == Kind::Engine)
+        {
+            let specs: Vec<Spec> =
+                dispatcher.all(|all| all.iter().map(|u| u.spec.clone()).collect());
             for spec in specs {
                 if !is_mine(&app, &spec) {
                     continue;
                 }
-                let (app, desk) = (app.clone(), desk.clone());
-                tokio::spawn(async move { ask(&app, &desk, &spec).await });
+                let (app, dispatcher) = (app.clone(), dispatcher.clone());
+                tokio::spawn(async move { ask(&app, &dispatcher, &spec).await });
             }
         }
         let pause = app.settings.weights.poll as f64 * (0.9 + 0.2 * rand::random::<f64>());
@@ -61,8 +66,8 @@
 }
 
 /// Takes over what an engine states.
-pub fn believe(desk: &Arc<Desk>, name: &str, version: Option<u64>, leaving: bool) {
-    desk.update(name, |upstream| {
+pub fn believe(dispatcher: &Arc<Dispatcher>, name: &str, version: Option<u64>, leaving: bool) {
+    dispatcher.update(name, |upstream| {
         upstream.version = version.or(upstream.version);
         upstream.health.leave(Sign::Said, leaving);
         // An engine in the middle of a failed swap may use either version for the next token.
@@ -70,7 +75,7 @@
     });
 }
 
-async fn ask(app: &Arc<App>, desk: &Arc<Desk>, spec: &Spec) {
+async fn ask(app: &Arc<App>, dispatcher: &Arc<Dispatcher>, spec: &Spec) {
     let uri = net::client::uri(spec.addr, LOAD);
     let answer: Result<Load, _> = app.http.json(Method::GET, &uri, &(), LIMIT).await;
     let Ok(load) = answer else {
@@ -78,12 +83,12 @@
         return;
     };
     let single = load.stated.single();
-    let before = desk.all(|all| {
+    let before = dispatcher.all(|all| {
         let found = all.iter().find(|u| u.spec.name == spec.name);
         found.map(|u| (u.version, u.health.is_quarantined(), u.health.is_leaving()))
     });
-    desk.heard(&spec.name, load.running);
-    believe(desk, &spec.name, single, load.leaving);
+    dispatcher.heard(&spec.name, load.running);
+    believe(dispatcher, &spec.name, single, load.leaving);
     let Some((version, quarantined, leaving)) = before else {
         return;
     };
--- a/crates/serve/src/steps.rs
+++ b/crates/serve/src/steps.rs
@@ -142,12 +142,12 @@
     cursor: &Cursor,
     version: u64,
 ) -> Result<Arc<Work>, Problem> {
-    let desk = complete::model(app, held, &spec.model)?;
+    let dispatcher = complete::model(app, held, &spec.model)?;
     let policy = kernel::plugin::find(app.settings.policy);
     let policy = policy.map_err(|error| no(Type::Internal).because(error.to_string()))?;
     let customer = held.stored.contract.customer.clone();
     let run = step::Run::new(spec, policy, cursor, version);
-    let work = Work::new(id, customer, run, desk, app.clock);
+    let work = Work::new(id, customer, run, dispatcher, app.clock);
     let key = id.to_owned();
     let kept = app.steps.works.with(&key, |works| {
         works
--- a/crates/serve/src/steps/sample.rs
+++ b/crates/serve/src/steps/sample.rs
@@ -17,7 +17,7 @@
 use super::score;
 use super::work::Work;
 use crate::App;
-use crate::desk::Permit;
+use crate::dispatcher::Permit;
 use crate::generate;
 use crate::generate::End;
 use crate::generate::Sink;
@@ -103,7 +103,7 @@
         avoid: avoid.into_iter().collect(),
     };
     let deadline = app.clock.now() + LIMIT;
-    let permit = work.desk.acquire(&entry, ask, deadline).await;
+    let permit = work.dispatcher.acquire(&entry, ask, deadline).await;
     permit.map_err(|refusal| refusal.after)
 }
 
--- a/crates/serve/src/steps/score.rs
+++ b/crates/serve/src/steps/score.rs
@@ -86,9 +86,9 @@
     prompt: &str,
     text: &str,
 ) -> Result<f64, ScoreError> {
-    let desk = app.desks.get(scorer);
-    let desk = desk.filter(|desk| desk.kind == Kind::Service);
-    let desk = desk.ok_or_else(|| ScoreError::Unknown(scorer.into()))?;
+    let dispatcher = app.dispatchers.get(scorer);
+    let dispatcher = dispatcher.filter(|dispatcher| dispatcher.kind == Kind::Service);
+    let dispatcher = dispatcher.ok_or_else(|| ScoreError::Unknown(scorer.into()))?;
     let entry = Entry {
         customer: contract.customer.clone(),
         weight: contract.weight,
@@ -96,7 +96,7 @@
         cost: 1.0,
     };
     let deadline = app.clock.now() + LIMIT;
-    let permit = desk.acquire(&entry, Ask::default(), deadline).await;
+    let permit = dispatcher.acquire(&entry, Ask::default(), deadline).await;
     let permit = permit.map_err(|_| ScoreError::Busy)?;
     let asked = Score {
         prompt: prompt.into(),
--- a/crates/serve/src/steps/work.rs
+++ b/crates/serve/src/steps/work.rs
@@ -24,7 +24,7 @@
 use super::sample;
 use crate::App;
 use crate::clock::Clock;
-use crate::desk::Desk;
+use crate::dispatcher::Dispatcher;
 
 /// Time without a pull after which no more samples are begun: the trainer may be gone.
 const PAUSED: Millis = 60_000;
@@ -48,7 +48,7 @@
 pub struct Work {
     id: String,
     customer: Name,
-    pub(super) desk: Arc<Desk>,
+    pub(super) dispatcher: Arc<Dispatcher>,
     pub(super) request: RequestId,
     pub(super) clock: Clock,
     pub(super) run: Mutex<Run>,
@@ -70,13 +70,13 @@
         id: &str,
         customer: Name,
         run: Run,
-        desk: Arc<Desk>,
+        dispatcher: Arc<Dispatcher>,
         clock: Clock,
     ) -> Arc<Self> {
         Arc::new(Self {
             id: id.into(),
             customer,
-            desk,
+            dispatcher,
             request: RequestId::fresh(),
             clock,
             run: Mutex::new(run),
@@ -173,7 +173,7 @@
     /// is chosen as late as possible, when more is known of their lengths.
     fn todo(&self) -> Todo {
         let slots = self
-            .desk
+            .dispatcher
             .all(|all| all.iter().map(|u| u.spec.slots).sum::<u32>());
         let width = (slots as usize * AHEAD).div_ceil(100);
         let mut run = self.run.lock();
--- a/crates/serve/src/sync.rs
+++ b/crates/serve/src/sync.rs
@@ -156,7 +156,7 @@
 
 /// Takes an upstream out of, or back into, the choice.
 pub fn leaving(app: &Arc<App>, name: &Name, is_leaving: bool) {
-    for desk in app.desks.values() {
-        desk.judge(name, |health| health.leave(Sign::Listed, is_leaving));
+    for dispatcher in app.dispatchers.values() {
+        dispatcher.judge(name, |health| health.leave(Sign::Listed, is_leaving));
     }
 }
