Make the late order of the control tests in one place

Cause: the order of a former holder stood twice, word for word, in two tests.

Change: a function makes it, as the other fixtures are made.

Conclusion: no behaviour and no check changes.

--- a/crates/control/tests/control.rs
+++ b/crates/control/tests/control.rs
@@ -47,6 +47,16 @@
     asked.send().await.ok()?.json().ok()
 }
 
+/// An order of a holder whose lease was taken before any other.
+fn late() -> Order {
+    Order {
+        version: 1,
+        source: String::new(),
+        fence: 0,
+        keep: true,
+    }
+}
+
 /// Waits until every engine states one version.
 async fn reach(rig: &Rig, version: u64) {
     for _ in 0..1_500 {
@@ -172,14 +182,7 @@
         announce(&rig, 2).await;
         reach(&rig, 2).await;
         let engine = &rig.parts.engines[0];
-        let late = Order {
-            version: 1,
-            source: String::new(),
-            fence: 0,
-            keep: true,
-        };
-
-        let answer = Asked::json(engine.host.addr, "-", ORDER, &late)
+        let answer = Asked::json(engine.host.addr, "-", ORDER, &late())
             .send()
             .await
             .unwrap();
@@ -201,14 +204,7 @@
         announce(&rig, 2).await;
         reach(&rig, 2).await;
         let engine = &rig.parts.engines[0];
-        let late = Order {
-            version: 1,
-            source: String::new(),
-            fence: 0,
-            keep: true,
-        };
-
-        let answer = Asked::json(engine.host.addr, "-", ORDER, &late)
+        let answer = Asked::json(engine.host.addr, "-", ORDER, &late())
             .send()
             .await
             .unwrap();
