--- /dev/null
+++ b/crates/batch/src/keys.rs
@@ -0,0 +1,55 @@
+//! The keys under which steps are kept at the platform.
+
+/// The heads of all steps.
+pub const HEADS: &str = "snipeway/head/";
+
+/// Longest name of a step that can be part of a key, in bytes: platforms take keys of 200.
+const LONGEST: usize = 100;
+
+/// Tells whether a step's name can be part of a key.
+///
+/// # Examples
+///
+/// ```
+/// assert!(batch::keys::is_name("7c41e09b52d6a3f8"));
+/// assert!(!batch::keys::is_name("../a"));
+/// ```
+pub fn is_name(step: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
+    !step.is_empty() && step.len() <= LONGEST && step.bytes().all(plain)
+}
+
+/// The key of a step's head.
+pub fn head(step: &str) -> String {
+    format!("{HEADS}{step}")
+}
+
+/// The step whose head has a key.
+pub fn step(key: &str) -> Option<&str> {
+    key.strip_prefix(HEADS)
+}
+
+/// The key that says that a step has ended.
+pub fn end(step: &str) -> String {
+    format!("snipeway/end/{step}")
+}
+
+/// The prefix of the parts of a step's samples.
+pub fn spec(step: &str) -> String {
+    format!("snipeway/spec/{step}/")
+}
+
+/// The key of one part of a step's samples.
+pub fn part(step: &str, part: usize) -> String {
+    format!("snipeway/spec/{step}/{part:04}")
+}
+
+/// The prefix of a step's results.
+pub fn segments(step: &str) -> String {
+    format!("snipeway/result/{step}/")
+}
+
+/// The key of one segment of a step's results.
+pub fn segment(step: &str, seq: u32) -> String {
+    format!("snipeway/result/{step}/{seq:06}")
+}
--- /dev/null
+++ b/crates/batch/src/ledger.rs
@@ -0,0 +1,169 @@
+//! What the owner of a step knows of it.
+
+use kernel::Millis;
+
+use crate::Entry;
+
+/// Most bytes of text in one segment: platforms take values of up to a megabyte, which base64
+/// makes a third longer.
+const SEGMENT: usize = 512 << 10;
+
+/// Results that are written together under one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Segment {
+    /// Its number, counted from 0 without gaps.
+    pub seq: u32,
+    /// Its results, in the order of their positions.
+    pub entries: Vec<Entry>,
+}
+
+/// What the owner does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Write this segment, under the condition that its key does not exist.
+    Write(Segment),
+    /// Wait until this time, or until another sample has ended.
+    Wait(Millis),
+    /// Nothing is waiting to be written.
+    Idle,
+}
+
+/// The results of one step, as its owner knows them.
+///
+/// A position is given by the write that lists it, so it never changes. A segment whose write may
+/// or may not have taken effect is offered again unchanged until it is known to be there: other
+/// content under the same number would let two readers see different results at one position.
+///
+/// # Examples
+///
+/// ```
+/// use batch::{Entry, Ledger, Outcome, ledger::Next};
+///
+/// let mut ledger = Ledger::new(2, 100);
+/// let entry = Entry {
+///     index: 1, id: "b".into(), outcome: Outcome::Whole, text: "x".into(), versions: vec![3],
+/// };
+/// assert!(ledger.finish(entry.clone(), 0));
+/// assert!(!ledger.finish(entry, 0));
+/// assert_eq!(ledger.next(50), Next::Wait(100));
+/// let Next::Write(segment) = ledger.next(100) else { panic!() };
+/// assert_eq!(ledger.next(200), Next::Write(segment));
+/// ledger.written();
+/// assert_eq!(ledger.listed().len(), 1);
+/// ```
+#[derive(Debug)]
+pub struct Ledger {
+    gather: Millis,
+    ended: Vec<bool>,
+    listed: Vec<Entry>,
+    waiting: Vec<Entry>,
+    since: Millis,
+    segment: Option<Segment>,
+    seq: u32,
+}
+
+impl Ledger {
+    /// Makes the ledger of a step with `total` samples, which writes results together that come
+    /// within `gather` milliseconds.
+    pub fn new(total: u32, gather: Millis) -> Self {
+        Self {
+            gather,
+            ended: vec![false; total as usize],
+            listed: Vec::new(),
+            waiting: Vec::new(),
+            since: 0,
+            segment: None,
+            seq: 0,
+        }
+    }
+
+    /// Takes in a segment that an owner before has written; they come in order.
+    pub fn restore(&mut self, entries: Vec<Entry>) {
+        for entry in &entries {
+            self.mark(entry.index);
+        }
+        self.listed.extend(entries);
+        self.seq += 1;
+    }
+
+    /// Marks a sample as ended; tells whether it was not before.
+    fn mark(&mut self, index: u32) -> bool {
+        match self.ended.get_mut(index as usize) {
+            Some(ended) => !std::mem::replace(ended, true),
+            None => false,
+        }
+    }
+
+    /// Takes in the result of a sample; tells whether it is the first one.
+    pub fn finish(&mut self, entry: Entry, now: Millis) -> bool {
+        if !self.mark(entry.index) {
+            return false;
+        }
+        if self.waiting.is_empty() {
+            self.since = now;
+        }
+        self.waiting.push(entry);
+        true
+    }
+
+    /// Says what to do.
+    pub fn next(&mut self, now: Millis) -> Next {
+        if let Some(segment) = &self.segment {
+            return Next::Write(segment.clone());
+        }
+        if self.waiting.is_empty() {
+            return Next::Idle;
+        }
+        let due = self.since + self.gather;
+        let whole = self.open() == 0;
+        if now < due && !whole {
+            return Next::Wait(due);
+        }
+        let segment = Segment {
+            seq: self.seq,
+            entries: self.cut(),
+        };
+        self.segment = Some(segment.clone());
+        Next::Write(segment)
+    }
+
+    /// Takes as many results as fit into one segment, at least one.
+    fn cut(&mut self) -> Vec<Entry> {
+        let mut bytes = 0;
+        let fits = self.waiting.iter().take_while(|entry| {
+            let first = bytes == 0;
+            bytes += entry.text.len();
+            first || bytes <= SEGMENT
+        });
+        let count = fits.count();
+        self.waiting.drain(..count).collect()
+    }
+
+    /// Notes that the offered segment is at the platform.
+    pub fn written(&mut self) {
+        if let Some(segment) = self.segment.take() {
+            self.listed.extend(segment.entries);
+            self.seq += 1;
+        }
+    }
+
+    /// The results that are at the platform, by position.
+    pub fn listed(&self) -> &[Entry] {
+        &self.listed
+    }
+
+    /// Tells whether a sample has ended.
+    pub fn has_ended(&self, index: u32) -> bool {
+        self.ended.get(index as usize).copied().unwrap_or(true)
+    }
+
+    /// Samples that have not ended.
+    pub fn open(&self) -> usize {
+        self.ended.iter().filter(|ended| !**ended).count()
+    }
+
+    /// Tells whether every sample has ended and is listed.
+    pub fn is_done(&self) -> bool {
+        self.listed.len() == self.ended.len()
+    }
+}
--- /dev/null
+++ b/crates/batch/src/lib.rs
@@ -0,0 +1,23 @@
+//! Steps that outlive every process.
+//!
+//! All that a step promises is at the platform before it is said: its samples when it is accepted,
+//! each result when it is listed. One instance at a time owns a step and runs its samples; a write
+//! of the owner carries the revision of the step's head, which taking over changes, so that two
+//! instances that both believe they own a step cannot both list results.
+//!
+//! - [`record`] has what is kept at the platform, and under which keys.
+//! - [`ledger`] has what the owner knows of its step.
+
+pub mod keys;
+pub mod ledger;
+pub mod record;
+
+pub use ledger::Ledger;
+pub use ledger::Segment;
+pub use record::Entry;
+pub use record::Head;
+pub use record::Outcome;
+pub use record::Owner;
+pub use record::RecordError;
+pub use record::Sample;
+pub use record::Spec;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,7 +6,6 @@
 //! the leases of that domain; it asks the entry beside it whether that is itself.
 
 pub mod cli;
-mod holder;
 mod orders;
 mod run;
 mod sources;
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use clock::Clock;
 use fleet::Fence;
 use fleet::Lease;
 use fleet::lease::Held;
@@ -10,7 +11,6 @@
 use http::StatusCode;
 use net::client::JsonError;
 use route::Spec;
-use serve::clock::Clock;
 use weight::Stated;
 use wire::engine::LOAD;
 use wire::engine::Load;
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use args::Parsed;
+use clock::Clock;
 use kernel::Map;
 use kernel::Name;
 use plat::Client;
 use route::Kind;
 use route::Spec;
 use serve::Settings;
-use serve::clock::Clock;
 use tokio::task::JoinHandle;
 use wire::peer;
 use wire::peer::Status;
--- a/crates/control/src/work.rs
+++ b/crates/control/src/work.rs
@@ -2,23 +2,23 @@
 
 use std::time::Duration;
 
+use clock::Clock;
 use fleet::Lease;
 use fleet::lease::Held;
 use kernel::Millis;
 use kernel::Name;
 use plat::Client;
+use plat::holder;
+use plat::holder::Taken;
 use plat::keys;
 use route::Spec;
 use serve::audit;
-use serve::clock::Clock;
 use serve::weights::Version;
 use tokio::task::JoinSet;
 use weight::Act;
 use weight::Plan;
 use wire::engine::Order;
 
-use crate::holder;
-use crate::holder::Taken;
 use crate::orders;
 use crate::orders::Given;
 use crate::sources::Sources;
@@ -32,6 +32,10 @@
 /// Time between two reads of the announced version while nothing is to do, in milliseconds.
 const READ: Millis = 500;
 
+/// Time that a lease lives unless renewed: long enough for an outage of a few seconds to cost
+/// nothing, short enough for another instance to take over soon.
+const TTL: Millis = 10 * kernel::time::SECOND;
+
 /// Pause before trying again for a lease that somebody else has.
 const OTHERS: Duration = Duration::from_secs(3);
 
@@ -67,7 +71,14 @@
     /// Tries for the lease and holds it for as long as it can.
     pub(crate) async fn turn(&self) {
         let name = self.name();
-        let taken = holder::take(&self.plat, &name, &self.instance, self.clock).await;
+        let taken = holder::take(
+            &self.plat,
+            &keys::lease(&name),
+            self.instance.as_bytes(),
+            TTL,
+            self.clock,
+        )
+        .await;
         match taken {
             Ok(Taken::Ours(lease)) => self.hold(lease).await,
             Ok(Taken::Others) => tokio::time::sleep(OTHERS).await,
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -4,6 +4,7 @@
 //! fields.
 
 mod line;
+pub mod queue;
 
 use std::io;
 use std::path::PathBuf;
@@ -11,6 +12,8 @@
 
 pub use line::json;
 pub use line::pairs;
+pub use queue::Queue;
+pub use queue::dropped;
 
 /// Target of the audit trail's lines: changes that somebody or something made.
 pub const AUDIT: &str = "audit";
@@ -42,13 +45,25 @@
     }
 }
 
+/// Where lines go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sink {
+    /// To standard error, line by line.
+    #[default]
+    Stderr,
+    /// To standard output, through a bounded queue that never blocks.
+    Queue,
+}
+
 /// Where lines go and what they look like.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Lowest level that is written.
     pub level: log::LevelFilter,
     /// The form of a line.
     pub form: Form,
+    /// Where lines go.
+    pub sink: Sink,
     /// File of the audit trail's lines; standard error when absent.
     pub audit: Option<PathBuf>,
 }
@@ -58,6 +73,7 @@
         Self {
             level: log::LevelFilter::Info,
             form: Form::Pairs,
+            sink: Sink::Stderr,
             audit: None,
         }
     }
@@ -69,12 +85,26 @@
     /// The audit trail's file cannot be opened.
     #[error("could not open the audit log")]
     Audit(#[source] io::Error),
+    /// The thread that writes lines cannot be started.
+    #[error("could not start the writer of the log")]
+    Writer(#[source] io::Error),
     /// Something else logs already.
     #[error("could not begin to log")]
     Logger(#[from] log::SetLoggerError),
 }
 
-/// Begins to log to standard error, and the audit trail to its own file if there is one.
+fn output(sink: Sink) -> Result<fern::Output, LogError> {
+    match sink {
+        Sink::Stderr => Ok(io::stderr().into()),
+        Sink::Queue => {
+            let queue = Queue::begin(io::stdout()).map_err(LogError::Writer)?;
+            let call = move |record: &log::Record<'_>| queue.line(record.args().to_string());
+            Ok(fern::Output::call(call))
+        }
+    }
+}
+
+/// Begins to log where the settings say, and the audit trail to its own file if there is one.
 ///
 /// # Errors
 ///
@@ -96,7 +126,7 @@
         .level_for("gotham", level.min(log::LevelFilter::Warn))
         .level_for("hyper", level.min(log::LevelFilter::Warn))
         .level_for("hyper_util", level.min(log::LevelFilter::Warn))
-        .chain(io::stderr());
+        .chain(output(settings.sink)?);
     let dispatch = match &settings.audit {
         None => dispatch.chain(plain),
         Some(file) => {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -22,6 +22,22 @@
 /// is rarely sent into a connection that its server is closing.
 const IDLE: Duration = Duration::from_secs(3);
 
+/// Silence after which the kernel asks the other end whether it is still there.
+///
+/// A connection may go silent for good while new ones work, and a waiting watch would then hear
+/// nothing of a change until its own time is over. With the pause and the tries below such a
+/// connection is given up after two seconds.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Pause between two of these questions.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Questions without an answer after which a connection is given up.
+const PROBES: u32 = 2;
+
+/// Time after which sent bytes that nobody acknowledged end their connection.
+const UNACKED: Duration = Duration::from_secs(2);
+
 /// Time that a connect may take.
 const CONNECT: Duration = Duration::from_millis(500);
 
@@ -77,11 +93,20 @@
 impl Client {
     /// Makes a client without connections.
     pub fn new() -> Self {
+        Self::idle(IDLE)
+    }
+
+    /// Makes a client without connections, which keeps idle ones for a time.
+    pub fn idle(idle: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT));
+        connector.set_keepalive(Some(PROBE));
+        connector.set_keepalive_interval(Some(PROBE_PAUSE));
+        connector.set_keepalive_retries(Some(PROBES));
+        connector.set_tcp_user_timeout(Some(UNACKED));
         let inner = legacy::Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE)
+            .pool_idle_timeout(idle)
             .pool_timer(TokioTimer::new())
             .build(connector);
         Self { inner }
--- /dev/null
+++ b/crates/node/src/app.rs
@@ -0,0 +1,115 @@
+//! What all parts of an instance share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use batch::Owner;
+use clock::Clock;
+use kernel::Shards;
+use parking_lot::Mutex;
+use place::Fleet;
+use plat::Client;
+use table::Plan;
+use table::Roster;
+use tokio::sync::Notify;
+
+use crate::Dialect;
+use crate::Settings;
+use crate::owner::Work;
+use crate::shelf::Shelf;
+
+/// Time for which an idle connection to an upstream is kept: a call on a kept connection saves the
+/// upstream the opening of a new one, which may hold a place there.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// What all parts of an instance share.
+pub struct App {
+    /// The settings.
+    pub settings: Settings,
+    /// The clocks.
+    pub clock: Clock,
+    /// The protocol.
+    pub dialect: Arc<dyn Dialect>,
+    /// The platform's store.
+    pub plat: Client,
+    /// Connections to upstreams.
+    pub http: net::Client,
+    /// This start of this instance.
+    pub me: Owner,
+    /// The configuration, once it is known.
+    pub plan: ArcSwapOption<Plan>,
+    /// The upstreams that are listed.
+    pub roster: Mutex<Roster>,
+    /// The upstreams of plain services as this instance sees them.
+    pub plain: Mutex<Fleet>,
+    /// The engines as this instance sees them.
+    pub fleet: Mutex<Fleet>,
+    /// Rings when a place may have become free or an upstream has changed.
+    pub room: Notify,
+    /// The steps that this instance runs.
+    pub works: Shards<Arc<str>, Arc<Work>>,
+    /// What this instance has read of the results of other steps.
+    pub shelves: Shards<Arc<str>, Arc<Shelf>>,
+    leaving: AtomicBool,
+    entry: AtomicI64,
+}
+
+impl App {
+    /// Makes the state of an instance that has just started and knows nothing.
+    pub fn new(settings: Settings, dialect: Arc<dyn Dialect>, plat: Client) -> Arc<Self> {
+        let clock = Clock::default();
+        let me = Owner {
+            instance: settings.name.clone(),
+            // Two starts of one instance are never within the same millisecond.
+            start: clock.wall(),
+        };
+        Arc::new(Self {
+            settings,
+            clock,
+            dialect,
+            plat,
+            http: net::Client::idle(IDLE),
+            me,
+            plan: ArcSwapOption::empty(),
+            roster: Mutex::default(),
+            plain: Mutex::default(),
+            fleet: Mutex::default(),
+            room: Notify::new(),
+            works: Shards::new(),
+            shelves: Shards::new(),
+            leaving: AtomicBool::new(false),
+            entry: AtomicI64::new(0),
+        })
+    }
+
+    /// Notes the lease of this instance's own entry.
+    pub fn enter(&self, lease: i64) {
+        self.entry.store(lease, Ordering::Relaxed);
+    }
+
+    /// The lease of this instance's own entry.
+    pub fn entry(&self) -> i64 {
+        self.entry.load(Ordering::Relaxed)
+    }
+
+    /// Begins to leave: nothing new is taken on.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether the instance is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether callers should come here: an instance without configuration could only turn
+    /// them away.
+    pub fn is_ready(&self) -> bool {
+        let known = self.roster.lock().age(self.clock.now()).is_some();
+        !self.is_leaving() && known && self.plan.load().is_some()
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/orphans.rs
@@ -0,0 +1,205 @@
+//! Steps whose owner is gone, records that are not needed any more, and instances that are to be
+//! emptied.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use batch::Entry;
+use batch::Head;
+use batch::Spec;
+use batch::keys;
+use batch::record;
+use kernel::Map;
+use kernel::Millis;
+use kernel::Set;
+use plat::Delete;
+use plat::Done;
+use plat::Guard;
+use plat::Item;
+use plat::PlatError;
+use plat::Put;
+use plat::Txn;
+use tokio::time::sleep;
+
+use super::targets::Targets;
+use crate::App;
+use crate::member;
+use crate::owner;
+
+/// Time between two looks. Stale reads do: taking over is decided by a write under a condition.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Time for which an owner's entry has to be missing before its step is taken over: an instance
+/// whose entry lapsed while the platform was away enters again within this time.
+const MISSING: Millis = 900;
+
+/// Time after which a step's records are removed, beyond the time for which they can be read: the
+/// clocks of instances differ by seconds.
+const SPARE: Millis = 30_000;
+
+/// Keys that one write removes: platforms take 32 entries.
+const TOGETHER: usize = 30;
+
+/// Looks after steps for as long as the lease is held.
+pub async fn run(app: Arc<App>, targets: Targets) {
+    let mut looks = Looks::default();
+    loop {
+        sleep(LOOK).await;
+        if let Err(error) = looks.turn(&app, &targets).await {
+            let error = error.to_string();
+            log::debug!(target: "control", error = error.as_str(); "no look at steps");
+            // What was missing before an outage says nothing after it.
+            looks.missing.clear();
+        }
+    }
+}
+
+#[derive(Default)]
+struct Looks {
+    /// Steps whose owner's entry is missing, and since when.
+    missing: Map<Arc<str>, Millis>,
+    /// Steps that need nobody any more.
+    settled: Set<Arc<str>>,
+    /// Instances that were said to be empty.
+    emptied: Set<String>,
+}
+
+impl Looks {
+    async fn turn(&mut self, app: &Arc<App>, targets: &Targets) -> Result<(), PlatError> {
+        let heads = app.plat.stale(keys::HEADS).await?;
+        if !heads.items.is_empty() {
+            let entries = app.plat.stale(member::INSTANCES).await?;
+            let live: Set<_> = entries
+                .items
+                .iter()
+                .filter_map(|item| member::owner(&item.value))
+                .map(|owner| (owner.instance, owner.start))
+                .collect();
+            for item in &heads.items {
+                self.look(app, targets, item, &live).await?;
+            }
+        }
+        self.empty(app).await
+    }
+
+    async fn look(
+        &mut self,
+        app: &Arc<App>,
+        targets: &Targets,
+        item: &Item,
+        live: &Set<(Arc<str>, u64)>,
+    ) -> Result<(), PlatError> {
+        let Some(step) = keys::step(&item.key).map(Arc::<str>::from) else {
+            return Ok(());
+        };
+        let head: Head = match record::decode(&item.value) {
+            Ok(head) => head,
+            Err(error) => {
+                let error = error.to_string();
+                log::error!(target: "control", id = &*step, error = error.as_str();
+                    "head not understood");
+                return Ok(());
+            }
+        };
+        targets.accept(&head.model, head.least);
+        let age = app.clock.wall().saturating_sub(head.opened);
+        if age > app.settings.keep + SPARE {
+            return sweep(app, &step, item).await;
+        }
+        let now = app.clock.now();
+        let owner = (head.owner.instance.clone(), head.owner.start);
+        let mine = head.owner == app.me && app.works.get(&step).is_some();
+        if self.settled.contains(&step) || live.contains(&owner) || mine {
+            self.missing.remove(&step);
+            return Ok(());
+        }
+        let since = *self.missing.entry(step.clone()).or_insert(now);
+        if now < since + MISSING {
+            return Ok(());
+        }
+        if app.plat.get(&keys::end(&step)).await?.is_some() {
+            self.settled.insert(step);
+            return Ok(());
+        }
+        self.missing.remove(&step);
+        take_over(app, &step, item, head).await
+    }
+
+    /// Says of each instance that is to be emptied that it is: nothing that lasts is kept outside
+    /// the platform's store.
+    async fn empty(&mut self, app: &App) -> Result<(), PlatError> {
+        let prefix = app.dialect.places().empty;
+        for item in app.plat.stale(prefix).await?.items {
+            let Some(name) = item.key.strip_prefix(prefix) else {
+                continue;
+            };
+            if self.emptied.contains(name) {
+                continue;
+            }
+            let (key, value) = app.dialect.emptied(name);
+            let txn = Txn {
+                puts: vec![Put::new(key, value)],
+                ..Txn::default()
+            };
+            app.plat.txn(&txn).await?;
+            log::info!(target: "control", instance = name; "instance is empty");
+            self.emptied.insert(name.to_owned());
+        }
+        Ok(())
+    }
+}
+
+async fn take_over(
+    app: &Arc<App>,
+    step: &Arc<str>,
+    item: &Item,
+    mut head: Head,
+) -> Result<(), PlatError> {
+    let from = std::mem::replace(&mut head.owner, app.me.clone());
+    let key = keys::head(step);
+    let value = record::encode(&head).map_err(|_| PlatError::Garbled)?;
+    let txn = Txn {
+        guards: vec![Guard::At(key.clone(), item.rev)],
+        puts: vec![Put::new(key, value)],
+        deletes: Vec::new(),
+    };
+    let Done::At(rev) = app.plat.txn(&txn).await? else {
+        return Ok(());
+    };
+    // From here on the owner before can list nothing more, so what is read now is all there is.
+    let parts = app.plat.list(&keys::spec(step)).await?;
+    let spec = Spec::join(parts.items.iter().map(|item| &*item.value));
+    let spec = spec.map_err(|_| PlatError::Garbled)?;
+    let listed = app.plat.list(&keys::segments(step)).await?;
+    let segments: Result<Vec<Vec<Entry>>, _> = listed
+        .items
+        .iter()
+        .map(|item| record::decode(&item.value))
+        .collect();
+    let segments = segments.map_err(|_| PlatError::Garbled)?;
+    log::info!(target: "control", id = &**step, from = &*from.instance, revision = rev,
+        segments = segments.len(); "step taken over");
+    metrics::counter!(crate::meter::STEPS, "outcome" => "taken over").increment(1);
+    owner::resume(app, step, head, spec, rev, segments);
+    Ok(())
+}
+
+/// Removes the records of a step that nobody may read any more; the head goes last, so that an
+/// interrupted removal goes on later.
+async fn sweep(app: &App, step: &str, head: &Item) -> Result<(), PlatError> {
+    let mut gone = vec![keys::end(step)];
+    for prefix in [keys::spec(step), keys::segments(step)] {
+        let range = app.plat.list(&prefix).await?;
+        gone.extend(range.items.into_iter().map(|item| item.key));
+    }
+    gone.push(head.key.clone());
+    for part in gone.chunks(TOGETHER) {
+        let txn = Txn {
+            deletes: part.iter().cloned().map(Delete::Key).collect(),
+            ..Txn::default()
+        };
+        app.plat.txn(&txn).await?;
+    }
+    log::info!(target: "control", id = step, keys = gone.len(); "step removed");
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/control/targets.rs
@@ -0,0 +1,111 @@
+//! The versions of weights that trainers have announced, and what open steps still accept.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::Map;
+use kernel::Millis;
+use parking_lot::Mutex;
+use plat::Change;
+use plat::Item;
+use plat::PlatError;
+use tokio::time::sleep;
+use weight::swap::Target;
+
+use crate::App;
+use crate::news::Reach;
+
+/// Longest time that one watch waits, in milliseconds.
+const WATCH: Millis = 10_000;
+
+/// Pause after a failed call.
+const AGAIN: Duration = Duration::from_millis(300);
+
+/// What is asked of the engines of each model.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    all: Arc<Mutex<Map<Arc<str>, Target>>>,
+}
+
+impl Targets {
+    /// A copy of what is asked.
+    pub fn copy(&self) -> Map<Arc<str>, Target> {
+        self.all.lock().clone()
+    }
+
+    /// Notes an announced version; tells whether it is new. Until a step says otherwise, the next
+    /// step is taken to accept the version before.
+    pub fn announce(&self, model: Arc<str>, version: u64) -> bool {
+        let mut all = self.all.lock();
+        let target = all.entry(model).or_default();
+        let new = version > target.newest;
+        target.newest = version.max(target.newest);
+        target.least = target.least.max(version.saturating_sub(1));
+        new
+    }
+
+    /// Notes the oldest version that a step accepts.
+    pub fn accept(&self, model: &Arc<str>, least: u64) {
+        let mut all = self.all.lock();
+        let target = all.entry(model.clone()).or_default();
+        target.least = least.max(target.least);
+    }
+}
+
+/// Follows what trainers announce.
+pub async fn follow(app: Arc<App>, targets: Targets) {
+    let prefix = app.dialect.places().weights;
+    let mut reach = Reach::new("announced weights");
+    let mut rev = None;
+    loop {
+        let next = match rev {
+            None => read(&app, &targets, prefix).await,
+            Some(rev) => watch(&app, &targets, prefix, rev).await,
+        };
+        rev = match next {
+            Ok(next) => {
+                reach.back();
+                Some(next)
+            }
+            Err(error) => {
+                reach.lost(&error);
+                sleep(AGAIN).await;
+                None
+            }
+        };
+    }
+}
+
+async fn read(app: &App, targets: &Targets, prefix: &str) -> Result<i64, PlatError> {
+    let range = app.plat.list(prefix).await?;
+    for item in &range.items {
+        note(app, targets, item);
+    }
+    Ok(range.rev)
+}
+
+async fn watch(app: &App, targets: &Targets, prefix: &str, rev: i64) -> Result<i64, PlatError> {
+    let (changes, next) = app.plat.poll(prefix, rev, WATCH).await?;
+    for change in &changes {
+        if let Change::Put(item) = change {
+            note(app, targets, item);
+        }
+    }
+    Ok(next.max(rev))
+}
+
+fn note(app: &App, targets: &Targets, item: &Item) {
+    match app.dialect.announced(&item.value) {
+        Ok((model, version)) => {
+            if targets.announce(model.clone(), version) {
+                log::info!(target: "control", model = &*model, version, revision = item.rev;
+                    "weights announced");
+            }
+        }
+        Err(error) => {
+            let error = error.to_string();
+            log::warn!(target: "control", key = item.key.as_str(), error = error.as_str();
+                "announcement not understood");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/dialect.rs
@@ -0,0 +1,284 @@
+//! What a protocol of callers, upstreams and records has to translate.
+//!
+//! A dialect keeps no state, makes no decision and repeats nothing: each function turns one
+//! message into another.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use batch::Entry;
+use batch::Sample;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::request::Parts;
+use http_body_util::Full;
+use kernel::Millis;
+use place::Load;
+use table::Listed;
+use table::Plan;
+
+/// A message cannot be understood.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{what} cannot be understood: {why}")]
+pub struct DialectError {
+    /// The message.
+    pub what: &'static str,
+    /// What is wrong with it.
+    pub why: Box<str>,
+}
+
+impl DialectError {
+    /// Says what is wrong with a message.
+    pub fn new(what: &'static str, why: impl std::fmt::Display) -> Self {
+        let why = why.to_string().into();
+        Self { what, why }
+    }
+}
+
+/// Where the platform's store keeps what others write.
+#[derive(Clone, Copy, Debug)]
+pub struct Places {
+    /// The key of the configuration.
+    pub plan: &'static str,
+    /// What the keys of listed upstreams begin with.
+    pub upstreams: &'static str,
+    /// What the keys of announced weights begin with.
+    pub weights: &'static str,
+    /// What the keys of instances that are to be emptied begin with.
+    pub empty: &'static str,
+}
+
+/// What a request from outside asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// The results of a step from a position on.
+    Read {
+        /// The step.
+        step: Arc<str>,
+        /// The position, counted from 0.
+        from: usize,
+        /// Longest time to wait for a result, in milliseconds.
+        wait: Millis,
+    },
+    /// The body of a sample's request.
+    Body {
+        /// The step.
+        step: Arc<str>,
+        /// The sample.
+        sample: Arc<str>,
+    },
+    /// The end of a step.
+    End {
+        /// The step.
+        step: Arc<str>,
+    },
+    /// Whatever the route says.
+    Route,
+    /// The request lacks something that it has to have.
+    Wrong(&'static str),
+}
+
+/// The parts of a caller's request that decisions need.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The caller's name for this attempt.
+    pub id: Arc<str>,
+    /// The host.
+    pub host: Arc<str>,
+    /// Time that the caller will wait, in milliseconds, if it says so.
+    pub deadline: Option<Millis>,
+    /// The last event that it has of a stream that broke, if it says so.
+    pub last: Option<Arc<str>>,
+    /// What it asks for.
+    pub asked: Asked,
+}
+
+/// A step as it is submitted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Submitted {
+    /// The model.
+    pub model: Arc<str>,
+    /// The oldest version that may generate its tokens.
+    pub least: u64,
+    /// Groups that the trainer waits for.
+    pub wanted: u32,
+    /// The samples.
+    pub samples: Vec<Sample>,
+}
+
+/// The head of an upstream's answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Said {
+    /// The attempt that it answers, if it says so.
+    pub id: Option<Box<str>>,
+    /// Whether it has not run the request and never will.
+    pub unrun: bool,
+    /// Whether it is not the upstream that was meant, or not the version of weights.
+    pub other: bool,
+    /// Whether it is signed by an upstream's application.
+    pub signed: bool,
+    /// Its load.
+    pub load: Option<Load>,
+    /// The version of the weights that generate the answer.
+    pub version: Option<u64>,
+}
+
+/// One event of a stream of tokens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its number, counted from 1 without gaps.
+    pub number: u64,
+    /// The version of the weights from this event on, when it changes here.
+    pub version: Option<u64>,
+    /// Its data.
+    pub data: Box<str>,
+}
+
+/// What an engine states of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stated {
+    /// Its models with their versions.
+    pub models: Vec<(Arc<str>, u64)>,
+    /// Whether it is carrying out an order.
+    pub busy: bool,
+    /// Orders that it has accepted since it started.
+    pub orders: u64,
+    /// Requests that it works on.
+    pub running: u32,
+}
+
+/// How running requests pass a change of weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passing {
+    /// They end before it.
+    Drain,
+    /// They go on with the new weights.
+    Keep,
+}
+
+/// An order to load a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The engine's identifier, so that another one at its address does not take the order.
+    pub id: Arc<str>,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// The model.
+    pub model: Arc<str>,
+    /// The version.
+    pub version: u64,
+    /// How running requests pass.
+    pub passing: Passing,
+    /// Who orders.
+    pub holder: Arc<str>,
+    /// The holder's fencing number.
+    pub fence: i64,
+    /// Orders that the engine must have accepted before, so that an order that is carried out late
+    /// does nothing.
+    pub orders: u64,
+}
+
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ordered {
+    /// It is being carried out, or it held already.
+    Taken,
+    /// The engine is carrying out another one, or has accepted others meanwhile.
+    Conflict,
+    /// A holder with a higher fencing number has ordered before.
+    Fenced,
+    /// The engine refuses it.
+    Refused,
+}
+
+/// Translates between a platform's messages and the product's types.
+pub trait Dialect: Send + Sync + 'static {
+    /// Where the store keeps what others write.
+    fn places(&self) -> Places;
+
+    /// Reads the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`].
+    fn plan(&self, value: &[u8]) -> Result<Plan, DialectError>;
+
+    /// Reads the entry of a listed upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`].
+    fn listed(&self, key: &str, value: &[u8]) -> Result<Listed, DialectError>;
+
+    /// Reads an announced version: the model and the version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`].
+    fn announced(&self, value: &[u8]) -> Result<(Arc<str>, u64), DialectError>;
+
+    /// The record that says that an instance is empty: its key and its value.
+    fn emptied(&self, instance: &str) -> (String, Vec<u8>);
+
+    /// Reads the head of a caller's request.
+    fn caller(&self, head: &Parts) -> Caller;
+
+    /// Reads the body of a request that submits a step.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`].
+    fn submitted(&self, body: &[u8]) -> Result<Submitted, DialectError>;
+
+    /// Writes results from a position on, as many as one answer may hold.
+    fn page(&self, total: u32, from: usize, entries: &[Entry]) -> Vec<u8>;
+
+    /// The headers with which a caller's request goes on to an upstream, which may work on it for
+    /// `left` milliseconds.
+    fn forward(&self, head: &HeaderMap, upstream: &str, left: Option<Millis>) -> HeaderMap;
+
+    /// The headers with which an upstream's answer goes back to the caller.
+    fn back(&self, head: &HeaderMap) -> HeaderMap;
+
+    /// The request for a sample's tokens behind event `last`, which is 0 for the first.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`] when the sample's own parts make no request.
+    fn sample(
+        &self,
+        sample: &Sample,
+        host: &str,
+        upstream: &Listed,
+        last: u64,
+    ) -> Result<Request<Full<Bytes>>, DialectError>;
+
+    /// Reads the head of an upstream's answer.
+    fn said(&self, status: StatusCode, head: &HeaderMap) -> Said;
+
+    /// Reads one event: the lines between two empty ones.
+    fn event(&self, block: &str) -> Option<Event>;
+
+    /// The request for what an engine states of itself.
+    fn ask_state(&self) -> (Method, &'static str);
+
+    /// Reads what an engine states of itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`].
+    fn stated(&self, body: &[u8]) -> Result<Stated, DialectError>;
+
+    /// The request that orders a load.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`].
+    fn order(&self, order: &Order) -> Result<Request<Full<Bytes>>, DialectError>;
+
+    /// Reads what came of an order.
+    fn ordered(&self, status: StatusCode) -> Ordered;
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,33 @@
+//! An instance on a platform whose store keeps all that lasts.
+//!
+//! The instance passes calls on to the upstreams that the platform lists, accepts the steps of
+//! trainers, runs their samples and lists the results. What a protocol looks like on the wire is a
+//! [`Dialect`]'s matter; what is decided, kept and repeated is decided here.
+//!
+//! - [`front`] takes requests in: [`forward`] passes calls on, [`steps`] answers for steps.
+//! - [`owner`] runs the samples of a step that this instance owns, one by one in [`run`].
+//! - [`news`] follows the configuration and the list of upstreams.
+//! - [`control`] holds the lease on orders to engines and takes up steps whose owner is gone.
+
+pub mod app;
+pub mod control;
+pub mod dialect;
+pub mod events;
+pub mod forward;
+pub mod front;
+pub mod member;
+pub mod meter;
+pub mod news;
+pub mod owner;
+pub mod refuse;
+pub mod run;
+pub mod settings;
+pub mod shelf;
+pub mod start;
+pub mod steps;
+pub mod stream;
+
+pub use app::App;
+pub use dialect::Dialect;
+pub use settings::Settings;
+pub use start::run;
--- /dev/null
+++ b/crates/node/src/meter.rs
@@ -0,0 +1,66 @@
+//! Metrics: names, descriptions, and the text that is scraped.
+//!
+//! Labels stay bounded: routes, outcomes and kinds of calls, never requests, steps or paths.
+
+use metrics::Unit;
+use metrics_exporter_prometheus::Matcher;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// Requests of callers, by route and outcome.
+pub const REQUESTS: &str = "snipeway_requests_total";
+
+/// Seconds until a caller had its answer, by route.
+pub const SECONDS: &str = "snipeway_request_seconds";
+
+/// Attempts at upstreams, by outcome.
+pub const ATTEMPTS: &str = "snipeway_upstream_attempts_total";
+
+/// Samples that ended, by outcome.
+pub const SAMPLES: &str = "snipeway_samples_total";
+
+/// Steps, by what became of them here.
+pub const STEPS: &str = "snipeway_steps_total";
+
+/// Orders to engines, by result.
+pub const ORDERS: &str = "snipeway_orders_total";
+
+/// Calls of the platform, by kind.
+pub const PLATFORM: &str = "snipeway_platform_calls_total";
+
+/// Log lines that were dropped because their reader was too slow.
+pub const DROPPED: &str = "snipeway_log_lines_dropped_total";
+
+/// Age of the list of upstreams in milliseconds.
+pub const AGE: &str = "snipeway_upstreams_age_milliseconds";
+
+/// Version of the configuration in force.
+pub const VERSION: &str = "snipeway_configuration_version";
+
+/// Buckets of [`SECONDS`].
+const BUCKETS: [f64; 11] = [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
+
+/// Begins to count.
+pub fn begin() -> Option<PrometheusHandle> {
+    let matcher = Matcher::Full(SECONDS.to_owned());
+    let builder = PrometheusBuilder::new().set_buckets_for_metric(matcher, &BUCKETS);
+    let handle = builder.ok()?.install_recorder().ok()?;
+    metrics::describe_counter!(REQUESTS, "requests of callers by route and outcome");
+    metrics::describe_histogram!(
+        SECONDS,
+        Unit::Seconds,
+        "time until callers had their answer"
+    );
+    metrics::describe_counter!(ATTEMPTS, "attempts at upstreams by outcome");
+    metrics::describe_counter!(SAMPLES, "samples that ended by outcome");
+    metrics::describe_counter!(STEPS, "steps by what became of them here");
+    metrics::describe_counter!(ORDERS, "orders to engines by result");
+    metrics::describe_gauge!(PLATFORM, "calls of the platform by kind");
+    metrics::describe_gauge!(
+        DROPPED,
+        "log lines dropped because their reader was too slow"
+    );
+    metrics::describe_gauge!(AGE, Unit::Milliseconds, "age of the list of upstreams");
+    metrics::describe_gauge!(VERSION, "version of the configuration in force");
+    Some(handle)
+}
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,277 @@
+//! One run of one sample at one engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use batch::Sample;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use kernel::Millis;
+use place::Want;
+use table::Listed;
+use tokio::time::timeout;
+
+use crate::App;
+use crate::dialect::Event;
+use crate::events::Events;
+use crate::events::Next;
+
+/// Time within which an engine with a free slot begins to answer. One that does not is full, cut
+/// off or dark; the sample had better begin elsewhere.
+const FIRST: Duration = Duration::from_millis(1_200);
+
+/// Silence between two events after which a run goes on elsewhere: many times the pace of a slow
+/// engine, and a small part of the seconds that a step has.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Time for which an engine that turned a run away gets no other, in milliseconds.
+const FULL: Millis = 150;
+
+/// Events after which a run asks whether it had better move.
+const LOOK: u64 = 4;
+
+/// What a sample has so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Draft {
+    /// The last event.
+    pub last: u64,
+    /// The data of the events, separated by line feeds.
+    pub text: String,
+    /// The versions of the weights that made them, in their order.
+    pub versions: Vec<u64>,
+}
+
+impl Draft {
+    /// Adds an event that came under a version; tells whether it is the next one.
+    fn add(&mut self, event: &Event, version: u64) -> bool {
+        if event.number != self.last + 1 {
+            return false;
+        }
+        if self.last > 0 {
+            self.text.push('\n');
+        }
+        self.text.push_str(&event.data);
+        if !self.versions.contains(&version) {
+            self.versions.push(version);
+        }
+        self.last = event.number;
+        true
+    }
+}
+
+/// How a run ended.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The sample is whole.
+    Whole,
+    /// The engine says that the sample can never be made.
+    Hopeless,
+    /// The engine failed at the sample.
+    Failed,
+    /// The engine did not run it.
+    Unrun,
+    /// The rest will be whole sooner at another engine.
+    Moved,
+    /// The run broke off; it goes on elsewhere.
+    Broken(&'static str),
+}
+
+/// One run.
+pub struct Run {
+    /// The instance.
+    pub app: Arc<App>,
+    /// The step.
+    pub step: Arc<str>,
+    /// The host of the step's route.
+    pub host: Arc<str>,
+    /// The service.
+    pub service: Arc<str>,
+    /// The model.
+    pub model: Arc<str>,
+    /// The oldest version that may make events.
+    pub least: u64,
+    /// Whether all events have to be made by one version.
+    pub single: bool,
+    /// The engine.
+    pub engine: Arc<Listed>,
+}
+
+/// Counts a run at an engine for as long as it lives.
+struct Place<'a>(&'a Run);
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let Run { app, engine, .. } = self.0;
+        app.fleet.lock().end(&engine.id);
+        app.room.notify_waiters();
+    }
+}
+
+impl Run {
+    /// Runs the sample on from what it has. The place at the engine was taken by whoever chose it.
+    pub async fn go(&self, sample: &Sample, draft: &mut Draft) -> Ended {
+        let _place = Place(self);
+        let begun = self.app.clock.now();
+        let first = draft.last;
+        let ended = self.attempt(sample, draft).await;
+        if !matches!(
+            ended,
+            Ended::Whole | Ended::Hopeless | Ended::Unrun | Ended::Moved
+        ) {
+            self.app
+                .fleet
+                .lock()
+                .failed(&self.engine.id, self.app.clock.now());
+        }
+        let took = self.app.clock.now() - begun;
+        let outcome = match &ended {
+            Ended::Whole => "whole",
+            Ended::Hopeless => "hopeless",
+            Ended::Failed => "failed",
+            Ended::Unrun => "unrun",
+            Ended::Moved => "moved",
+            Ended::Broken(why) => why,
+        };
+        log::info!(target: "run", id = &*sample.id, step = &*self.step,
+            upstream = &*self.engine.id, from = first, to = draft.last, took_ms = took,
+            outcome; "run ended");
+        metrics::counter!(crate::meter::ATTEMPTS, "outcome" => outcome).increment(1);
+        ended
+    }
+
+    async fn attempt(&self, sample: &Sample, draft: &mut Draft) -> Ended {
+        let dialect = &self.app.dialect;
+        let request = match dialect.sample(sample, &self.host, &self.engine, draft.last) {
+            Ok(request) => request,
+            Err(error) => {
+                let why = error.to_string();
+                log::warn!(target: "run", id = &*sample.id, why = why.as_str(); "no request");
+                return Ended::Hopeless;
+            }
+        };
+        match self.app.http.send(request, FIRST).await {
+            Ok(answer) => self.answer(sample, draft, answer).await,
+            Err(net::SendError::Unconnected) => Ended::Broken("no connection"),
+            Err(net::SendError::Late) => Ended::Broken("no answer"),
+            Err(_) => Ended::Broken("connection broke"),
+        }
+    }
+
+    async fn answer(
+        &self,
+        sample: &Sample,
+        draft: &mut Draft,
+        answer: Response<Incoming>,
+    ) -> Ended {
+        let now = self.app.clock.now();
+        let said = self.app.dialect.said(answer.status(), answer.headers());
+        {
+            let mut fleet = self.app.fleet.lock();
+            if let Some(load) = said.load {
+                fleet.report(&self.engine.id, load, now);
+            }
+            if said.unrun || said.other {
+                fleet.busy(&self.engine.id, now + FULL);
+                return Ended::Unrun;
+            }
+        }
+        if said.id.as_deref() != Some(&*sample.id) || !said.signed {
+            return Ended::Broken("answer of something else");
+        }
+        match answer.status() {
+            StatusCode::OK => (),
+            StatusCode::UNPROCESSABLE_ENTITY => return Ended::Hopeless,
+            _ => return Ended::Failed,
+        }
+        let Some(version) = said.version else {
+            return Ended::Broken("no version");
+        };
+        if !self.admit(draft, version) {
+            return Ended::Broken("version too old");
+        }
+        self.events(sample, draft, version, Events::new(answer.into_body()))
+            .await
+    }
+
+    /// Tells whether events of a version may be added.
+    fn admit(&self, draft: &Draft, version: u64) -> bool {
+        self.app
+            .fleet
+            .lock()
+            .saw(&self.engine.id, &self.model, version);
+        let one = draft.versions.iter().all(|have| *have == version);
+        version >= self.least && (one || !self.single)
+    }
+
+    async fn events(
+        &self,
+        sample: &Sample,
+        draft: &mut Draft,
+        mut version: u64,
+        mut events: Events,
+    ) -> Ended {
+        let mut at = self.app.clock.now();
+        let mut seen: u64 = 0;
+        loop {
+            let next = timeout(SILENCE, events.next()).await;
+            let block = match next {
+                Ok(Next::Block(block)) => block,
+                Ok(Next::End) if draft.last > 0 => return Ended::Whole,
+                Ok(Next::End) => return Ended::Broken("empty"),
+                Ok(Next::Broken) => return Ended::Broken("stream broke"),
+                Err(_) => return Ended::Broken("silent"),
+            };
+            let Some(event) = self.app.dialect.event(&block) else {
+                return Ended::Broken("no event");
+            };
+            if let Some(next) = event.version {
+                version = next;
+                if !self.admit(draft, version) {
+                    return Ended::Broken("version changed");
+                }
+            }
+            if !draft.add(&event, version) {
+                return Ended::Broken("event out of turn");
+            }
+            let now = self.app.clock.now();
+            seen += 1;
+            if seen > 1 {
+                let gap = (now - at) as f64;
+                self.app.fleet.lock().event(&self.engine.id, gap);
+            }
+            at = now;
+            if seen.is_multiple_of(LOOK) && self.had_better_move(sample, draft) {
+                return Ended::Moved;
+            }
+        }
+    }
+
+    /// Tells whether the rest of the sample would be whole sooner at another engine.
+    fn had_better_move(&self, sample: &Sample, draft: &Draft) -> bool {
+        let left = u64::from(sample.expected)
+            .saturating_sub(draft.last)
+            .max(LOOK);
+        let want = Want {
+            service: &self.service,
+            model: Some(&self.model),
+            least: draft
+                .versions
+                .iter()
+                .copied()
+                .max()
+                .unwrap_or(0)
+                .max(self.least),
+            queue: 0,
+            domain: &self.app.settings.domain,
+            kin: None,
+            avoid: &[],
+        };
+        let roster = self.app.roster.lock();
+        let fleet = self.app.fleet.lock();
+        let now = self.app.clock.now();
+        fleet
+            .better(&roster, &want, &self.engine.id, left as u32, now)
+            .is_some()
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,142 @@
+//! The settings of an instance.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use conf::Doc;
+use conf::Mistakes;
+use kernel::Millis;
+
+/// What an instance does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It serves callers.
+    Entry,
+    /// It takes part in control: one of these gives the orders and takes up abandoned steps.
+    Control,
+}
+
+/// The text names no role.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("expected entry or control")]
+pub struct RoleError;
+
+impl std::str::FromStr for Role {
+    type Err = RoleError;
+
+    fn from_str(text: &str) -> Result<Self, RoleError> {
+        match text {
+            "entry" => Ok(Self::Entry),
+            "control" => Ok(Self::Control),
+            _ => Err(RoleError),
+        }
+    }
+}
+
+/// The settings of an instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// What it does.
+    pub role: Role,
+    /// Its address, on which it serves other instances and its metrics.
+    pub address: IpAddr,
+    /// Where it serves callers.
+    pub listen: Option<SocketAddr>,
+    /// Where it says whether it is ready.
+    pub ready: Option<SocketAddr>,
+    /// The port for other instances, the same on all of them.
+    pub peer: u16,
+    /// The platform's store.
+    pub platform: SocketAddr,
+    /// Time that a stop may take before the process is killed, in milliseconds.
+    pub grace: Millis,
+    /// Time within which two holders must not both order, in milliseconds.
+    pub lease: Millis,
+    /// Shortest lease that the platform grants, in milliseconds.
+    pub shortest: Millis,
+    /// Time for which the results of a step can be read, counted from its opening.
+    pub keep: Millis,
+    /// Engines of one service that load at the same time.
+    pub width: usize,
+    /// What is logged.
+    pub logs: logs::Settings,
+}
+
+/// Engines that load at the same time: the platform's weights come over one line that serves two
+/// at full speed, and more would each take longer.
+const WIDTH: usize = 2;
+
+/// Milliseconds in a second.
+const SECOND: f64 = 1_000.0;
+
+/// Reads the settings of an instance.
+///
+/// # Errors
+///
+/// Returns every [`Mistakes`] with file, line and key.
+pub fn read(file: &str, text: &str) -> Result<Settings, Mistakes> {
+    let mut doc = Doc::parse(file, text);
+    let mut one = doc.take("instance");
+    let name = one.need::<String>("name", "a name");
+    let domain = one.need::<String>("domain", "a name");
+    let role = one.need::<Role>("role", "entry or control");
+    let address = one.need::<IpAddr>("address", "an IP address");
+    let listen = one.get::<SocketAddr>("listen", "an IP address and a port");
+    let ready = one.get::<SocketAddr>("ready", "an IP address and a port");
+    let peer = one.need::<u16>("peer", "a port");
+    doc.put(one);
+
+    let mut plat = doc.take("platform");
+    let platform = plat.need::<SocketAddr>("address", "an IP address and a port");
+    let shortest = plat.or("shortest_lease_ms", "milliseconds", 1_000);
+    doc.put(plat);
+
+    let mut times = doc.take("times");
+    let grace = times.or("grace_s", "seconds", 8.0);
+    let lease = times.or("lease_ms", "milliseconds", 3_000);
+    let keep = times.or("keep_s", "seconds", 120.0);
+    doc.put(times);
+
+    let mut weights = doc.take("weights");
+    let width = weights.or("width", "a number of engines", WIDTH);
+    doc.put(weights);
+
+    let mut log = doc.take("log");
+    let level = log.or(
+        "level",
+        "error, warn, info, debug or off",
+        log::LevelFilter::Info,
+    );
+    doc.put(log);
+    doc.finish()?;
+
+    let millis = |seconds: f64| (seconds * SECOND) as Millis;
+    // `finish` has reported whatever is missing; the values below stand for nothing.
+    let unset = IpAddr::from([0, 0, 0, 0]);
+    Ok(Settings {
+        name: name.unwrap_or_default().into(),
+        domain: domain.unwrap_or_default().into(),
+        role: role.unwrap_or(Role::Entry),
+        address: address.unwrap_or(unset),
+        listen,
+        ready,
+        peer: peer.unwrap_or_default(),
+        platform: platform.unwrap_or((unset, 0).into()),
+        grace: millis(grace),
+        lease,
+        shortest,
+        keep: millis(keep),
+        width,
+        logs: logs::Settings {
+            level,
+            form: logs::Form::Json,
+            sink: logs::Sink::Queue,
+            audit: None,
+        },
+    })
+}
--- /dev/null
+++ b/crates/node/src/start.rs
@@ -0,0 +1,221 @@
+//! Starting an instance, and leaving gracefully.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use http::StatusCode;
+use metrics_exporter_prometheus::PrometheusHandle;
+use net::Call;
+use net::Drain;
+use net::Glue;
+use net::Limits;
+use net::Reply;
+use plat::Client;
+use plat::Protocol;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::App;
+use crate::Dialect;
+use crate::Settings;
+use crate::control;
+use crate::front;
+use crate::member;
+use crate::meter;
+use crate::news;
+use crate::refuse::Refusal;
+use crate::settings;
+use crate::settings::Role;
+
+/// Time for which a leaving instance goes on accepting: callers' balancers look once a second and
+/// send nothing more after two looks.
+const LINGER: Duration = Duration::from_millis(2_500);
+
+/// Part of the time for leaving after which whatever still runs is left to others.
+const PART: f64 = 0.75;
+
+/// Time between two looks at the settings file, which may change without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Time between two looks for results in memory that nobody reads.
+const TIDY: Duration = Duration::from_secs(2);
+
+/// Time after which results that nobody has read are dropped from memory, in milliseconds.
+const UNREAD: u64 = 4_000;
+
+/// Time that a connection may be idle or take for its headers: callers keep idle ones for some
+/// ten seconds, and one that is closed by us at the moment of use costs them a try.
+const HEADERS: Duration = Duration::from_secs(20);
+
+/// A running instance.
+struct Running {
+    app: Arc<App>,
+    drain: Drain,
+    front: Option<JoinHandle<bool>>,
+}
+
+/// Runs an instance until it is told to leave.
+///
+/// # Errors
+///
+/// Returns an error when the settings are wrong or an address cannot be listened on.
+pub async fn run(
+    file: &str,
+    dialect: Arc<dyn Dialect>,
+    protocol: Arc<dyn Protocol>,
+) -> eyre::Result<()> {
+    let settings = settings::read(file, &conf::load(file)?)?;
+    logs::begin(&settings.logs)?;
+    let mut term = signal(SignalKind::terminate())?;
+    let running = Running::start(settings, dialect, protocol).await?;
+    tokio::spawn(reload(file.to_owned(), running.app.settings.clone()));
+    term.recv().await;
+    running.leave().await;
+    Ok(())
+}
+
+impl Running {
+    async fn start(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+        protocol: Arc<dyn Protocol>,
+    ) -> eyre::Result<Self> {
+        let plat = Client::speaking(vec![settings.platform], protocol);
+        let app = App::new(settings, dialect, plat);
+        let scrape = meter::begin();
+        let drain = Drain::default();
+        let addr = SocketAddr::new(app.settings.address, app.settings.peer);
+        listen(addr, Glue::new(&Arc::new(scrape), metrics), &drain).await?;
+        if let Some(addr) = app.settings.ready {
+            // Goes on while the instance leaves, to say that it is not ready.
+            listen(addr, Glue::new(&app, ready), &Drain::default()).await?;
+        }
+        let front = match app.settings.listen {
+            Some(addr) => Some(listen(addr, Glue::new(&app, front::answer), &drain).await?),
+            None => None,
+        };
+        tokio::spawn(member::keep(app.clone()));
+        match app.settings.role {
+            Role::Entry => {
+                tokio::spawn(news::follow_plan(app.clone()));
+                tokio::spawn(news::follow_list(app.clone()));
+            }
+            Role::Control => drop(tokio::spawn(control::run(app.clone()))),
+        }
+        tokio::spawn(tidy(app.clone()));
+        log::info!(target: "start", instance = &*app.me.instance, start = app.me.start,
+            domain = &*app.settings.domain; "started");
+        Ok(Self { app, drain, front })
+    }
+
+    /// Leaves: readiness falls, then nothing more is accepted, then running requests end. What is
+    /// left of steps is taken up by others.
+    async fn leave(mut self) {
+        let app = &self.app;
+        log::info!(target: "start", steps = app.works.len(); "leaving");
+        app.leave();
+        let left = Duration::from_millis(app.settings.grace).mul_f64(PART);
+        let ended = timeout(left, async {
+            if let Some(front) = self.front.take() {
+                sleep(LINGER).await;
+                self.drain.begin();
+                // A front that has panicked has no requests left.
+                let _ = front.await;
+            }
+            while !app.works.is_empty() {
+                sleep(Duration::from_millis(50)).await;
+            }
+        });
+        let whole = ended.await.is_ok();
+        member::leave(app).await;
+        log::info!(target: "start", whole, steps = app.works.len(); "stopped");
+    }
+}
+
+async fn listen<A: Send + Sync + 'static>(
+    addr: SocketAddr,
+    handler: Glue<A>,
+    drain: &Drain,
+) -> eyre::Result<JoinHandle<bool>> {
+    let listener = TcpListener::bind(addr).await;
+    let listener = listener.wrap_err_with(|| format!("could not listen on {addr}"))?;
+    let limits = Limits {
+        headers: HEADERS,
+        ..Limits::default()
+    };
+    let drain = drain.clone();
+    Ok(tokio::spawn(net::server::serve(
+        listener, handler, limits, drain,
+    )))
+}
+
+async fn ready(app: Arc<App>, _: Call) -> Reply {
+    match app.is_ready() {
+        true => net::body::reply(StatusCode::OK, "text/plain", "ready"),
+        false => Refusal::Unrun.reply(),
+    }
+}
+
+async fn metrics(scrape: Arc<Option<PrometheusHandle>>, _: Call) -> Reply {
+    metrics::gauge!(meter::DROPPED).set(logs::dropped() as f64);
+    let text = scrape.as_ref().as_ref().map(PrometheusHandle::render);
+    net::body::reply(StatusCode::OK, "text/plain", text.unwrap_or_default())
+}
+
+/// Drops results from memory that nobody reads; they can be read again from the platform.
+async fn tidy(app: Arc<App>) {
+    loop {
+        sleep(TIDY).await;
+        let mut all = Vec::new();
+        app.shelves.each(|map| all.extend(map.values().cloned()));
+        let mut old = Vec::new();
+        for shelf in all {
+            if shelf.used().await + UNREAD < app.clock.now() {
+                old.push(shelf);
+            }
+        }
+        app.shelves
+            .each(|map| map.retain(|_, shelf| !old.iter().any(|one| Arc::ptr_eq(one, shelf))));
+    }
+}
+
+/// Follows the settings file: the level of the log changes at once, other changes are reported and
+/// hold from the next start on.
+async fn reload(file: String, mut held: Settings) {
+    let Ok(mut hup) = signal(SignalKind::hangup()) else {
+        log::error!(target: "start", "cannot follow the signal to reload");
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = hup.recv() => log::info!(target: "start", "told to reload"),
+            () = sleep(LOOK) => (),
+        }
+        let text = match conf::load(&file) {
+            Ok(text) => text,
+            Err(error) => {
+                let error = error.to_string();
+                log::warn!(target: "start", error = error.as_str(); "settings not read");
+                continue;
+            }
+        };
+        match settings::read(&file, &text) {
+            Ok(settings) if settings == held => (),
+            Ok(settings) => {
+                log::set_max_level(settings.logs.level);
+                log::info!(target: "start", "settings have changed");
+                held = settings;
+            }
+            Err(mistakes) => {
+                let mistakes = mistakes.to_string();
+                log::error!(target: "start", mistakes = mistakes.as_str(); "settings are wrong");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/steps.rs
@@ -0,0 +1,329 @@
+//! What callers ask of steps: submit one, read its results and bodies, end it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use batch::Head;
+use batch::Spec;
+use batch::keys;
+use batch::record;
+use bytes::Bytes;
+use http::StatusCode;
+use http::request::Parts;
+use kernel::Millis;
+use net::Reply;
+use net::body;
+use plat::Done;
+use plat::Guard;
+use plat::PlatError;
+use plat::Put;
+use plat::Txn;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::App;
+use crate::dialect::Caller;
+use crate::dialect::Submitted;
+use crate::meter;
+use crate::owner;
+use crate::refuse::Refusal;
+use crate::shelf::Shelf;
+
+/// Longest time that a caller waits for a step to be accepted, unless it says less.
+const ACCEPT: Duration = Duration::from_millis(4_000);
+
+/// Time for which a step that the platform turns away is tried again before the caller is turned
+/// away too: a busy platform takes calls again within moments.
+const PATIENCE: Millis = 1_000;
+
+/// Time for which a write with an unclear outcome is repeated. A write may take effect seconds
+/// after it was sent, and a step that was accepted so has to be run.
+const SETTLE: Millis = 20_000;
+
+/// Pause between two tries of a write.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Bytes of samples that one write holds beside the head; more is written before it.
+const TOGETHER: usize = 4 << 20;
+
+/// Longest time that a read waits for a result, in milliseconds.
+const LONGEST: Millis = 1_000;
+
+/// Time kept back for the way of the answer to the caller, in milliseconds.
+const WAY: Millis = 20;
+
+/// What came of submitting a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Accepted {
+    /// It is kept.
+    Kept,
+    /// Nothing was written and nothing will be.
+    Refused,
+}
+
+/// Accepts a step.
+///
+/// The step is at the platform before the caller hears that it is accepted. A refusal that
+/// promises that nothing runs is given only while no write was sent that may yet take effect.
+pub async fn submit(app: &Arc<App>, head: &Parts, caller: &Caller, bytes: &Bytes) -> Reply {
+    let id = caller.id.clone();
+    if app.is_leaving() {
+        return Refusal::Unrun.reply();
+    }
+    if !keys::is_name(&id) {
+        return Refusal::Wrong.reply();
+    }
+    let submitted = match app.dialect.submitted(bytes) {
+        Ok(submitted) => submitted,
+        Err(error) => {
+            let why = error.to_string();
+            log::info!(target: "steps", id = &*id, why = why.as_str(); "improper step");
+            return Refusal::Wrong.reply();
+        }
+    };
+    if app.works.get(&id).is_some() {
+        return accepted();
+    }
+    let (sender, receiver) = oneshot::channel();
+    let record = make_head(app, head, caller, &submitted);
+    let spec = Spec {
+        samples: submitted.samples,
+    };
+    // Goes on when the caller leaves: whether the step was kept must become known.
+    let task = accept(app.clone(), id.clone(), record, spec);
+    tokio::spawn(async move {
+        let _ = sender.send(task.await);
+    });
+    let wait = caller.deadline.map(|left| left.saturating_sub(WAY));
+    let wait = wait.map_or(ACCEPT, Duration::from_millis).min(ACCEPT);
+    match timeout(wait, receiver).await {
+        Ok(Ok(Some(Accepted::Kept))) => accepted(),
+        Ok(Ok(Some(Accepted::Refused))) => Refusal::Unrun.reply(),
+        Ok(Ok(None) | Err(_)) | Err(_) => Refusal::Late.reply(),
+    }
+}
+
+fn accepted() -> Reply {
+    body::reply(StatusCode::ACCEPTED, "application/json", "{}")
+}
+
+fn make_head(app: &App, head: &Parts, caller: &Caller, submitted: &Submitted) -> Head {
+    Head {
+        owner: app.me.clone(),
+        opened: app.clock.wall(),
+        host: caller.host.clone(),
+        path: head.uri.path().into(),
+        model: submitted.model.clone(),
+        least: submitted.least,
+        wanted: submitted.wanted,
+        total: submitted.samples.len() as u32,
+    }
+}
+
+/// Writes the step until it is known whether it is kept; [`None`] when that stays unknown.
+async fn accept(app: Arc<App>, id: Arc<str>, head: Head, spec: Spec) -> Option<Accepted> {
+    let begun = app.clock.now();
+    let mut unclear = false;
+    loop {
+        let tried = write_step(&app, &id, &head, &spec).await;
+        let age = app.clock.now() - begun;
+        match tried {
+            Ok(Done::At(rev)) => {
+                log::info!(target: "steps", id = &*id, samples = head.total, least = head.least,
+                    model = &*head.model, revision = rev, took_ms = age; "step accepted");
+                metrics::counter!(meter::STEPS, "outcome" => "accepted").increment(1);
+                owner::begin(&app, &id, head, spec, rev);
+                return Some(Accepted::Kept);
+            }
+            Ok(Done::Conflict) => match app.plat.get(&keys::head(&id)).await {
+                Ok(Some(item)) => return Some(known(&app, &id, &item, head, spec)),
+                // Expired between the two calls: nothing of it can run.
+                Ok(None) if !unclear => return Some(Accepted::Refused),
+                Ok(None) | Err(_) => (),
+            },
+            Err(error) if error.is_unclear() => unclear = true,
+            Err(error) if !unclear && age > PATIENCE => {
+                let why = error.to_string();
+                log::warn!(target: "steps", id = &*id, why = why.as_str(), took_ms = age;
+                    "step refused");
+                metrics::counter!(meter::STEPS, "outcome" => "refused").increment(1);
+                return Some(Accepted::Refused);
+            }
+            Err(_) => (),
+        }
+        if age > SETTLE {
+            log::warn!(target: "steps", id = &*id, took_ms = age; "step unclear");
+            return None;
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// A head is there already: either an earlier try of our own took effect, or the step was
+/// submitted elsewhere before.
+fn known(app: &Arc<App>, id: &Arc<str>, item: &plat::Item, head: Head, spec: Spec) -> Accepted {
+    let kept: Result<Head, _> = record::decode(&item.value);
+    match kept {
+        Ok(kept) if kept.owner == app.me && app.works.get(id).is_none() => {
+            log::info!(target: "steps", id = &**id, revision = item.rev;
+                "step accepted by a write whose answer was lost");
+            owner::begin(app, id, head, spec, item.rev);
+        }
+        Ok(_) => log::info!(target: "steps", id = &**id; "step known already"),
+        Err(error) => {
+            let why = error.to_string();
+            log::error!(target: "steps", id = &**id, why = why.as_str(); "head not understood");
+        }
+    }
+    Accepted::Kept
+}
+
+async fn write_step(app: &App, id: &str, head: &Head, spec: &Spec) -> Result<Done, PlatError> {
+    let parts = spec.parts().map_err(|_| PlatError::Garbled)?;
+    let value = record::encode(head).map_err(|_| PlatError::Garbled)?;
+    let mut puts: Vec<_> = parts
+        .into_iter()
+        .enumerate()
+        .map(|(at, part)| Put::new(keys::part(id, at), part))
+        .collect();
+    let bytes: usize = puts.iter().map(|put| put.value.len()).sum();
+    if bytes > TOGETHER {
+        // The head comes last, so that a step with a head is whole.
+        for put in std::mem::take(&mut puts) {
+            let txn = Txn {
+                puts: vec![put],
+                ..Txn::default()
+            };
+            app.plat.txn(&txn).await?;
+        }
+    }
+    let key = keys::head(id);
+    puts.push(Put::new(key.clone(), value));
+    let txn = Txn {
+        guards: vec![Guard::Absent(key)],
+        puts,
+        deletes: Vec::new(),
+    };
+    app.plat.txn(&txn).await
+}
+
+/// Answers with the results of a step from a position on.
+pub async fn read(app: &Arc<App>, step: &Arc<str>, from: usize, wait: Millis) -> Reply {
+    if !keys::is_name(step) {
+        return Refusal::Missing.reply();
+    }
+    let wait = wait.min(LONGEST);
+    if let Some(work) = app.works.get(step)
+        && let Some(page) = work.page(app, from, wait).await
+    {
+        let bytes = app.dialect.page(page.total, from, &page.entries);
+        return body::reply(StatusCode::OK, "application/json", bytes);
+    }
+    match read_shelf(app, step, from, wait).await {
+        Ok(Some(page)) => {
+            let bytes = app.dialect.page(page.total, from, &page.entries);
+            body::reply(StatusCode::OK, "application/json", bytes)
+        }
+        Ok(None) => Refusal::Missing.reply(),
+        Err(error) => unsure(step, &error),
+    }
+}
+
+fn unsure(step: &str, error: &PlatError) -> Reply {
+    let why = error.to_string();
+    log::info!(target: "steps", id = step, why = why.as_str(); "cannot tell of a step");
+    Refusal::Unrun.reply()
+}
+
+async fn read_shelf(
+    app: &Arc<App>,
+    step: &Arc<str>,
+    from: usize,
+    wait: Millis,
+) -> Result<Option<crate::shelf::Page>, PlatError> {
+    let Some(shelf) = find_shelf(app, step).await? else {
+        return Ok(None);
+    };
+    let page = shelf.page(&app.plat, from, wait, app.clock.now()).await?;
+    Ok(Some(page))
+}
+
+async fn find_shelf(app: &App, step: &Arc<str>) -> Result<Option<Arc<Shelf>>, PlatError> {
+    if let Some(shelf) = app.shelves.get(step) {
+        return Ok(Some(shelf));
+    }
+    let Some(item) = app.plat.get(&keys::head(step)).await? else {
+        return Ok(None);
+    };
+    let head: Head = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
+    let shelf = app.shelves.with(step, |map| {
+        let new = || Arc::new(Shelf::new(step.clone(), &head));
+        map.entry(step.clone()).or_insert_with(new).clone()
+    });
+    Ok(Some(shelf))
+}
+
+/// Answers with the body of a sample's request.
+pub async fn body(app: &Arc<App>, step: &Arc<str>, sample: &Arc<str>) -> Reply {
+    if !keys::is_name(step) {
+        return Refusal::Missing.reply();
+    }
+    let found = match app.works.get(step) {
+        Some(work) => Ok(work.body(sample)),
+        None => read_body(app, step, sample).await,
+    };
+    match found {
+        Ok(Some(bytes)) => net::body::reply(StatusCode::OK, "application/octet-stream", bytes),
+        Ok(None) => Refusal::Missing.reply(),
+        Err(error) => unsure(step, &error),
+    }
+}
+
+async fn read_body(app: &App, step: &str, sample: &str) -> Result<Option<Vec<u8>>, PlatError> {
+    let range = app.plat.list(&keys::spec(step)).await?;
+    if range.items.is_empty() {
+        return Ok(None);
+    }
+    let parts = range.items.iter().map(|item| &*item.value);
+    let spec = Spec::join(parts).map_err(|_| PlatError::Garbled)?;
+    let found = spec.samples.into_iter().find(|one| &*one.id == sample);
+    Ok(found.map(|one| one.body))
+}
+
+/// Ends a step.
+pub async fn end(app: &Arc<App>, step: &Arc<str>) -> Reply {
+    if !keys::is_name(step) {
+        return Refusal::Missing.reply();
+    }
+    let known = app.works.get(step).is_some() || app.shelves.get(step).is_some();
+    if !known {
+        match app.plat.get(&keys::head(step)).await {
+            Ok(Some(_)) => (),
+            Ok(None) => return Refusal::Missing.reply(),
+            Err(error) => return unsure(step, &error),
+        }
+    }
+    let ended = timeout(ACCEPT, write_end(app, step)).await;
+    if ended.is_err() {
+        return Refusal::Late.reply();
+    }
+    log::info!(target: "steps", id = &**step; "step ended");
+    if let Some(work) = app.works.get(step) {
+        work.end();
+    }
+    body::reply(StatusCode::OK, "application/json", "{}")
+}
+
+/// Writes that a step has ended, until it is known to be there; doing so twice changes nothing.
+async fn write_end(app: &App, step: &str) {
+    let key = keys::end(step);
+    let txn = Txn {
+        guards: vec![Guard::Absent(key.clone())],
+        puts: vec![Put::new(key, Vec::new())],
+        deletes: Vec::new(),
+    };
+    while app.plat.txn(&txn).await.is_err() {
+        sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/stream.rs
@@ -0,0 +1,241 @@
+//! Passing a stream of events on to a caller.
+//!
+//! Events go on as they come. A stream that breaks is taken up behind its last event at another
+//! upstream where the route allows it; else the answer is cut off, so that it does not look whole.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::request::Parts;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use kernel::Millis;
+use net::Reply;
+use net::body::Sender;
+use place::Want;
+use table::Listed;
+use table::Plan;
+use table::Route;
+use tokio::time::timeout;
+
+use crate::App;
+use crate::dialect::Caller;
+use crate::events::Events;
+use crate::events::Next;
+use crate::forward::Place;
+use crate::refuse::Refusal;
+
+/// Silence within a stream after which its upstream is taken for lost.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Time kept back for the way of the answer to the caller, in milliseconds.
+const WAY: Millis = 10;
+
+/// Most bytes of an answer that is no stream.
+const ANSWER: usize = 1 << 20;
+
+/// What came of one attempt.
+enum Came {
+    /// The head of a stream.
+    Stream(Box<Response<Incoming>>, Place),
+    /// The upstream has not run the request and never will.
+    Unrun,
+    /// Whether it ran is not known.
+    Unknown,
+}
+
+/// One caller's stream.
+struct Stream {
+    app: Arc<App>,
+    route: Arc<Route>,
+    head: Parts,
+    body: Bytes,
+    caller: Caller,
+    until: Millis,
+    used: Vec<Arc<str>>,
+}
+
+/// Passes a stream on.
+pub async fn pass(
+    app: &Arc<App>,
+    route: &Arc<Route>,
+    head: &Parts,
+    caller: &Caller,
+    body: Bytes,
+) -> Reply {
+    let wait = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let mut stream = Stream {
+        app: app.clone(),
+        route: route.clone(),
+        head: head.clone(),
+        body,
+        caller: caller.clone(),
+        until: app.clock.now() + wait,
+        used: Vec::new(),
+    };
+    match stream.open(None).await {
+        Came::Stream(answer, place) => stream.answer(*answer, place).await,
+        Came::Unrun => Refusal::Unrun.reply(),
+        Came::Unknown => Refusal::Unknown.reply(),
+    }
+}
+
+impl Stream {
+    fn choose(&self) -> Option<Arc<Listed>> {
+        let app = &self.app;
+        let roster = app.roster.lock();
+        let service = Plan::draw(&self.route, rand::random())?;
+        let want = Want {
+            service,
+            model: None,
+            least: 0,
+            queue: 0,
+            domain: &app.settings.domain,
+            kin: None,
+            avoid: &self.used,
+        };
+        app.plain.lock().choose(&roster, &want, app.clock.now())
+    }
+
+    fn request(&self, one: &Listed, last: Option<&str>) -> Option<Request<Full<Bytes>>> {
+        let path = self
+            .head
+            .uri
+            .path_and_query()
+            .map_or("/", |path| path.as_str());
+        let left = self.until.saturating_sub(self.app.clock.now() + WAY);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = net::client::uri(one.addr, path).parse().ok()?;
+        let dialect = &self.app.dialect;
+        *request.headers_mut() = dialect.forward(&self.head.headers, &one.id, Some(left));
+        if let Some(last) = last {
+            let last = http::HeaderValue::from_str(last).ok()?;
+            request.headers_mut().insert("last-event-id", last);
+        }
+        Some(request)
+    }
+
+    /// Opens the stream behind an event at one upstream after the other.
+    async fn open(&mut self, last: Option<&str>) -> Came {
+        let resumable = self.route.resumable;
+        let mut unclear = false;
+        while self.used.len() < self.route.attempts.max(1) as usize {
+            let Some(one) = self.choose() else { break };
+            self.used.push(one.id.clone());
+            match self.attempt(one, last).await {
+                Came::Unrun => (),
+                Came::Unknown if resumable => unclear = true,
+                came => return came,
+            }
+        }
+        match unclear {
+            true => Came::Unknown,
+            false => Came::Unrun,
+        }
+    }
+
+    async fn attempt(&self, one: Arc<Listed>, last: Option<&str>) -> Came {
+        let place = Place::take(&self.app, &one);
+        let Some(request) = self.request(&one, last) else {
+            return Came::Unrun;
+        };
+        let left = self.until.saturating_sub(self.app.clock.now());
+        let sent = self.app.http.send(request, Duration::from_millis(left));
+        let answer = match sent.await {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.app.plain.lock().failed(&one.id, self.app.clock.now());
+                let why = error.to_string();
+                log::info!(target: "stream", id = &*self.caller.id, upstream = &*one.id,
+                    why = why.as_str(); "attempt failed");
+                return match error.is_unsent() {
+                    true => Came::Unrun,
+                    false => Came::Unknown,
+                };
+            }
+        };
+        let said = self.app.dialect.said(answer.status(), answer.headers());
+        if said.unrun || said.other {
+            return Came::Unrun;
+        }
+        match said.id.as_deref() == Some(&*self.caller.id) && said.signed {
+            true => Came::Stream(Box::new(answer), place),
+            false => Came::Unknown,
+        }
+    }
+
+    async fn answer(self, answer: Response<Incoming>, place: Place) -> Reply {
+        let (head, body) = answer.into_parts();
+        if head.status != StatusCode::OK {
+            return self.plain(head, body).await;
+        }
+        let (sender, out) = net::body::stream();
+        let mut reply = Response::new(out);
+        *reply.status_mut() = head.status;
+        *reply.headers_mut() = self.app.dialect.back(&head.headers);
+        tokio::spawn(async move {
+            let id = self.caller.id.clone();
+            let whole = self.pump(body, place, &sender).await;
+            if !whole {
+                log::info!(target: "stream", id = &*id; "cut off");
+                // The caller must not take what it has for the whole answer.
+                let cut = io::Error::from(io::ErrorKind::ConnectionReset);
+                let _ = sender.send(Err(cut)).await;
+            }
+        });
+        reply
+    }
+
+    /// Passes an answer on that is no stream, once it is whole.
+    async fn plain(self, head: http::response::Parts, body: Incoming) -> Reply {
+        let Ok(bytes) = net::body::read(body, ANSWER).await else {
+            return Refusal::Unknown.reply();
+        };
+        let mut reply = Response::new(net::body::full(bytes));
+        *reply.status_mut() = head.status;
+        *reply.headers_mut() = self.app.dialect.back(&head.headers);
+        reply
+    }
+
+    /// Passes events on until the end; tells whether it was reached.
+    async fn pump(mut self, body: Incoming, place: Place, sender: &Sender) -> bool {
+        let mut events = Events::new(body);
+        let mut place = Some(place);
+        let mut last = self.caller.last.clone();
+        loop {
+            let next = tokio::select! {
+                next = timeout(SILENCE, events.next()) => next.unwrap_or(Next::Broken),
+                () = sender.closed() => return true,
+            };
+            match next {
+                Next::Block(block) => {
+                    if let Some(event) = self.app.dialect.event(&block) {
+                        last = Some(event.number.to_string().into());
+                    }
+                    let block = Bytes::from(block + "\n\n");
+                    if sender.send(Ok(block)).await.is_err() {
+                        return true;
+                    }
+                }
+                Next::End => return true,
+                Next::Broken if !self.route.resumable => return false,
+                Next::Broken => {
+                    drop(place.take());
+                    match self.open(last.as_deref()).await {
+                        Came::Stream(answer, next) => {
+                            events = Events::new(answer.into_body());
+                            place = Some(next);
+                        }
+                        Came::Unrun | Came::Unknown => return false,
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/operate/src/contracts.rs
+++ b/crates/operate/src/contracts.rs
@@ -16,12 +16,12 @@
 use contract::form::Diff;
 use kernel::Name;
 use plat::Client;
+use plat::Done;
 use plat::Guard;
 use plat::Item;
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
-use plat::client::Done;
 use plat::keys;
 use uuid::Uuid;
 
--- /dev/null
+++ b/crates/place/src/engine.rs
@@ -0,0 +1,83 @@
+//! One engine as one instance sees it.
+
+use std::sync::Arc;
+
+use kernel::Map;
+use kernel::Millis;
+
+/// Weight of the newest time between two events in their mean: about ten events decide.
+const SMOOTH: f64 = 0.1;
+
+/// Time for which an engine that failed gets no new run, in milliseconds: short, since a failure
+/// of one request says little, and doubled with each further one.
+const REST: Millis = 250;
+
+/// Doublings after which the rest stays as it is: at most 4 s.
+const DOUBLINGS: u32 = 4;
+
+/// Time for which what an engine said of its load is believed, in milliseconds.
+const REPORT_AGE: Millis = 400;
+
+/// What an engine said of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
+/// One engine as one instance sees it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Engine {
+    /// Runs of this instance that are there.
+    pub(crate) mine: u32,
+    /// Mean time between two events of a run, in milliseconds; 0 before the first.
+    pub(crate) pace: f64,
+    /// The newest version of each model that the engine has stated itself.
+    pub(crate) versions: Map<Arc<str>, u64>,
+    failures: u32,
+    rest: Millis,
+    load: Option<(Load, u32, Millis)>,
+}
+
+impl Engine {
+    pub(crate) fn event(&mut self, gap: f64) {
+        self.failures = 0;
+        self.pace = match self.pace {
+            0.0 => gap,
+            pace => pace + SMOOTH * (gap - pace),
+        };
+    }
+
+    pub(crate) fn failed(&mut self, now: Millis) {
+        self.rest = now + (REST << self.failures.min(DOUBLINGS));
+        self.failures += 1;
+    }
+
+    pub(crate) fn busy(&mut self, until: Millis) {
+        self.rest = self.rest.max(until);
+    }
+
+    pub(crate) fn report(&mut self, load: Load, now: Millis) {
+        self.load = Some((load, self.mine, now));
+    }
+
+    pub(crate) fn rests(&self, now: Millis) -> bool {
+        now < self.rest
+    }
+
+    /// Runs that fit in beside those that are known of.
+    ///
+    /// What others run there is what the engine reported less what was this instance's own then;
+    /// a report is old after a moment and then says nothing.
+    pub(crate) fn room(&self, slots: u32, now: Millis) -> u32 {
+        let others = match self.load {
+            Some((load, mine, at)) if now < at + REPORT_AGE => {
+                (load.running + load.waiting).saturating_sub(mine)
+            }
+            _ => 0,
+        };
+        slots.saturating_sub(others + self.mine)
+    }
+}
--- /dev/null
+++ b/crates/place/src/fleet.rs
@@ -0,0 +1,191 @@
+//! The engines of all services as one instance sees them.
+
+use std::sync::Arc;
+
+use kernel::Map;
+use kernel::Millis;
+use table::Listed;
+use table::Roster;
+
+use crate::Load;
+use crate::engine::Engine;
+
+/// Gain that a move has to promise, in milliseconds: reading the prompt and the text so far again
+/// takes an engine a few milliseconds, and the new connection a few more.
+const GAIN: f64 = 150.0;
+
+/// How much faster than the present engine another one has to be for a run to move there.
+const FASTER: f64 = 1.25;
+
+/// Time between two events before anything was measured, in milliseconds.
+const UNKNOWN: f64 = 40.0;
+
+/// Extra time that an engine of another failure domain is taken to cost a run, in milliseconds: a
+/// tie is decided for the own domain, and a free or faster engine elsewhere still wins.
+const FAR: f64 = 2.0;
+
+/// What a sample needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The service that has to run it.
+    pub service: &'a str,
+    /// The model, when it is a sample; the upstreams of a plain service have none.
+    pub model: Option<&'a str>,
+    /// The oldest version of the weights that may generate it.
+    pub least: u64,
+    /// Requests that may wait inside the upstream beyond its slots.
+    pub queue: u32,
+    /// The failure domain of who asks.
+    pub domain: &'a str,
+    /// The engine that last ran a sample of the same group, and has their prompt in its cache.
+    pub kin: Option<&'a str>,
+    /// Engines that it has just failed at.
+    pub avoid: &'a [Arc<str>],
+}
+
+/// The engines as one instance sees them.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    engines: Map<Arc<str>, Engine>,
+}
+
+impl Fleet {
+    fn engine(&mut self, id: &Arc<str>) -> &mut Engine {
+        self.engines.entry(id.clone()).or_default()
+    }
+
+    /// Forgets engines that are not listed any more and that nothing runs at.
+    pub fn prune(&mut self, roster: &Roster) {
+        self.engines
+            .retain(|id, engine| engine.mine > 0 || roster.get(id).is_some());
+    }
+
+    /// Notes that a run begins at an engine.
+    pub fn begin(&mut self, id: &Arc<str>) {
+        self.engine(id).mine += 1;
+    }
+
+    /// Notes that a run has left an engine.
+    pub fn end(&mut self, id: &Arc<str>) {
+        let engine = self.engine(id);
+        engine.mine = engine.mine.saturating_sub(1);
+    }
+
+    /// Notes the time since the event before, in milliseconds.
+    pub fn event(&mut self, id: &Arc<str>, gap: f64) {
+        self.engine(id).event(gap);
+    }
+
+    /// Notes that an engine failed; it gets nothing new for a moment.
+    pub fn failed(&mut self, id: &Arc<str>, now: Millis) {
+        self.engine(id).failed(now);
+    }
+
+    /// Notes that an engine takes nothing new until a time.
+    pub fn busy(&mut self, id: &Arc<str>, until: Millis) {
+        self.engine(id).busy(until);
+    }
+
+    /// Notes what an engine said of its load.
+    pub fn report(&mut self, id: &Arc<str>, load: Load, now: Millis) {
+        self.engine(id).report(load, now);
+    }
+
+    /// Notes the version of a model's weights that an engine stated itself, which the list tells
+    /// only a second or two later.
+    pub fn saw(&mut self, id: &Arc<str>, model: &Arc<str>, version: u64) {
+        let seen = self.engine(id).versions.entry(model.clone()).or_default();
+        *seen = version.max(*seen);
+    }
+
+    /// The version of a model's weights that an engine has; [`None`] when it has no such model.
+    pub fn version(&self, one: &Listed, model: &str) -> Option<u64> {
+        let listed = one.weights.iter().find(|(name, _)| &**name == model);
+        let listed = listed.map(|(_, version)| *version);
+        let engine = self.engines.get(&one.id);
+        let seen = engine.and_then(|engine| engine.versions.get(model).copied());
+        listed.max(seen)
+    }
+
+    /// Runs of this instance at an engine.
+    pub fn mine(&self, id: &str) -> u32 {
+        self.engines.get(id).map_or(0, |engine| engine.mine)
+    }
+
+    fn pace(&self, id: &str) -> f64 {
+        match self.engines.get(id) {
+            Some(engine) if engine.pace > 0.0 => engine.pace,
+            _ => self.usual(),
+        }
+    }
+
+    /// The median pace of the engines that were measured.
+    fn usual(&self) -> f64 {
+        let paces = self.engines.values().map(|engine| engine.pace);
+        let mut paces: Vec<_> = paces.filter(|pace| *pace > 0.0).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied().unwrap_or(UNKNOWN)
+    }
+
+    fn fits(&self, one: &Listed, want: &Want<'_>, now: Millis) -> bool {
+        if one.leaving || want.avoid.contains(&one.id) {
+            return false;
+        }
+        if let Some(model) = want.model
+            && self.version(one, model) < Some(want.least)
+        {
+            return false;
+        }
+        let slots = one.slots + want.queue;
+        match self.engines.get(&one.id) {
+            Some(engine) => !engine.rests(now) && engine.room(slots, now) > 0,
+            None => slots > 0,
+        }
+    }
+
+    /// What a run of one event costs at an engine, in milliseconds.
+    fn cost(&self, one: &Listed, want: &Want<'_>) -> f64 {
+        let far = if *one.domain == *want.domain {
+            0.0
+        } else {
+            FAR
+        };
+        let full = f64::from(self.mine(&one.id)) / f64::from(one.slots.max(1));
+        // A fuller engine is a little slower, and the last slots are kept for what comes next.
+        self.pace(&one.id) * (1.0 + 0.2 * full) + far
+    }
+
+    /// Chooses the engine for a sample; [`None`] when none has room.
+    pub fn choose(&self, roster: &Roster, want: &Want<'_>, now: Millis) -> Option<Arc<Listed>> {
+        let fits = |one: &&Arc<Listed>| self.fits(one, want, now);
+        let best = roster.of(want.service).filter(fits).min_by(|a, b| {
+            self.cost(a, want)
+                .total_cmp(&self.cost(b, want))
+                .then(a.id.cmp(&b.id))
+        })?;
+        // The kin has the prompt in its cache; it wins unless it has become slow.
+        let kin = want.kin.and_then(|kin| roster.get(kin));
+        let kin = kin.filter(fits).filter(|kin| *kin.service == *want.service);
+        match kin {
+            Some(kin) if self.pace(&kin.id) <= self.pace(&best.id) * FASTER => Some(kin.clone()),
+            _ => Some(best.clone()),
+        }
+    }
+
+    /// Chooses an engine to which a run with `left` more events had better move, if there is one.
+    pub fn better(
+        &self,
+        roster: &Roster,
+        want: &Want<'_>,
+        here: &str,
+        left: u32,
+        now: Millis,
+    ) -> Option<Arc<Listed>> {
+        let slow = self.pace(here);
+        let best = self.choose(roster, want, now)?;
+        let fast = self.pace(&best.id);
+        let gain = f64::from(left) * (slow - fast);
+        let worth = *best.id != *here && slow > fast * FASTER && gain > GAIN;
+        worth.then_some(best)
+    }
+}
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,16 @@
+//! Which engine runs a sample, and when a run moves to another engine.
+//!
+//! Load pattern: a step's samples come all at once every few seconds and may fill every slot; some
+//! engines are slower than others, a third of them may become several times slower, and a few
+//! samples run far longer than the rest. A sample that waits inside an engine's queue cannot be
+//! placed elsewhere, so no engine gets more than its slots; what does not fit waits here.
+
+mod engine;
+mod fleet;
+mod order;
+
+pub use engine::Load;
+pub use fleet::Fleet;
+pub use fleet::Want;
+pub use order::Job;
+pub use order::order;
--- /dev/null
+++ b/crates/place/src/order.rs
@@ -0,0 +1,55 @@
+//! In which order the samples of a step begin.
+//!
+//! A group counts only whole, and the trainer goes on once enough groups are. So the groups whose
+//! longest sample is expected to be longest begin first, except for as many of the very longest as
+//! the trainer does not wait for: they begin last.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+use kernel::Map;
+
+/// A sample that has to be run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// Its place in the step.
+    pub index: u32,
+    /// Its group.
+    pub group: Arc<str>,
+    /// Events that it is expected to have.
+    pub expected: u32,
+}
+
+/// Orders the samples of a step, of whose groups `wanted` are waited for.
+///
+/// # Examples
+///
+/// ```
+/// use place::{Job, order};
+///
+/// let job = |index, group: &str, expected| Job { index, group: group.into(), expected };
+/// let jobs = vec![job(0, "a", 5), job(1, "b", 90), job(2, "c", 20), job(3, "c", 1)];
+/// let order: Vec<_> = order(jobs, 2).iter().map(|job| job.index).collect();
+/// assert_eq!(order, [2, 3, 0, 1]);
+/// ```
+pub fn order(mut jobs: Vec<Job>, wanted: u32) -> Vec<Job> {
+    let mut longest: Map<Arc<str>, u32> = Map::default();
+    for job in &jobs {
+        let most = longest.entry(job.group.clone()).or_default();
+        *most = job.expected.max(*most);
+    }
+    let mut groups: Vec<_> = longest.into_iter().collect();
+    groups.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
+    let spare = groups.len().saturating_sub(wanted as usize);
+    groups.rotate_left(spare);
+    let rank: Map<Arc<str>, usize> = groups
+        .into_iter()
+        .enumerate()
+        .map(|(rank, (group, _))| (group, rank))
+        .collect();
+    jobs.sort_by_key(|job| {
+        let rank = rank.get(&job.group).copied();
+        (rank, Reverse(job.expected), job.index)
+    });
+    jobs
+}
--- a/crates/plat/src/error.rs
+++ b/crates/plat/src/error.rs
@@ -1,7 +1,7 @@
 //! Why a call of the platform gave nothing.
 
 /// Why a call of the platform gave nothing.
-#[derive(Debug, thiserror::Error)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize, thiserror::Error)]
 pub enum PlatError {
     /// No connection was made: a write did not take effect.
     #[error("could not reach the platform")]
@@ -21,6 +21,12 @@
     /// The answer is not what the protocol says.
     #[error("the platform's answer could not be understood")]
     Garbled,
+    /// The protocol has no such call.
+    #[error("the platform's protocol has no such call")]
+    Unsupported,
+    /// The lease of a write does not exist any more: nothing was written.
+    #[error("the lease has ended")]
+    Lapsed,
     /// The platform refuses the call for good.
     #[error("the platform refused the call: {0}")]
     Refused(Box<str>),
--- /dev/null
+++ b/crates/plat/src/etcd.rs
@@ -0,0 +1,186 @@
+//! The etcd v3 JSON mapping.
+
+use http::Method;
+use http::StatusCode;
+
+use crate::Answer;
+use crate::Ask;
+use crate::Call;
+use crate::Delete;
+use crate::Done;
+use crate::Guard;
+use crate::Item;
+use crate::Lease;
+use crate::PlatError;
+use crate::Protocol;
+use crate::Range;
+use crate::Txn;
+use crate::proto;
+use crate::protocol::parse;
+use crate::protocol::write;
+
+/// Milliseconds in the unit of the protocol's leases.
+const SECOND: u64 = 1_000;
+
+/// The etcd v3 JSON mapping over HTTP.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Etcd;
+
+impl Protocol for Etcd {
+    fn ask(&self, call: &Call) -> Result<Ask, PlatError> {
+        let (path, body) = match call {
+            Call::Get(key) => ("/v3/kv/range", write(&one(key))?),
+            Call::List { prefix, after, .. } => {
+                ("/v3/kv/range", write(&span(prefix, after.as_deref()))?)
+            }
+            Call::Txn(txn) => ("/v3/kv/txn", write(&request(txn))?),
+            Call::Grant(ttl) => {
+                let ttl = proto::Int(ttl.div_ceil(SECOND) as i64);
+                ("/v3/lease/grant", write(&proto::GrantRequest { ttl })?)
+            }
+            Call::Renew(id) => ("/v3/lease/keepalive", write(&lease(*id))?),
+            Call::Revoke(id) => ("/v3/lease/revoke", write(&lease(*id))?),
+            // This protocol streams its watches; see `Client::watch`.
+            Call::Poll { .. } => return Err(PlatError::Unsupported),
+        };
+        Ok(Ask {
+            method: Method::POST,
+            path: path.into(),
+            body,
+        })
+    }
+
+    fn answer(&self, call: &Call, status: StatusCode, body: &[u8]) -> Result<Answer, PlatError> {
+        if !status.is_success() {
+            return Err(refusal(status, body));
+        }
+        match call {
+            Call::Get(_) | Call::List { .. } => range(parse(body)?),
+            Call::Txn(_) => {
+                let answer: proto::TxnResponse = parse(body)?;
+                Ok(Answer::Done(match answer.succeeded {
+                    true => Done::At(answer.header.revision.0),
+                    false => Done::Conflict,
+                }))
+            }
+            Call::Grant(_) => {
+                let answer: proto::GrantResponse = parse(body)?;
+                Ok(Answer::Lease(Lease {
+                    id: answer.id.0,
+                    ttl: answer.ttl.0.max(0) as u64 * SECOND,
+                }))
+            }
+            Call::Renew(_) => {
+                let answer: proto::Streamed<proto::GrantResponse> = parse(body)?;
+                Ok(Answer::Alive(answer.result.ttl.0 > 0))
+            }
+            Call::Revoke(_) => Ok(Answer::Alive(false)),
+            Call::Poll { .. } => Err(PlatError::Unsupported),
+        }
+    }
+}
+
+fn one(key: &str) -> proto::RangeRequest {
+    proto::RangeRequest {
+        key: key.into(),
+        ..Default::default()
+    }
+}
+
+fn span(prefix: &str, after: Option<&str>) -> proto::RangeRequest {
+    // The smallest key behind another one is that key with a zero byte at its end.
+    let from = after.map_or_else(|| prefix.to_owned(), |after| format!("{after}\0"));
+    proto::RangeRequest {
+        key: from.as_str().into(),
+        range_end: Some(proto::Bytes(proto::end(prefix.as_bytes()))),
+        ..Default::default()
+    }
+}
+
+fn lease(id: i64) -> proto::LeaseRequest {
+    let id = proto::Int(id);
+    proto::LeaseRequest { id }
+}
+
+fn range(answer: proto::RangeResponse) -> Result<Answer, PlatError> {
+    let items: Result<_, _> = answer.kvs.into_iter().map(item).collect();
+    Ok(Answer::Range(Range {
+        items: items?,
+        rev: answer.header.revision.0,
+        more: answer.more,
+    }))
+}
+
+pub(crate) fn item(kv: proto::KeyValue) -> Result<Item, PlatError> {
+    Ok(Item {
+        key: String::from_utf8(kv.key.0).map_err(|_| PlatError::Garbled)?,
+        value: kv.value.0,
+        rev: kv.mod_revision.0,
+    })
+}
+
+fn request(txn: &Txn) -> proto::TxnRequest {
+    let puts = txn.puts.iter().map(|put| proto::Op {
+        put: Some(proto::PutRequest {
+            key: put.key.as_str().into(),
+            value: proto::Bytes(put.value.clone()),
+            lease: proto::Int(put.lease),
+        }),
+        ..Default::default()
+    });
+    let deletes = txn.deletes.iter().map(|delete| proto::Op {
+        delete: Some(deletion(delete)),
+        ..Default::default()
+    });
+    proto::TxnRequest {
+        compare: txn.guards.iter().map(compare).collect(),
+        success: puts.chain(deletes).collect(),
+        failure: Vec::new(),
+    }
+}
+
+fn deletion(delete: &Delete) -> proto::DeleteRequest {
+    match delete {
+        Delete::Key(key) => proto::DeleteRequest {
+            key: key.as_str().into(),
+            range_end: None,
+        },
+        Delete::Span(first, end) => proto::DeleteRequest {
+            key: first.as_str().into(),
+            range_end: Some(end.as_str().into()),
+        },
+    }
+}
+
+fn compare(guard: &Guard) -> proto::Compare {
+    match guard {
+        Guard::Absent(key) => proto::Compare {
+            key: key.as_str().into(),
+            result: "EQUAL".into(),
+            target: "CREATE".into(),
+            create_revision: Some(proto::Int(0)),
+            mod_revision: None,
+        },
+        Guard::At(key, rev) => proto::Compare {
+            key: key.as_str().into(),
+            result: "EQUAL".into(),
+            target: "MOD".into(),
+            create_revision: None,
+            mod_revision: Some(proto::Int(*rev)),
+        },
+    }
+}
+
+fn refusal(status: StatusCode, body: &[u8]) -> PlatError {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            PlatError::TurnedAway(status.as_u16())
+        }
+        // A gateway's own time limit says nothing about the write behind it.
+        StatusCode::GATEWAY_TIMEOUT | StatusCode::INTERNAL_SERVER_ERROR => PlatError::Silent,
+        _ => {
+            let refusal: proto::Refusal = serde_json::from_slice(body).unwrap_or_default();
+            PlatError::Refused(refusal.message.into())
+        }
+    }
+}
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -1,23 +1,36 @@
-//! Client of the platform's key-value service: the etcd v3 JSON mapping over HTTP.
+//! Client of the platform's key-value service: compare-and-swap, leases and watches.
 //!
-//! Keys and values are base64 and 64-bit integers are strings, as published. Every call is
-//! counted against a [`Budget`], a waiting watch as one.
+//! A [`Call`] says what is wanted and a [`Protocol`] how it is written. The protocol built in is
+//! the etcd v3 JSON mapping over HTTP, as published. Every call is counted against a [`Budget`],
+//! a waiting watch as one.
 
 pub mod budget;
+pub mod call;
 pub mod client;
 pub mod error;
+pub mod etcd;
+pub mod holder;
 pub mod keys;
 pub mod proto;
+pub mod protocol;
 pub mod watch;
 
 pub use budget::Budget;
+pub use call::Answer;
+pub use call::Call;
+pub use call::Change;
+pub use call::Delete;
+pub use call::Done;
+pub use call::Fresh;
+pub use call::Guard;
+pub use call::Item;
+pub use call::Lease;
+pub use call::Put;
+pub use call::Range;
+pub use call::Txn;
 pub use client::Client;
-pub use client::Guard;
-pub use client::Item;
-pub use client::Lease;
-pub use client::Put;
-pub use client::Range;
-pub use client::Txn;
 pub use error::PlatError;
-pub use watch::Change;
+pub use etcd::Etcd;
+pub use protocol::Ask;
+pub use protocol::Protocol;
 pub use watch::Watch;
--- a/crates/plat/src/watch.rs
+++ b/crates/plat/src/watch.rs
@@ -6,26 +6,15 @@
 use serde_json::StreamDeserializer;
 use serde_json::de::SliceRead;
 
-use crate::Item;
+use crate::Change;
 use crate::PlatError;
-use crate::client::item;
+use crate::etcd::item;
 use crate::proto;
 
 /// Silence after which a watch is taken for dead. The platform sends progress now and then, by
 /// default every ten minutes; whoever wants to know sooner has to read.
 const SILENCE: Duration = Duration::from_secs(11 * 60);
 
-/// What a watch gives.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// A key was written.
-    Put(Item),
-    /// A key was deleted, at this revision.
-    Delete(String, i64),
-    /// Nothing changed up to this revision.
-    Progress(i64),
-}
-
 /// A running watch.
 #[derive(Debug)]
 pub struct Watch {
--- a/crates/plat/tests/contract.rs
+++ b/crates/plat/tests/contract.rs
@@ -5,12 +5,12 @@
 
 use plat::Change;
 use plat::Client;
+use plat::Done;
 use plat::Guard;
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
 use plat::budget::Kind;
-use plat::client::Done;
 use standin::Fault;
 use standin::Host;
 use standin::Platform;
@@ -72,7 +72,7 @@
         let txn = Txn {
             guards: vec![Guard::Absent("/c".into())],
             puts: vec![Put::new("/b", "2"), Put::new("/c", [0, 255])],
-            deletes: vec![("/a".into(), "/b".into())],
+            deletes: vec![plat::Delete::Span("/a".into(), "/b".into())],
         };
 
         f.client.txn(&txn).await.unwrap();
@@ -95,7 +95,7 @@
         }
 
         let range = f.client.list("/a/").await.unwrap();
-        let rest = f.client.between("/a/2", "/a/").await.unwrap();
+        let rest = f.client.behind("/a/1", "/a/").await.unwrap();
 
         assert_eq!(range.items.len(), 2);
         assert_eq!(rest.items.len(), 1);
@@ -110,8 +110,8 @@
 fn a_lease_takes_its_keys_along() {
     block(async {
         let f = fixture().await;
-        let short = f.client.grant(1).await.unwrap();
-        let long = f.client.grant(60).await.unwrap();
+        let short = f.client.grant(1_000).await.unwrap();
+        let long = f.client.grant(60_000).await.unwrap();
         for (key, lease) in [("/short", short.id), ("/long", long.id)] {
             let mut txn = put(key, "x", 0);
             txn.puts[0].lease = lease;
@@ -174,7 +174,7 @@
         f.client.txn(&put("/w/a", "1", 0)).await.unwrap();
         let mut watch = f.client.watch("/w/", 2).await.unwrap();
         let txn = Txn {
-            deletes: vec![("/w/".into(), "/w0".into())],
+            deletes: vec![plat::Delete::Span("/w/".into(), "/w0".into())],
             ..Txn::default()
         };
 
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -24,13 +24,13 @@
 use crate::Settings;
 use crate::audit;
 use crate::cache::Cache;
-use crate::clock::Clock;
 use crate::dispatcher::Dispatcher;
 use crate::history::History;
 use crate::journal::Journal;
 use crate::limits::Limits;
 use crate::meter;
 use crate::steps::Steps;
+use clock::Clock;
 
 /// Everything that one instance holds.
 pub struct App {
--- a/crates/serve/src/dispatcher.rs
+++ b/crates/serve/src/dispatcher.rs
@@ -29,9 +29,9 @@
 use tokio::sync::oneshot;
 use wire::problem::Type;
 
-use crate::clock::Clock;
 use crate::meter;
 use crate::settings;
+use clock::Clock;
 
 /// When to come back when no upstream can take a request, in milliseconds.
 const OUT: Millis = 1_000;
--- a/crates/serve/src/journal.rs
+++ b/crates/serve/src/journal.rs
@@ -27,9 +27,9 @@
 use wire::peer::Journaled;
 
 use crate::App;
-use crate::clock::Clock;
 use crate::gossip;
 use crate::settings;
+use clock::Clock;
 use driver::Driver;
 
 /// Longest time that a question waits for the platform; refusing sooner than the deadline leaves
--- a/crates/serve/src/journal/driver.rs
+++ b/crates/serve/src/journal/driver.rs
@@ -11,16 +11,16 @@
 use once::Work;
 use once::shard::Wrote;
 use plat::Client;
+use plat::Done;
 use plat::Guard;
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
-use plat::client::Done;
 use plat::keys;
 
 use super::AWAY;
 use super::Cell;
-use crate::clock::Clock;
+use clock::Clock;
 
 /// First pause after a failed call of the platform; it doubles with each.
 const PAUSE: Millis = 25;
@@ -169,7 +169,7 @@
         }
         let key = keys::shard_head(self.at);
         let seq = segment.seq.to_string();
-        let expired = (
+        let expired = plat::Delete::Span(
             keys::segment(self.at, 0),
             keys::segment(self.at, segment.floor),
         );
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod audit;
 pub mod auth;
 pub mod cache;
-pub mod clock;
 pub mod complete;
 pub mod dispatcher;
 pub mod forward;
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -356,5 +356,6 @@
         level: s.or("level", "error, warn, info, debug or off", base.level),
         form: s.or("form", "pairs or json", base.form),
         audit: s.get::<PathBuf>("audit", "a file"),
+        sink: base.sink,
     }
 }
--- a/crates/serve/src/steps/ledger.rs
+++ b/crates/serve/src/steps/ledger.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use kernel::Name;
+use plat::Done;
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
-use plat::client::Done;
 use plat::keys;
 use serde::Deserialize;
 use serde::Serialize;
@@ -22,8 +22,8 @@
 /// Bytes of one part; the platform takes values of up to a megabyte.
 const PART: usize = 256 << 10;
 
-/// Seconds after which the platform forgets a step that nobody ended.
-const TTL: i64 = 6 * 3_600;
+/// Time after which the platform forgets a step that nobody ended.
+const TTL: kernel::Millis = 6 * kernel::time::HOUR;
 
 /// Pause between two tries to save a step.
 const PAUSE: Duration = Duration::from_secs(2);
@@ -100,7 +100,7 @@
     let end = String::from_utf8(plat::proto::end(prefix.as_bytes()));
     let end = end.map_err(|_| PlatError::Garbled)?;
     let txn = Txn {
-        deletes: vec![(prefix, end)],
+        deletes: vec![plat::Delete::Span(prefix, end)],
         ..Txn::default()
     };
     Ok(matches!(app.plat.txn(&txn).await?, Done::At(_)))
--- a/crates/serve/src/steps/work.rs
+++ b/crates/serve/src/steps/work.rs
@@ -23,8 +23,8 @@
 
 use super::sample;
 use crate::App;
-use crate::clock::Clock;
 use crate::dispatcher::Dispatcher;
+use clock::Clock;
 
 /// Time without a pull after which no more samples are begun: the trainer may be gone.
 const PAUSED: Millis = 60_000;
--- a/crates/serve/src/trace.rs
+++ b/crates/serve/src/trace.rs
@@ -5,7 +5,7 @@
 use kernel::RequestId;
 use wire::caller::Note;
 
-use crate::clock::Clock;
+use clock::Clock;
 
 /// What is known of one request while it is served; becomes a log line and an entry of the
 /// history.
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,16 @@
+//! What the operator has configured: routes and services, and the upstreams that are listed.
+//!
+//! Nothing here reads a socket or a clock; whoever learns of a change hands it in.
+
+pub mod plan;
+pub mod roster;
+
+pub use plan::Engine;
+pub use plan::Kind;
+pub use plan::Plan;
+pub use plan::Route;
+pub use plan::Service;
+pub use plan::Share;
+pub use roster::Belief;
+pub use roster::Listed;
+pub use roster::Roster;
--- /dev/null
+++ b/crates/table/src/plan.rs
@@ -0,0 +1,152 @@
+//! One version of the configuration.
+
+use std::sync::Arc;
+
+use kernel::Map;
+use kernel::Millis;
+
+/// What may be repeated on a route, and how its answers come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request runs at most once.
+    Once,
+    /// The answer is a stream of events.
+    Stream,
+    /// The route takes the steps of a trainer, whose samples run one by one.
+    Rollout,
+}
+
+/// A service that a route may use, and how much of the route's requests it gets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its part of the sum of all weights.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The host of its requests, in lower case.
+    pub host: Arc<str>,
+    /// What the path of its requests begins with.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time that a request is kept waiting, in milliseconds.
+    pub timeout: Millis,
+    /// Most upstreams that one request is sent to.
+    pub attempts: u32,
+    /// Time after which an unfinished sample of a step may be given up, in milliseconds.
+    pub ttl: Millis,
+    /// Whether all tokens of a sample have to come from one version of the weights.
+    pub single: bool,
+    /// Whether a stream that broke may be taken up again behind its last event.
+    pub resumable: bool,
+    /// The services that run its requests.
+    pub shares: Vec<Share>,
+}
+
+/// What a service's model engines are like.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Engine {
+    /// Requests that an engine works on at the same time.
+    pub slots: u32,
+    /// The models that every engine has, in the operator's order.
+    pub models: Vec<Arc<str>>,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Its name.
+    pub name: Arc<str>,
+    /// What its upstreams are, when they are model engines.
+    pub engine: Option<Engine>,
+}
+
+/// One version of the configuration.
+///
+/// # Examples
+///
+/// ```
+/// use table::{Kind, Plan, Route};
+///
+/// let route = |prefix: &str| Route {
+///     name: prefix.into(), host: "shop.example".into(), prefix: prefix.into(),
+///     kind: Kind::Idempotent, timeout: 1_000, attempts: 2, ttl: 0,
+///     single: false, resumable: false, shares: Vec::new(),
+/// };
+/// let plan = Plan::new(7, vec![route("/a/"), route("/a/b/")], Vec::new(), 1 << 20);
+/// let found = plan.find("Shop.example:80", "/a/b/c");
+/// assert_eq!(found.map(|route| &*route.prefix), Some("/a/b/"));
+/// assert!(plan.find("shop.example", "/x").is_none());
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Its version; a higher one replaces a lower one.
+    pub version: u64,
+    routes: Vec<Arc<Route>>,
+    services: Map<Arc<str>, Arc<Service>>,
+    /// Most bytes of a request's body.
+    pub body: usize,
+}
+
+impl Plan {
+    /// Makes a configuration.
+    pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, body: usize) -> Self {
+        let mut routes: Vec<_> = routes.into_iter().map(Arc::new).collect();
+        // The longest prefix first, so that the first match is the closest one.
+        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        let services = services.into_iter().map(Arc::new);
+        Self {
+            version,
+            routes,
+            services: services.map(|one| (one.name.clone(), one)).collect(),
+            body,
+        }
+    }
+
+    /// Finds the route of a request.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split(':').next().unwrap_or(host);
+        self.routes
+            .iter()
+            .find(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&*route.prefix))
+    }
+
+    /// Finds a service.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// The services, in no order.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// The routes that a service may get requests of.
+    pub fn routes_to(&self, service: &str) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes
+            .iter()
+            .filter(move |route| route.shares.iter().any(|share| &*share.service == service))
+    }
+
+    /// Chooses the service of one request; `draw` is drawn evenly from 0 to 1.
+    pub fn draw<'a>(route: &'a Route, draw: f64) -> Option<&'a Arc<str>> {
+        let sum: u32 = route.shares.iter().map(|share| share.weight).sum();
+        let mut left = draw * f64::from(sum);
+        for share in &route.shares {
+            left -= f64::from(share.weight);
+            if left < 0.0 {
+                return Some(&share.service);
+            }
+        }
+        route.shares.last().map(|share| &share.service)
+    }
+}
--- /dev/null
+++ b/crates/table/src/roster.rs
@@ -0,0 +1,123 @@
+//! The upstreams that the platform lists.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kernel::Map;
+use kernel::Millis;
+
+/// Gap between two reads of the list after which the platform counts as having been away: two
+/// reads in a row are missing at the usual pace of one a second.
+const AWAY: Millis = 2_500;
+
+/// Time after the platform's return for which a missing entry is kept. Entries of living
+/// upstreams that lapsed during an outage are back within about two seconds.
+const RETURN: Millis = 2_200;
+
+/// An upstream as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Identifies one start of the upstream.
+    pub id: Arc<str>,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Requests that it works on at the same time.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// The models that it has, with the version of their weights.
+    pub weights: Vec<(Arc<str>, u64)>,
+}
+
+/// What has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Belief {
+    /// An upstream is there.
+    Came(Arc<Listed>),
+    /// An upstream is about to leave.
+    Leaving(Arc<Listed>),
+    /// An upstream is gone.
+    Gone(Arc<Listed>),
+}
+
+/// The upstreams as one instance knows them.
+///
+/// # Examples
+///
+/// ```
+/// use table::{Listed, Roster};
+///
+/// let listed = Listed {
+///     id: "i-1".into(), service: "fit".into(), addr: ([127, 0, 0, 1], 1).into(),
+///     domain: "nord".into(), slots: 8, leaving: false, weights: Vec::new(),
+/// };
+/// let mut roster = Roster::default();
+/// roster.read(vec![listed], 0);
+/// assert_eq!(roster.of("fit").count(), 1);
+/// roster.read(Vec::new(), 1_000);
+/// assert_eq!(roster.of("fit").count(), 0);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    all: Map<Arc<str>, Arc<Listed>>,
+    read: Option<Millis>,
+    back: Option<Millis>,
+}
+
+impl Roster {
+    /// Takes in what a read of the whole list gave; tells what has changed.
+    pub fn read(&mut self, list: Vec<Listed>, now: Millis) -> Vec<Belief> {
+        if self.read.is_some_and(|read| now > read + AWAY) {
+            self.back = Some(now);
+        }
+        self.read = Some(now);
+        let held = self.back.is_some_and(|back| now < back + RETURN);
+        let mut next = Map::default();
+        let mut news = Vec::new();
+        for one in list {
+            let one = Arc::new(one);
+            match self.all.remove(&one.id) {
+                None => news.push(Belief::Came(one.clone())),
+                Some(old) if one.leaving && !old.leaving => {
+                    news.push(Belief::Leaving(one.clone()));
+                }
+                Some(_) => (),
+            }
+            next.insert(one.id.clone(), one);
+        }
+        for (id, old) in self.all.drain() {
+            match held {
+                true => drop(next.insert(id, old)),
+                false => news.push(Belief::Gone(old)),
+            }
+        }
+        self.all = next;
+        news
+    }
+
+    /// Age of what is known, in milliseconds; [`None`] before the first read.
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.read.map(|read| now.saturating_sub(read))
+    }
+
+    /// Finds an upstream.
+    pub fn get(&self, id: &str) -> Option<&Arc<Listed>> {
+        self.all.get(id)
+    }
+
+    /// All upstreams, in no order.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Listed>> {
+        self.all.values()
+    }
+
+    /// The upstreams of a service, in no order.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Listed>> + 'a {
+        self.all
+            .values()
+            .filter(move |one| &*one.service == service)
+    }
+}
--- a/crates/weight/src/lib.rs
+++ b/crates/weight/src/lib.rs
@@ -5,6 +5,7 @@
 //! the former one.
 
 pub mod plan;
+pub mod swap;
 
 pub use plan::Act;
 pub use plan::Plan;
--- /dev/null
+++ b/crates/weight/src/swap.rs
@@ -0,0 +1,192 @@
+//! Which engine of a service is ordered to load which version, when several models share it.
+//!
+//! Each engine is given to one model, so that a new version of one model is loaded by that model's
+//! engines only. An engine that works is left alone for as long as its version still serves: a
+//! load takes it out for about a second, in which the samples of a step would wait.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use kernel::Map;
+
+use crate::Version;
+
+/// One engine as the holder sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// Which start of which engine.
+    pub id: Arc<str>,
+    /// The models that it has, with their versions.
+    pub models: Vec<(Arc<str>, Version)>,
+    /// Requests that it works on.
+    pub running: u32,
+    /// Whether it is carrying out an order.
+    pub busy: bool,
+}
+
+impl Seen {
+    fn version(&self, model: &str) -> Option<Version> {
+        let found = self.models.iter().find(|(name, _)| &**name == model);
+        found.map(|(_, version)| *version)
+    }
+}
+
+/// What is asked of a model's engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Target {
+    /// The newest version.
+    pub newest: Version,
+    /// The oldest version that samples of the next step may come from.
+    pub least: Version,
+}
+
+/// A load to be ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// The engine.
+    pub id: Arc<str>,
+    /// The model.
+    pub model: Arc<str>,
+    /// The version.
+    pub version: Version,
+}
+
+/// Which engine belongs to which model, and what to order next.
+///
+/// # Examples
+///
+/// ```
+/// use weight::swap::{Seen, Swap, Target};
+///
+/// let seen = |id: &str, running| Seen {
+///     id: id.into(), models: vec![("fit".into(), 1)], running, busy: false,
+/// };
+/// let targets = [("fit".into(), Target { newest: 2, least: 1 })].into_iter().collect();
+/// let engines = [seen("a", 0), seen("b", 4)];
+/// let mut swap = Swap::new(2);
+/// let loads = swap.next(&engines, &targets);
+/// // The idle engine loads; the other one goes on with a version that still serves.
+/// assert_eq!(loads.iter().map(|load| &*load.id).collect::<Vec<_>>(), ["a"]);
+/// ```
+#[derive(Debug)]
+pub struct Swap {
+    width: usize,
+    given: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+impl Swap {
+    /// Makes a plan that lets at most `width` engines load at the same time.
+    pub fn new(width: usize) -> Self {
+        Self {
+            width: width.max(1),
+            given: BTreeMap::new(),
+        }
+    }
+
+    /// The model to which an engine is given.
+    pub fn model(&self, id: &str) -> Option<&Arc<str>> {
+        self.given.get(id)
+    }
+
+    /// Gives each engine to one of its models and takes back what is gone.
+    fn share(&mut self, engines: &[Seen]) {
+        self.given
+            .retain(|id, _| engines.iter().any(|engine| engine.id == *id));
+        for engine in engines {
+            if self.given.contains_key(&engine.id) {
+                continue;
+            }
+            if let Some(model) = self.fewest(engine) {
+                self.given.insert(engine.id.clone(), model);
+            }
+        }
+        while self.even(engines) {}
+    }
+
+    fn count(&self, model: &str) -> usize {
+        self.given
+            .values()
+            .filter(|given| &***given == model)
+            .count()
+    }
+
+    /// The model of an engine that has advanced most, so that a new holder goes on as the one
+    /// before it; among equals, the one that has the fewest engines.
+    fn fewest(&self, engine: &Seen) -> Option<Arc<str>> {
+        let models = engine.models.iter();
+        let key = |(model, version): &&(Arc<str>, Version)| {
+            (std::cmp::Reverse(*version), self.count(model))
+        };
+        models.min_by_key(key).map(|(model, _)| model.clone())
+    }
+
+    /// Moves one engine from the model with the most to the one with the fewest, when they differ
+    /// by more than one; tells whether it did.
+    fn even(&mut self, engines: &[Seen]) -> bool {
+        let mut counts: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for (model, _) in engines.iter().flat_map(|engine| &engine.models) {
+            counts.entry(model.clone()).or_default();
+        }
+        for model in self.given.values() {
+            *counts.entry(model.clone()).or_default() += 1;
+        }
+        let most = counts.iter().max_by_key(|(_, count)| **count);
+        let least = counts.iter().min_by_key(|(_, count)| **count);
+        let (Some((rich, many)), Some((poor, few))) = (most, least) else {
+            return false;
+        };
+        if many - few < 2 {
+            return false;
+        }
+        let (rich, poor) = (rich.clone(), poor.clone());
+        let has = |engine: &&Seen| {
+            engine.version(&poor).is_some() && self.given.get(&engine.id) == Some(&rich)
+        };
+        let Some(engine) = engines.iter().filter(has).min_by_key(|one| one.running) else {
+            return false;
+        };
+        self.given.insert(engine.id.clone(), poor);
+        true
+    }
+
+    /// Says which loads to order now.
+    pub fn next(&mut self, engines: &[Seen], targets: &Map<Arc<str>, Target>) -> Vec<Load> {
+        self.share(engines);
+        let loading = engines.iter().filter(|engine| engine.busy).count();
+        let room = self.width.saturating_sub(loading);
+        let mut due: Vec<_> = engines
+            .iter()
+            .filter(|engine| !engine.busy)
+            .filter_map(|engine| self.due(engine, targets))
+            .collect();
+        due.sort();
+        due.truncate(room);
+        due.into_iter()
+            .map(|(_, _, id, model, version)| Load { id, model, version })
+            .collect()
+    }
+
+    /// What an engine has to load, with what decides how soon.
+    fn due(
+        &self,
+        engine: &Seen,
+        targets: &Map<Arc<str>, Target>,
+    ) -> Option<(Version, u32, Arc<str>, Arc<str>, Version)> {
+        let model = self.given.get(&engine.id)?;
+        let target = targets.get(model)?;
+        let version = engine.version(model)?;
+        let useless = version < target.least;
+        let spare = engine.running == 0;
+        if version >= target.newest || !(useless || spare) {
+            return None;
+        }
+        let due = (
+            version,
+            engine.running,
+            engine.id.clone(),
+            model.clone(),
+            target.newest,
+        );
+        Some(due)
+    }
+}
