Take an answer without events for the end of a sample

Besides, an engine whose load was over in its own words still counted as old. Change: such an answer is the end; the holder of the orders believes what an engine stated.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -26,9 +26,9 @@
 /// Time that an engine has to answer an order.
 const LIMIT: Duration = Duration::from_millis(500);
 
-/// Time for which an engine counts as loading after an order: a load takes about a second, and the
-/// engine's own word comes some hundred milliseconds late.
-const LOADING: Millis = 1_500;
+/// Time for which an engine counts as loading after an order, before its own word counts, which
+/// comes some hundred milliseconds late.
+const LOADING: Millis = 500;
 
 /// Time for which an engine is left alone after an order that nobody answered, in milliseconds. It
 /// may be carried out late; the next order expects that it was not.
@@ -145,12 +145,14 @@
     fn seen(&self, one: &Listed, states: &Map<Arc<str>, Stated>) -> Seen {
         let waits = self.ordered.contains_key(&one.id);
         let state = states.get(&one.id);
+        let fleet = self.app.fleet.lock();
+        let newest = |(model, version): &(Arc<str>, u64)| {
+            let seen = fleet.version(one, model).unwrap_or(*version);
+            (model.clone(), seen)
+        };
         Seen {
             id: one.id.clone(),
-            models: match state {
-                Some(state) => state.models.clone(),
-                None => one.weights.clone(),
-            },
+            models: one.weights.iter().map(newest).collect(),
             running: state.map_or(u32::MAX, |state| state.running),
             busy: waits || state.is_some_and(|state| state.busy),
         }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -184,14 +184,14 @@
             StatusCode::UNPROCESSABLE_ENTITY => return Ended::Hopeless,
             _ => return Ended::Failed,
         }
+        let mut events = Events::new(answer.into_body());
         let Some(version) = said.version else {
-            return Ended::Broken("no version");
+            return rest(draft, &mut events).await;
         };
         if !self.admit(draft, version) {
             return Ended::Broken("version too old");
         }
-        self.events(sample, draft, version, Events::new(answer.into_body()))
-            .await
+        self.events(sample, draft, version, events).await
     }
 
     /// Tells whether events of a version may be added.
@@ -275,3 +275,15 @@
             .is_some()
     }
 }
+
+/// Reads an answer that names no version.
+///
+/// A run that broke off behind its last event leaves a text that is whole, and nobody knows it.
+/// Taking it up gives an answer without events, and so without a version; unless that counts as
+/// the end, the sample is asked for again and again until its step is over.
+async fn rest(draft: &Draft, events: &mut Events) -> Ended {
+    match timeout(SILENCE, events.next()).await {
+        Ok(Next::End) if draft.last > 0 => Ended::Whole,
+        _ => Ended::Broken("no version"),
+    }
+}
