Read configuration and upstreams whole, one instance a domain; ask owners for results

Besides, every reader of results cost the platform two or three calls. Change: one instance of each failure domain reads configuration and list every 850 ms and others follow it; readers ask the owner of a step; an instance that the platform turns away calls through another one. Conclusion: watches serve where being late is harmless, reads where a bound holds.

--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -152,6 +152,11 @@
         &self.listed
     }
 
+    /// Segments in which the listed results stand.
+    pub fn segments(&self) -> u32 {
+        self.seq
+    }
+
     /// Tells whether a sample has ended.
     pub fn has_ended(&self, index: u32) -> bool {
         self.ended.get(index as usize).copied().unwrap_or(true)
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -16,9 +16,12 @@
 use table::Plan;
 use table::Roster;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::Dialect;
 use crate::Settings;
+use crate::member::Member;
+use crate::news::News;
 use crate::owner::Work;
 use crate::shelf::Shelf;
 
@@ -50,6 +53,12 @@
     pub fleet: Mutex<Fleet>,
     /// Rings when a place may have become free or an upstream has changed.
     pub room: Notify,
+    /// The instances that have entered, this one among them.
+    pub members: Mutex<Vec<Member>>,
+    /// Connections to other instances.
+    pub peers: net::Client,
+    /// The newest read of the platform, for others that follow it.
+    pub news: watch::Sender<Arc<News>>,
     /// The steps that this instance runs.
     pub works: Shards<Arc<str>, Arc<Work>>,
     /// What this instance has read of the results of other steps.
@@ -79,6 +88,9 @@
             plain: Mutex::default(),
             fleet: Mutex::default(),
             room: Notify::new(),
+            members: Mutex::default(),
+            peers: net::Client::idle(IDLE),
+            news: watch::Sender::default(),
             works: Shards::new(),
             shelves: Shards::new(),
             leaving: AtomicBool::new(false),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -74,8 +74,7 @@
     let fence = lease.fence().0;
     log::info!(target: "control", fence; "lease taken");
     let mut tasks = JoinSet::new();
-    tasks.spawn(news::follow_plan(app.clone()));
-    tasks.spawn(news::follow_list(app.clone()));
+    tasks.spawn(news::follow(app.clone()));
     let targets = targets::Targets::default();
     tasks.spawn(targets::follow(app.clone(), targets.clone()));
     tasks.spawn(orphans::run(app.clone(), targets.clone()));
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -72,8 +72,8 @@
             let live: Set<_> = entries
                 .items
                 .iter()
-                .filter_map(|item| member::owner(&item.value))
-                .map(|owner| (owner.instance, owner.start))
+                .filter_map(|item| member::read(&item.value))
+                .map(|member| (member.owner.instance, member.owner.start))
                 .collect();
             for item in &heads.items {
                 self.look(app, targets, item, &live).await?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod meter;
 pub mod news;
 pub mod owner;
+pub mod peer;
 pub mod refuse;
 pub mod run;
 pub mod settings;
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -1,5 +1,6 @@
 //! An instance's own entry at the platform: others see from it that this start lives.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,10 +10,13 @@
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time::sleep;
 
 use crate::App;
 use crate::news::Reach;
+use crate::settings::Role;
 
 /// What the keys of instances begin with.
 pub const INSTANCES: &str = "snipeway/instance/";
@@ -24,6 +28,9 @@
 /// Time between two renewals.
 const RENEW: Duration = Duration::from_millis(900);
 
+/// Time between two reads of all entries; an instance that is asked in vain costs one time limit.
+const FOLLOW: Duration = Duration::from_secs(3);
+
 /// Pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(250);
 
@@ -32,11 +39,35 @@
     format!("{INSTANCES}{instance}")
 }
 
+/// An instance's entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Which start of which instance.
+    pub owner: Owner,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Where others reach it.
+    pub addr: SocketAddr,
+    /// Whether it reads the list of upstreams for others.
+    pub reads: bool,
+}
+
 /// Reads an entry.
-pub fn owner(value: &[u8]) -> Option<Owner> {
+pub fn read(value: &[u8]) -> Option<Member> {
     record::decode(value).ok()
 }
 
+/// Follows the entries of all instances.
+pub async fn follow(app: Arc<App>) {
+    loop {
+        if let Ok(range) = app.plat.stale(INSTANCES).await {
+            let members = range.items.iter().filter_map(|item| read(&item.value));
+            *app.members.lock() = members.collect();
+        }
+        sleep(FOLLOW).await;
+    }
+}
+
 /// Keeps the entry until the instance has left.
 pub async fn keep(app: Arc<App>) {
     let mut reach = Reach::new("own entry");
@@ -58,7 +89,13 @@
 
 async fn enter(app: &App) -> Result<i64, PlatError> {
     let lease = app.plat.grant(TTL.max(app.settings.shortest)).await?.id;
-    let value = record::encode(&app.me).map_err(|_| PlatError::Garbled)?;
+    let member = Member {
+        owner: app.me.clone(),
+        domain: app.settings.domain.clone(),
+        addr: SocketAddr::new(app.settings.address, app.settings.peer),
+        reads: app.settings.role == Role::Entry,
+    };
+    let value = record::encode(&member).map_err(|_| PlatError::Garbled)?;
     let put = Put {
         key: key(&app.me.instance),
         value,
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -4,79 +4,34 @@
 use std::time::Duration;
 
 use kernel::Millis;
-use plat::Change;
 use plat::Item;
 use plat::PlatError;
+use serde::Deserialize;
+use serde::Serialize;
 use table::Belief;
 use table::Plan;
 
 use crate::App;
+use crate::peer;
 
-/// Longest time that one watch of the configuration waits, in milliseconds: each watch is a call
-/// that the platform counts, and platforms let them wait up to half a minute.
-const WATCH: Millis = 20_000;
-
-/// Pause after a failed call: short, since a change has to be in force within seconds of the
-/// platform's return.
-const AGAIN: Duration = Duration::from_millis(300);
-
-/// Time between two reads of the list of upstreams. A leaving upstream must get nothing new two
-/// seconds after the platform knows; reading twice in that time survives one lost read.
+/// Time between two reads. A leaving upstream must get nothing new two seconds after the platform
+/// knows, and a configuration must be in force by then; a read of this pace that fails once still
+/// leaves time for the next one.
 const LIST: Duration = Duration::from_millis(850);
 
-/// Follows the configuration.
-pub async fn follow_plan(app: Arc<App>) {
-    let key = app.dialect.places().plan;
-    let mut rev = None;
-    let mut reach = Reach::new("configuration");
-    loop {
-        let next = match rev {
-            None => read_plan(&app, key).await,
-            Some(rev) => watch_plan(&app, key, rev).await,
-        };
-        rev = match next {
-            Ok(next) => {
-                reach.back();
-                Some(next)
-            }
-            // History is gone, or the answer made no sense: read the newest state.
-            Err(PlatError::Compacted(_) | PlatError::Garbled) => None,
-            Err(error) => {
-                reach.lost(&error);
-                tokio::time::sleep(AGAIN).await;
-                // What changed meanwhile is at hand sooner by a read than by a watch that may be
-                // refused for missing history.
-                None
-            }
-        };
-    }
-}
+/// Shortest pause between two reads.
+const LEAST: Duration = Duration::from_millis(200);
 
-async fn read_plan(app: &App, key: &str) -> Result<i64, PlatError> {
-    match app.plat.get(key).await? {
-        Some(item) => {
-            apply(app, &item);
-            Ok(item.rev)
-        }
-        None => {
-            // Not written yet; a watch from the start of history tells when it is.
-            tokio::time::sleep(AGAIN).await;
-            Err(PlatError::Compacted(0))
-        }
-    }
-}
+/// Time within which the reader of the failure domain has to have newer news, in milliseconds:
+/// somewhat more than the time between two reads.
+const WAIT: Millis = 1_150;
 
-async fn watch_plan(app: &App, key: &str, rev: i64) -> Result<i64, PlatError> {
-    let (changes, next) = app.plat.poll(key, rev, WATCH).await?;
-    for change in changes {
-        if let Change::Put(item) = change
-            && item.key == key
-        {
-            apply(app, &item);
-        }
-    }
-    Ok(next.max(rev))
-}
+/// Age beyond which a reader passes its news on no more: one that is cut off would keep others
+/// from asking for themselves.
+pub const FRESH: Millis = 1_000;
+
+/// Time for which a reader that had nothing in time is not asked again, in milliseconds.
+const SHUN: Millis = 3_000;
 
 /// Puts a configuration in force unless a newer one is.
 fn apply(app: &App, item: &Item) {
@@ -111,28 +66,96 @@
     true
 }
 
-/// Follows the list of upstreams.
+/// A read of the configuration and of the whole list of upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The entries of upstreams.
+    pub items: Vec<Item>,
+    /// The platform's revision.
+    pub rev: i64,
+    /// The configuration; absent when whoever asked has this one already.
+    pub plan: Option<Item>,
+    /// Which read of its reader it is, counted from 1.
+    pub count: u64,
+    /// When it was begun, on the reader's clock.
+    pub at: Millis,
+}
+
+/// What a follower has already.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Have {
+    /// The last read that it has from the reader.
+    pub count: u64,
+    /// The revision of its configuration.
+    pub plan: i64,
+}
+
+/// Follows the configuration and the list of upstreams.
 ///
-/// Each read gives the whole list, so nothing can be missed when the platform drops its history or
-/// a watch hears nothing.
-pub async fn follow_list(app: Arc<App>) {
-    let mut reach = Reach::new("upstreams");
+/// One instance of each failure domain reads the platform, the others follow it; whoever hears
+/// nothing from it in time reads for itself. Each read gives the whole state. A watch would cost
+/// less, but may be silent for many seconds after the platform has dropped its history, and a
+/// change of the configuration would come into force long after its bound.
+pub async fn follow(app: Arc<App>) {
+    let mut reach = Reach::new("configuration and upstreams");
+    let mut have = Have::default();
+    let mut shunned = 0;
     loop {
-        match read_list(&app).await {
-            Ok(()) => reach.back(),
+        let begun = app.clock.now();
+        let told = match begun < shunned {
+            true => peer::Heard::Reader,
+            false => peer::news(&app, have, WAIT).await,
+        };
+        let news = match told {
+            peer::Heard::News(news) => {
+                have.count = news.count;
+                take(&app, news, &mut have);
+                reach.back();
+                continue;
+            }
+            peer::Heard::Nothing => {
+                have.count = 0;
+                shunned = app.clock.now() + SHUN;
+                read(&app).await
+            }
+            peer::Heard::Reader => read(&app).await,
+        };
+        match news {
+            Ok(news) => {
+                reach.back();
+                take(&app, news, &mut have);
+            }
             Err(error) => reach.lost(&error),
         }
-        let age = app.roster.lock().age(app.clock.now());
-        metrics::gauge!(crate::meter::AGE).set(age.unwrap_or(0) as f64);
-        tokio::time::sleep(LIST).await;
+        let used = Duration::from_millis(app.clock.now() - begun);
+        tokio::time::sleep(LIST.saturating_sub(used).max(LEAST)).await;
     }
 }
 
-async fn read_list(app: &App) -> Result<(), PlatError> {
-    let prefix = app.dialect.places().upstreams;
-    let range = app.plat.list(prefix).await?;
-    let mut list = Vec::with_capacity(range.items.len());
-    for item in &range.items {
+async fn read(app: &App) -> Result<News, PlatError> {
+    let places = app.dialect.places();
+    let at = app.clock.now();
+    let (plan, range) = tokio::join!(app.plat.get(places.plan), app.plat.list(places.upstreams));
+    let range = range?;
+    let news = News {
+        items: range.items,
+        rev: range.rev,
+        plan: plan?,
+        count: app.news.borrow().count + 1,
+        at,
+    };
+    app.news.send_replace(Arc::new(news.clone()));
+    Ok(news)
+}
+
+/// Takes in a read.
+fn take(app: &App, news: News, have: &mut Have) {
+    if let Some(plan) = news.plan.filter(|plan| plan.rev > have.plan) {
+        have.plan = plan.rev;
+        apply(app, &plan);
+    }
+    let mut list = Vec::with_capacity(news.items.len());
+    for item in &news.items {
         match app.dialect.listed(&item.key, &item.value) {
             Ok(one) => list.push(one),
             Err(error) => {
@@ -143,18 +166,18 @@
         }
     }
     let now = app.clock.now();
-    let news = {
+    let beliefs = {
         let mut roster = app.roster.lock();
-        let news = roster.read(list, now);
-        app.fleet.lock().prune(&roster);
+        let beliefs = roster.read(list, now);
         app.plain.lock().prune(&roster);
-        news
+        app.fleet.lock().prune(&roster);
+        beliefs
     };
-    for belief in &news {
-        tell(belief, range.rev);
+    for belief in &beliefs {
+        tell(belief, news.rev);
     }
+    metrics::gauge!(crate::meter::AGE).set(0.0);
     app.room.notify_waiters();
-    Ok(())
 }
 
 fn tell(belief: &Belief, rev: i64) {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -144,13 +144,16 @@
         let more = listed.wait_for(|count| *count > from);
         // The wait ends without a result when the time is over, or the step has been dropped.
         let _ = timeout(Duration::from_millis(wait), more).await;
-        let entries = {
+        let page = {
             let ledger = self.ledger.lock();
-            ledger.listed().get(from..).unwrap_or_default().to_vec()
+            Page {
+                total: self.head.total,
+                segments: ledger.segments(),
+                entries: ledger.listed().get(from..).unwrap_or_default().to_vec(),
+            }
         };
-        let total = self.head.total;
-        let sure = !entries.is_empty() || self.is_sure(app).await;
-        sure.then_some(Page { total, entries })
+        let sure = !page.entries.is_empty() || self.is_sure(app).await;
+        sure.then_some(page)
     }
 
     /// Tells whether nobody else can have listed results that are not known here.
--- /dev/null
+++ b/crates/node/src/peer.rs
@@ -0,0 +1,218 @@
+//! What instances ask one another, as HTTP with MessagePack bodies.
+//!
+//! Everything here spares the platform calls or gets round an outage that concerns one instance;
+//! nothing depends on an answer. Others are known from their entries at the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use batch::record;
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use kernel::Millis;
+use net::Reply;
+use plat::Answer;
+use plat::Call;
+use plat::PlatError;
+use plat::Relay;
+use plat::relay::Relayed;
+use rand::seq::IndexedRandom;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::App;
+use crate::member::Member;
+use crate::news::FRESH;
+use crate::news::Have;
+use crate::news::News;
+use crate::shelf::Page;
+
+/// Time that an answer may take beyond what it may wait for: milliseconds within a region, and a
+/// busy instance has a part of one core.
+const LIMIT: Millis = 350;
+
+/// Time that a relayed call may take beyond its own wait: the platform's time limit and ours.
+const RELAY: Millis = 1_300;
+
+/// Most bytes of a question or an answer.
+const MOST: usize = 16 << 20;
+
+/// A question.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Ask {
+    /// Results of a step that the other one runs.
+    Page {
+        step: Arc<str>,
+        from: usize,
+        wait: Millis,
+    },
+    /// A read of the platform that is newer than what the follower has.
+    News { have: Have, wait: Millis },
+    /// A call of the platform.
+    Relay(Call),
+}
+
+/// An answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum Told {
+    Page(Option<Page>),
+    News(Option<News>),
+    Relay(Result<Answer, PlatError>),
+}
+
+/// Answers a question.
+pub async fn answer(app: &Arc<App>, call: net::Call) -> Reply {
+    let body = match net::body::read(call.body, MOST).await {
+        Ok(body) => body,
+        Err(error) => return improper(&error),
+    };
+    let told = match record::decode(&body) {
+        Ok(ask) => tell(app, ask).await,
+        Err(error) => return improper(&error),
+    };
+    match record::encode(&told) {
+        Ok(bytes) => net::body::reply(StatusCode::OK, "application/msgpack", bytes),
+        Err(error) => improper(&error),
+    }
+}
+
+fn improper(error: &dyn std::fmt::Display) -> Reply {
+    let error = error.to_string();
+    log::warn!(target: "peer", error = error.as_str(); "improper question");
+    net::body::reply(StatusCode::BAD_REQUEST, "text/plain", error)
+}
+
+async fn tell(app: &Arc<App>, ask: Ask) -> Told {
+    match ask {
+        Ask::Page { step, from, wait } => match app.works.get(&step) {
+            Some(work) => Told::Page(work.page(app, from, wait).await),
+            None => Told::Page(None),
+        },
+        Ask::News { have, wait } => Told::News(newer(app, have, wait).await),
+        // Never through a third one: two that are turned away would ask each other forever.
+        Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
+    }
+}
+
+/// Waits for a read of the platform that is newer than what a follower has.
+async fn newer(app: &App, have: Have, wait: Millis) -> Option<News> {
+    let mut news = app.news.subscribe();
+    let newer = news.wait_for(|news| {
+        let fresh = app.clock.now() < news.at + FRESH;
+        news.count > have.count && fresh
+    });
+    let found = tokio::time::timeout(Duration::from_millis(wait), newer).await;
+    let found = found.ok()?.ok()?;
+    let mut news = News::clone(&found);
+    news.plan = news.plan.filter(|plan| plan.rev > have.plan);
+    Some(news)
+}
+
+async fn ask(app: &App, addr: SocketAddr, ask: &Ask, limit: Millis) -> Option<Told> {
+    let body = record::encode(ask).ok()?;
+    let request = Request::post(net::client::uri(addr, "/peer"))
+        .body(Full::new(Bytes::from(body)))
+        .ok()?;
+    let limit = Duration::from_millis(limit);
+    match app.peers.fetch(request, limit, MOST).await {
+        Ok(answer) => record::decode(answer.body()).ok(),
+        Err(error) => {
+            let (error, addr) = (error.to_string(), addr.to_string());
+            log::debug!(target: "peer", address = addr.as_str(), error = error.as_str();
+                "no answer from a peer");
+            None
+        }
+    }
+}
+
+/// Asks the owner of a step for results; [`None`] when it does not answer or is not sure.
+pub async fn page(
+    app: &App,
+    owner: &str,
+    step: &Arc<str>,
+    from: usize,
+    wait: Millis,
+) -> Option<Page> {
+    let addr = {
+        let members = app.members.lock();
+        let found = members.iter().find(|one| &*one.owner.instance == owner)?;
+        found.addr
+    };
+    let question = Ask::Page {
+        step: step.clone(),
+        from,
+        wait,
+    };
+    match ask(app, addr, &question, wait + LIMIT).await? {
+        Told::Page(page) => page,
+        _ => None,
+    }
+}
+
+/// What was heard from the reader of this failure domain.
+pub enum Heard {
+    /// A newer read.
+    News(News),
+    /// It had none in time.
+    Nothing,
+    /// This instance is the reader itself.
+    Reader,
+}
+
+/// Asks the reader of this failure domain for a read that is newer than what this instance has.
+pub async fn news(app: &App, have: Have, wait: Millis) -> Heard {
+    let Some(addr) = reader(&app.members.lock(), app) else {
+        return Heard::Reader;
+    };
+    match ask(app, addr, &Ask::News { have, wait }, wait + LIMIT).await {
+        Some(Told::News(Some(news))) => Heard::News(news),
+        _ => Heard::Nothing,
+    }
+}
+
+/// The address of the reader of this failure domain, unless that is this instance.
+fn reader(members: &[Member], app: &App) -> Option<SocketAddr> {
+    let mine = members
+        .iter()
+        .filter(|one| one.reads && one.domain == app.settings.domain);
+    let reader = mine.min_by(|a, b| a.owner.instance.cmp(&b.owner.instance))?;
+    (reader.owner.instance != app.me.instance).then_some(reader.addr)
+}
+
+/// Makes calls of the platform through another instance.
+pub struct Through(pub Weak<App>);
+
+impl Relay for Through {
+    fn relay(&self, call: Call) -> Relayed {
+        let app = self.0.clone();
+        Box::pin(async move {
+            let app = app.upgrade().ok_or(PlatError::Unreachable)?;
+            through(&app, call).await
+        })
+    }
+}
+
+async fn through(app: &App, call: Call) -> Result<Answer, PlatError> {
+    let addr = {
+        let members = app.members.lock();
+        let others: Vec<_> = members
+            .iter()
+            .filter(|one| one.owner.instance != app.me.instance)
+            .collect();
+        let other = others.choose(&mut rand::rng());
+        other.ok_or(PlatError::Unreachable)?.addr
+    };
+    let wait = match &call {
+        Call::Poll { wait, .. } => *wait,
+        _ => 0,
+    };
+    match ask(app, addr, &Ask::Relay(call), wait + RELAY).await {
+        Some(Told::Relay(answer)) => answer,
+        // Nobody knows whether the other one has sent it.
+        _ => Err(PlatError::Silent),
+    }
+}
--- a/crates/node/src/shelf.rs
+++ b/crates/node/src/shelf.rs
@@ -14,13 +14,19 @@
 use plat::Client;
 use plat::Item;
 use plat::PlatError;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Mutex;
 
+use crate::App;
+use crate::peer;
+
 /// What an instance has read of a step's results.
 #[derive(Debug)]
 pub struct Shelf {
     step: Arc<str>,
     total: u32,
+    owner: Arc<str>,
     read: Mutex<Results>,
 }
 
@@ -33,10 +39,12 @@
 }
 
 /// Results from a position on.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
     /// Samples of the step.
     pub total: u32,
+    /// Segments that the results up to the end of the page stand in.
+    pub segments: u32,
     /// The results.
     pub entries: Vec<Entry>,
 }
@@ -47,6 +55,7 @@
         Self {
             step,
             total: head.total,
+            owner: head.owner.instance.clone(),
             read: Mutex::default(),
         }
     }
@@ -61,24 +70,38 @@
     /// # Errors
     ///
     /// Returns [`PlatError`] when there are none here and the platform does not tell.
-    pub async fn page(
-        &self,
-        plat: &Client,
-        from: usize,
-        wait: Millis,
-        now: Millis,
-    ) -> Result<Page, PlatError> {
+    pub async fn page(&self, app: &App, from: usize, wait: Millis) -> Result<Page, PlatError> {
+        let plat = &app.plat;
         let mut read = self.read.lock().await;
-        read.used = now;
-        if read.entries.len() <= from {
-            self.fetch(plat, &mut read).await?;
-        }
-        if read.entries.len() <= from && wait > 0 && read.entries.len() < self.total as usize {
-            self.wait(plat, &mut read, wait).await?;
+        read.used = app.clock.now();
+        let whole = read.entries.len() == self.total as usize;
+        if read.entries.len() <= from && !whole && !self.ask(app, &mut read, wait).await {
+            match read.rev > 0 && wait > 0 {
+                true => self.wait(plat, &mut read, wait).await?,
+                false => self.fetch(plat, &mut read).await?,
+            }
         }
         let entries = read.entries.get(from..).unwrap_or_default().to_vec();
-        let total = self.total;
-        Ok(Page { total, entries })
+        Ok(Page {
+            total: self.total,
+            segments: read.segments,
+            entries,
+        })
+    }
+
+    /// Asks the owner for what is new, which costs the platform no call; tells whether it was sure.
+    async fn ask(&self, app: &App, read: &mut Results, wait: Millis) -> bool {
+        let have = read.entries.len();
+        match peer::page(app, &self.owner, &self.step, have, wait).await {
+            Some(page) => {
+                read.entries.extend(page.entries);
+                read.segments = page.segments;
+                // The revision up to which the platform was read is not that of these results.
+                read.rev = 0;
+                true
+            }
+            None => false,
+        }
     }
 
     /// Reads what is new. The answer is the newest state, so nothing means that there is nothing.
@@ -98,16 +121,13 @@
         Ok(())
     }
 
-    /// Waits for the next segment. A watch that hears nothing may have missed something, so the
-    /// newest state is read once more.
+    /// Waits for the next segment, from the last known revision on: a segment that is there
+    /// already ends the wait at once, so that one call does for both.
     async fn wait(&self, plat: &Client, read: &mut Results, wait: Millis) -> Result<(), PlatError> {
         let prefix = keys::segments(&self.step);
         let Ok((changes, rev)) = plat.poll(&prefix, read.rev, wait).await else {
             return self.fetch(plat, read).await;
         };
-        if changes.is_empty() {
-            return self.fetch(plat, read).await;
-        }
         for change in &changes {
             if let Change::Put(item) = change {
                 self.add(read, item)?;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use http::Method;
 use http::StatusCode;
 use metrics_exporter_prometheus::PrometheusHandle;
 use net::Call;
@@ -14,6 +15,7 @@
 use net::Reply;
 use plat::Client;
 use plat::Protocol;
+use plat::budget::Kind;
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -29,6 +31,7 @@
 use crate::member;
 use crate::meter;
 use crate::news;
+use crate::peer;
 use crate::refuse::Refusal;
 use crate::settings;
 use crate::settings::Role;
@@ -43,6 +46,9 @@
 /// Time between two looks at the settings file, which may change without a signal.
 const LOOK: Duration = Duration::from_secs(2);
 
+/// Time between two reports of the calls of the platform.
+const COUNT: Duration = Duration::from_secs(10);
+
 /// Time between two looks for results in memory that nobody reads.
 const TIDY: Duration = Duration::from_secs(2);
 
@@ -91,7 +97,11 @@
         let scrape = meter::begin();
         let drain = Drain::default();
         let addr = SocketAddr::new(app.settings.address, app.settings.peer);
-        listen(addr, Glue::new(&Arc::new(scrape), metrics), &drain).await?;
+        let inner = Arc::new(Inner {
+            app: app.clone(),
+            scrape,
+        });
+        listen(addr, Glue::new(&inner, inside), &Drain::default()).await?;
         if let Some(addr) = app.settings.ready {
             // Goes on while the instance leaves, to say that it is not ready.
             listen(addr, Glue::new(&app, ready), &Drain::default()).await?;
@@ -100,15 +110,16 @@
             Some(addr) => Some(listen(addr, Glue::new(&app, front::answer), &drain).await?),
             None => None,
         };
+        app.plat
+            .relay(Arc::new(peer::Through(Arc::downgrade(&app))));
         tokio::spawn(member::keep(app.clone()));
+        tokio::spawn(member::follow(app.clone()));
         match app.settings.role {
-            Role::Entry => {
-                tokio::spawn(news::follow_plan(app.clone()));
-                tokio::spawn(news::follow_list(app.clone()));
-            }
+            Role::Entry => drop(tokio::spawn(news::follow(app.clone()))),
             Role::Control => drop(tokio::spawn(control::run(app.clone()))),
         }
         tokio::spawn(tidy(app.clone()));
+        tokio::spawn(count(app.clone()));
         log::info!(target: "start", instance = &*app.me.instance, start = app.me.start,
             domain = &*app.settings.domain; "started");
         Ok(Self { app, drain, front })
@@ -162,9 +173,18 @@
     }
 }
 
-async fn metrics(scrape: Arc<Option<PrometheusHandle>>, _: Call) -> Reply {
+/// What is served to other instances and to operators.
+struct Inner {
+    app: Arc<App>,
+    scrape: Option<PrometheusHandle>,
+}
+
+async fn inside(inner: Arc<Inner>, call: Call) -> Reply {
+    if call.method == Method::POST {
+        return peer::answer(&inner.app, call).await;
+    }
     metrics::gauge!(meter::DROPPED).set(logs::dropped() as f64);
-    let text = scrape.as_ref().as_ref().map(PrometheusHandle::render);
+    let text = inner.scrape.as_ref().map(PrometheusHandle::render);
     net::body::reply(StatusCode::OK, "text/plain", text.unwrap_or_default())
 }
 
@@ -185,6 +205,20 @@
     }
 }
 
+/// Reports the calls of the platform, which it counts and limits.
+async fn count(app: Arc<App>) {
+    loop {
+        sleep(COUNT).await;
+        let used = |kind| app.plat.budget().used(kind);
+        for kind in Kind::ALL {
+            metrics::gauge!(meter::PLATFORM, "kind" => kind.name()).set(used(kind) as f64);
+        }
+        log::info!(target: "platform", reads = used(Kind::Read), stale = used(Kind::Stale),
+            writes = used(Kind::Write), leases = used(Kind::Lease),
+            watches = used(Kind::Watch); "calls so far");
+    }
+}
+
 /// Follows the settings file: the level of the log changes at once, other changes are reported and
 /// hold from the next start on.
 async fn reload(file: String, mut held: Settings) {
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -245,7 +245,7 @@
     let Some(shelf) = find_shelf(app, step).await? else {
         return Ok(None);
     };
-    let page = shelf.page(&app.plat, from, wait, app.clock.now()).await?;
+    let page = shelf.page(app, from, wait).await?;
     Ok(Some(page))
 }
 
--- a/crates/plat/src/budget.rs
+++ b/crates/plat/src/budget.rs
@@ -8,8 +8,10 @@
 /// What a call is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
-    /// A read.
+    /// A read of the newest state.
     Read,
+    /// A read that may be seconds old, which costs the platform a tenth.
+    Stale,
     /// A write.
     Write,
     /// A renewal or grant of a lease.
@@ -19,10 +21,20 @@
 }
 
 impl Kind {
+    /// Every kind.
+    pub const ALL: [Self; 5] = [
+        Self::Read,
+        Self::Stale,
+        Self::Write,
+        Self::Lease,
+        Self::Watch,
+    ];
+
     /// The name in metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::Read => "read",
+            Self::Stale => "stale",
             Self::Write => "write",
             Self::Lease => "lease",
             Self::Watch => "watch",
@@ -39,6 +51,7 @@
 pub struct Budget {
     start: Instant,
     read: Line,
+    stale: Line,
     write: Line,
     lease: Line,
     watch: Line,
@@ -106,6 +119,7 @@
         Self {
             start: Instant::now(),
             read: Line::new(READS),
+            stale: Line::new(READS),
             write: Line::new(WRITES),
             lease: Line::new(LEASES),
             watch: Line::new(WATCHES),
@@ -117,6 +131,7 @@
     fn line(&self, kind: Kind) -> &Line {
         match kind {
             Kind::Read => &self.read,
+            Kind::Stale => &self.stale,
             Kind::Write => &self.write,
             Kind::Lease => &self.lease,
             Kind::Watch => &self.watch,
--- a/crates/plat/src/call.rs
+++ b/crates/plat/src/call.rs
@@ -166,6 +166,10 @@
     /// What the call counts as.
     pub fn kind(&self) -> Kind {
         match self {
+            Self::List {
+                fresh: Fresh::Stale,
+                ..
+            } => Kind::Stale,
             Self::Get(_) | Self::List { .. } => Kind::Read,
             Self::Txn(_) => Kind::Write,
             Self::Grant(_) | Self::Renew(_) | Self::Revoke(_) => Kind::Lease,
--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -3,9 +3,13 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use clock::Clock;
 use http::Request;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
@@ -27,15 +31,19 @@
 use crate::PlatError;
 use crate::Protocol;
 use crate::Range;
+use crate::Relay;
 use crate::Txn;
 use crate::Watch;
 use crate::budget::Kind;
 use crate::proto;
 use crate::protocol::write;
 
-/// Time that a call may take: far above the milliseconds in which the platform answers, and below
-/// the seconds within which news has to be in force.
-const LIMIT: Duration = Duration::from_millis(2_000);
+/// Time that a call may take: far above the milliseconds in which the platform answers, above the
+/// half second of a slow day, and below the seconds within which news has to be in force.
+const LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Time for which calls go through another instance first, once one of our own has failed.
+const DETOUR: Millis = 2_000;
 
 /// Most bytes of an answer: a page of a range is about one megabyte before base64.
 const MOST: usize = 16 << 20;
@@ -47,6 +55,10 @@
     protocol: Arc<dyn Protocol>,
     http: net::Client,
     budget: Arc<Budget>,
+    relay: Arc<OnceLock<Arc<dyn Relay>>>,
+    clock: Clock,
+    /// Until when calls go through another instance first.
+    detour: Arc<AtomicU64>,
 }
 
 impl fmt::Debug for Client {
@@ -70,9 +82,18 @@
             protocol,
             http: net::Client::new(),
             budget: Arc::new(Budget::default()),
+            relay: Arc::default(),
+            clock: Clock::default(),
+            detour: Arc::default(),
         }
     }
 
+    /// Makes calls through others while the platform turns this instance away.
+    pub fn relay(&self, relay: Arc<dyn Relay>) {
+        // The first one stays; an instance has only one way to reach others.
+        let _ = self.relay.set(relay);
+    }
+
     /// The calls that were made.
     pub fn budget(&self) -> &Budget {
         &self.budget
@@ -94,6 +115,39 @@
     /// Returns [`PlatError`]; [`PlatError::is_unclear`] tells whether a write may have taken
     /// effect, or may yet.
     pub async fn call(&self, call: &Call) -> Result<Answer, PlatError> {
+        let Some(relay) = self.relay.get() else {
+            return self.direct(call).await;
+        };
+        // A write that may have taken effect is for the caller to settle, whoever sent it: after
+        // it no later answer may say that nothing was done.
+        let unsettled = |error: &PlatError| error.is_unclear() && matches!(call, Call::Txn(_));
+        if self.clock.now() < self.detour.load(Ordering::Relaxed) {
+            match relay.relay(call.clone()).await {
+                Err(error) if !unsettled(&error) => (),
+                done => return done,
+            }
+        }
+        let error = match self.direct(call).await {
+            Err(error) if error.is_away() => error,
+            done => return done,
+        };
+        let until = self.clock.now() + DETOUR;
+        self.detour.store(until, Ordering::Relaxed);
+        if unsettled(&error) {
+            return Err(error);
+        }
+        match relay.relay(call.clone()).await {
+            Err(other) if !unsettled(&other) => Err(error),
+            done => done,
+        }
+    }
+
+    /// Makes a call without anybody's help.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatError`].
+    pub async fn direct(&self, call: &Call) -> Result<Answer, PlatError> {
         let ask = self.protocol.ask(call)?;
         let limit = match call {
             Call::Poll { wait, .. } => LIMIT + Duration::from_millis(*wait),
--- a/crates/plat/src/error.rs
+++ b/crates/plat/src/error.rs
@@ -33,6 +33,15 @@
 }
 
 impl PlatError {
+    /// Tells whether the platform did not serve this instance, and may serve others.
+    pub fn is_away(&self) -> bool {
+        const BUSY: u16 = 503;
+        matches!(
+            self,
+            Self::Unreachable | Self::Silent | Self::TurnedAway(BUSY)
+        )
+    }
+
     /// Tells whether a write that ended so may have taken effect.
     pub fn is_unclear(&self) -> bool {
         matches!(self, Self::Silent | Self::Garbled)
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod keys;
 pub mod proto;
 pub mod protocol;
+pub mod relay;
 pub mod watch;
 
 pub use budget::Budget;
@@ -33,4 +34,5 @@
 pub use etcd::Etcd;
 pub use protocol::Ask;
 pub use protocol::Protocol;
+pub use relay::Relay;
 pub use watch::Watch;
