Load the oldest engines first, working or not; take own steps up again after a restart

Cause: steps began up to 3 s late because engines that worked were never loaded until their version was too old for the next step; after all processes were killed, steps stood still for 4 s until a new holder of the control lease noticed.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -10,10 +10,10 @@
 use kernel::Millis;
 use table::Listed;
 use tokio::task::JoinSet;
+use weight::Version;
 use weight::swap::Load;
 use weight::swap::Seen;
 use weight::swap::Swap;
-use weight::swap::Target;
 
 use super::targets::Targets;
 use crate::App;
@@ -87,7 +87,7 @@
     async fn serve(
         &mut self,
         service: &Arc<str>,
-        targets: &Map<Arc<str>, Target>,
+        targets: &Map<Arc<str>, Version>,
         lease: &Lease<Held>,
     ) {
         let engines = self.engines(service);
@@ -112,7 +112,7 @@
     async fn look(
         &self,
         engines: &[Arc<Listed>],
-        targets: &Map<Arc<str>, Target>,
+        targets: &Map<Arc<str>, Version>,
     ) -> Map<Arc<str>, Stated> {
         let mut asks = JoinSet::new();
         for one in engines {
@@ -128,12 +128,12 @@
         answers.into_iter().flatten().collect()
     }
 
-    fn may_load(&self, one: &Listed, targets: &Map<Arc<str>, Target>) -> bool {
+    fn may_load(&self, one: &Listed, targets: &Map<Arc<str>, Version>) -> bool {
         let swap = self.swaps.get(&one.service);
         let given = swap.and_then(|swap| swap.model(&one.id));
         let fleet = self.app.fleet.lock();
         let old = |model: &Arc<str>| {
-            let newest = targets.get(model).map(|target| target.newest);
+            let newest = targets.get(model).copied();
             fleet.version(one, model) < newest
         };
         match given {
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -21,7 +21,6 @@
 use plat::Txn;
 use tokio::time::sleep;
 
-use super::targets::Targets;
 use crate::App;
 use crate::member;
 use crate::owner;
@@ -41,11 +40,11 @@
 const TOGETHER: usize = 30;
 
 /// Looks after steps for as long as the lease is held.
-pub async fn run(app: Arc<App>, targets: Targets) {
+pub async fn run(app: Arc<App>) {
     let mut looks = Looks::default();
     loop {
         sleep(LOOK).await;
-        if let Err(error) = looks.turn(&app, &targets).await {
+        if let Err(error) = looks.turn(&app).await {
             let error = error.to_string();
             log::debug!(target: "control", error = error.as_str(); "no look at steps");
             // What was missing before an outage says nothing after it.
@@ -65,7 +64,7 @@
 }
 
 impl Looks {
-    async fn turn(&mut self, app: &Arc<App>, targets: &Targets) -> Result<(), PlatError> {
+    async fn turn(&mut self, app: &Arc<App>) -> Result<(), PlatError> {
         let heads = app.plat.stale(keys::HEADS).await?;
         if !heads.items.is_empty() {
             let entries = app.plat.stale(member::INSTANCES).await?;
@@ -76,7 +75,7 @@
                 .map(|member| (member.owner.instance, member.owner.start))
                 .collect();
             for item in &heads.items {
-                self.look(app, targets, item, &live).await?;
+                self.look(app, item, &live).await?;
             }
         }
         self.empty(app).await
@@ -85,7 +84,6 @@
     async fn look(
         &mut self,
         app: &Arc<App>,
-        targets: &Targets,
         item: &Item,
         live: &Set<(Arc<str>, u64)>,
     ) -> Result<(), PlatError> {
@@ -101,7 +99,6 @@
                 return Ok(());
             }
         };
-        targets.accept(&head.model, head.least);
         let age = app.clock.wall().saturating_sub(head.opened);
         if age > app.settings.keep + SPARE {
             return sweep(app, &step, item).await;
@@ -149,6 +146,38 @@
     }
 }
 
+/// Takes up the steps that this instance owned before it was restarted, without waiting for
+/// anybody to notice: after a loss of power of all instances nobody else would for seconds.
+pub async fn reclaim(app: Arc<App>) {
+    loop {
+        match try_reclaim(&app).await {
+            Ok(()) => return,
+            Err(error) => {
+                let error = error.to_string();
+                log::warn!(target: "control", error = error.as_str(); "steps not reclaimed");
+                sleep(LOOK).await;
+            }
+        }
+    }
+}
+
+async fn try_reclaim(app: &Arc<App>) -> Result<(), PlatError> {
+    for item in app.plat.list(keys::HEADS).await?.items {
+        let Some(step) = keys::step(&item.key).map(Arc::<str>::from) else {
+            continue;
+        };
+        let Ok(head) = record::decode::<Head>(&item.value) else {
+            // Whoever looks after all steps reports it.
+            continue;
+        };
+        let earlier = head.owner.instance == app.me.instance && head.owner.start != app.me.start;
+        if earlier && app.plat.get(&keys::end(&step)).await?.is_none() {
+            take_over(app, &step, &item, head).await?;
+        }
+    }
+    Ok(())
+}
+
 async fn take_over(
     app: &Arc<App>,
     step: &Arc<str>,
--- a/crates/node/src/control/targets.rs
+++ b/crates/node/src/control/targets.rs
@@ -1,4 +1,4 @@
-//! The versions of weights that trainers have announced, and what open steps still accept.
+//! The versions of weights that trainers have announced.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use plat::Item;
 use plat::PlatError;
 use tokio::time::sleep;
-use weight::swap::Target;
+use weight::Version;
 
 use crate::App;
 use crate::news::Reach;
@@ -21,35 +21,26 @@
 /// Pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(300);
 
-/// What is asked of the engines of each model.
+/// The newest version of each model.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
-    all: Arc<Mutex<Map<Arc<str>, Target>>>,
+    all: Arc<Mutex<Map<Arc<str>, Version>>>,
 }
 
 impl Targets {
-    /// A copy of what is asked.
-    pub fn copy(&self) -> Map<Arc<str>, Target> {
+    /// A copy of all.
+    pub fn copy(&self) -> Map<Arc<str>, Version> {
         self.all.lock().clone()
     }
 
-    /// Notes an announced version; tells whether it is new. Until a step says otherwise, the next
-    /// step is taken to accept the version before.
-    pub fn announce(&self, model: Arc<str>, version: u64) -> bool {
+    /// Notes an announced version; tells whether it is new.
+    pub fn announce(&self, model: Arc<str>, version: Version) -> bool {
         let mut all = self.all.lock();
-        let target = all.entry(model).or_default();
-        let new = version > target.newest;
-        target.newest = version.max(target.newest);
-        target.least = target.least.max(version.saturating_sub(1));
+        let newest = all.entry(model).or_default();
+        let new = version > *newest;
+        *newest = version.max(*newest);
         new
     }
-
-    /// Notes the oldest version that a step accepts.
-    pub fn accept(&self, model: &Arc<str>, least: u64) {
-        let mut all = self.all.lock();
-        let target = all.entry(model.clone()).or_default();
-        target.least = least.max(target.least);
-    }
 }
 
 /// Follows what trainers announce.
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -118,6 +118,7 @@
             Role::Entry => drop(tokio::spawn(news::follow(app.clone()))),
             Role::Control => drop(tokio::spawn(control::run(app.clone()))),
         }
+        tokio::spawn(control::orphans::reclaim(app.clone()));
         tokio::spawn(tidy(app.clone()));
         tokio::spawn(count(app.clone()));
         log::info!(target: "start", instance = &*app.me.instance, start = app.me.start,
--- a/crates/weight/src/swap.rs
+++ b/crates/weight/src/swap.rs
@@ -1,8 +1,10 @@
 //! Which engine of a service is ordered to load which version, when several models share it.
 //!
 //! Each engine is given to one model, so that a new version of one model is loaded by that model's
-//! engines only. An engine that works is left alone for as long as its version still serves: a
-//! load takes it out for about a second, in which the samples of a step would wait.
+//! engines only. A few engines load at a time, the oldest version and the least work first: a load
+//! takes an engine out for about a second, and a step begins late when too few engines have a
+//! version that it accepts. Leaving engines alone until they were idle gave a mean worth of 0.51
+//! instead of 0.54 over six days of the school site.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -31,15 +33,6 @@
     }
 }
 
-/// What is asked of a model's engines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Target {
-    /// The newest version.
-    pub newest: Version,
-    /// The oldest version that samples of the next step may come from.
-    pub least: Version,
-}
-
 /// A load to be ordered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -56,16 +49,16 @@
 /// # Examples
 ///
 /// ```
-/// use weight::swap::{Seen, Swap, Target};
+/// use weight::swap::{Seen, Swap};
 ///
 /// let seen = |id: &str, running| Seen {
 ///     id: id.into(), models: vec![("fit".into(), 1)], running, busy: false,
 /// };
-/// let targets = [("fit".into(), Target { newest: 2, least: 1 })].into_iter().collect();
+/// let targets = [("fit".into(), 2)].into_iter().collect();
 /// let engines = [seen("a", 0), seen("b", 4)];
-/// let mut swap = Swap::new(2);
+/// let mut swap = Swap::new(1);
 /// let loads = swap.next(&engines, &targets);
-/// // The idle engine loads; the other one goes on with a version that still serves.
+/// // The idle engine loads first.
 /// assert_eq!(loads.iter().map(|load| &*load.id).collect::<Vec<_>>(), ["a"]);
 /// ```
 #[derive(Debug)]
@@ -150,7 +143,7 @@
     }
 
     /// Says which loads to order now.
-    pub fn next(&mut self, engines: &[Seen], targets: &Map<Arc<str>, Target>) -> Vec<Load> {
+    pub fn next(&mut self, engines: &[Seen], targets: &Map<Arc<str>, Version>) -> Vec<Load> {
         self.share(engines);
         let loading = engines.iter().filter(|engine| engine.busy).count();
         let room = self.width.saturating_sub(loading);
@@ -170,14 +163,12 @@
     fn due(
         &self,
         engine: &Seen,
-        targets: &Map<Arc<str>, Target>,
+        targets: &Map<Arc<str>, Version>,
     ) -> Option<(Version, u32, Arc<str>, Arc<str>, Version)> {
         let model = self.given.get(&engine.id)?;
-        let target = targets.get(model)?;
+        let newest = *targets.get(model)?;
         let version = engine.version(model)?;
-        let useless = version < target.least;
-        let spare = engine.running == 0;
-        if version >= target.newest || !(useless || spare) {
+        if version >= newest {
             return None;
         }
         let due = (
@@ -185,7 +176,7 @@
             engine.running,
             engine.id.clone(),
             model.clone(),
-            target.newest,
+            newest,
         );
         Some(due)
     }
