Go on with samples that an earlier step has left over

Cause: groups that were not whole when their step ended come again in the next one, and were made from the start.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -38,6 +38,7 @@
 use crate::App;
 use crate::control;
 use crate::meter;
+use crate::peer;
 use crate::run::Draft;
 use crate::run::Ended;
 use crate::run::Run;
@@ -77,6 +78,8 @@
     head: Head,
     rev: i64,
     spec: Arc<Spec>,
+    /// What each sample has so far, by its place in the step.
+    drafts: Vec<Mutex<Draft>>,
     /// When the step was opened, on this instance's clock.
     opened: Millis,
     ledger: Mutex<Ledger>,
@@ -84,13 +87,17 @@
     confirmed: AtomicU64,
     ended: AtomicBool,
     lost: AtomicBool,
+    /// Whether another step goes on with what this one has left over.
+    handed: AtomicBool,
     bell: Notify,
 }
 
 impl Work {
     fn new(app: &App, step: &Arc<str>, head: Head, spec: Spec, rev: i64, opened: Millis) -> Self {
         let ledger = Ledger::new(head.total, GATHER);
+        let drafts = spec.samples.iter().map(|_| Mutex::default());
         Self {
+            drafts: drafts.collect(),
             step: step.clone(),
             head,
             rev,
@@ -101,6 +108,7 @@
             confirmed: AtomicU64::new(app.clock.now()),
             ended: AtomicBool::new(false),
             lost: AtomicBool::new(false),
+            handed: AtomicBool::new(false),
             bell: Notify::new(),
         }
     }
@@ -181,6 +189,50 @@
             .cloned()
     }
 
+    /// Hands over what the step has left over of some samples, once it has ended.
+    pub fn hand(&self, model: &str, samples: &[Arc<str>]) -> Vec<(Arc<str>, Draft)> {
+        if !self.has_ended() || *self.head.model != *model {
+            return Vec::new();
+        }
+        let all = self.spec.samples.iter().zip(&self.drafts);
+        let left = all.filter(|(sample, _)| samples.contains(&sample.id));
+        let left = left.map(|(sample, draft)| (sample.id.clone(), draft.lock().clone()));
+        let left: Vec<_> = left.filter(|(_, draft)| draft.last > 0).collect();
+        if !left.is_empty() {
+            self.handed.store(true, Ordering::Relaxed);
+            self.bell.notify_one();
+        }
+        left
+    }
+
+    /// Takes over what an earlier step has left over, as far as the versions do here; gives the
+    /// number of samples.
+    fn take_drafts(&self, drafts: Vec<(Arc<str>, Draft)>) -> usize {
+        let mut left: Map<Arc<str>, Draft> = Map::default();
+        for (id, draft) in drafts {
+            let fits = draft
+                .versions
+                .iter()
+                .all(|version| *version >= self.head.least);
+            let longer = left.get(&id).is_none_or(|have| have.last < draft.last);
+            if fits && longer {
+                left.insert(id, draft);
+            }
+        }
+        let ledger = self.ledger.lock();
+        let mut taken = 0;
+        for (index, sample) in self.spec.samples.iter().enumerate() {
+            let Some(draft) = left.remove(&sample.id) else {
+                continue;
+            };
+            if !ledger.has_ended(index as u32) {
+                *self.drafts[index].lock() = draft;
+                taken += 1;
+            }
+        }
+        taken
+    }
+
     fn entry(&self, index: u32, outcome: Outcome, draft: Draft) -> Entry {
         let id = self.spec.samples[index as usize].id.clone();
         Entry {
@@ -227,13 +279,21 @@
     app.shelves.remove(&work.step);
     let app = app.clone();
     tokio::spawn(async move {
-        Drive::new(&app, &work).run().await;
+        gather(&app, &work).await;
+        let mut drive = Drive::new(&app, &work);
+        drive.run().await;
         let ledger_done = work.ledger.lock().is_done();
         log::info!(target: "owner", id = &*work.step, ended = work.has_ended(),
             lost = work.is_lost(), whole = ledger_done; "step done");
         if !work.is_lost() {
-            sleep(LINGER).await;
+            let lingers = async {
+                drive.leave().await;
+                sleep(LINGER).await;
+            };
+            // The time is over, or a later step has what was left over.
+            let _ = timeout(LINGER, lingers).await;
         }
+        drop(drive);
         app.works.with(&work.step, |map| {
             if map
                 .get(&work.step)
@@ -245,6 +305,26 @@
     });
 }
 
+/// Gathers what earlier steps have left over of this step's samples, from all instances.
+async fn gather(app: &Arc<App>, work: &Work) {
+    let single = work.route(app).is_none_or(|route| route.single);
+    if single {
+        return;
+    }
+    let samples: Vec<_> = work.spec.samples.iter().map(|one| one.id.clone()).collect();
+    let mut drafts = peer::drafts(app, &work.head.model, &samples).await;
+    app.works.each(|map| {
+        for other in map.values() {
+            drafts.extend(other.hand(&work.head.model, &samples));
+        }
+    });
+    let found = drafts.len();
+    let taken = work.take_drafts(drafts);
+    if found > 0 {
+        log::info!(target: "owner", id = &*work.step, found, taken; "left-over samples taken up");
+    }
+}
+
 /// What a write of a segment came to.
 enum Written {
     /// It is at the platform; the write was sent at this time.
@@ -260,15 +340,13 @@
 /// What a run came to.
 struct Ran {
     index: u32,
-    draft: Draft,
     ended: Ended,
     engine: Arc<Listed>,
 }
 
-/// A sample that has to run, with what it has so far.
+/// A sample that has to run.
 struct Todo {
     job: Job,
-    draft: Draft,
     avoid: Vec<Arc<str>>,
 }
 
@@ -291,17 +369,20 @@
         let ledger = work.ledger.lock();
         let samples = work.spec.samples.iter().enumerate();
         let jobs = samples
-            .map(|(index, sample)| Job {
-                index: index as u32,
-                group: sample.group.clone(),
-                expected: sample.expected,
+            .map(|(index, sample)| {
+                let last = work.drafts[index].lock().last;
+                Job {
+                    index: index as u32,
+                    group: sample.group.clone(),
+                    expected: sample.expected.saturating_sub(last as u32),
+                    carried: last > 0,
+                }
             })
             .filter(|job| !ledger.has_ended(job.index))
             .collect();
         let jobs = place::order(jobs, work.head.wanted);
         let todo = jobs.into_iter().map(|job| Todo {
             job,
-            draft: Draft::default(),
             avoid: Vec::new(),
         });
         Self {
@@ -346,6 +427,18 @@
         }
     }
 
+    /// Lets running samples go on after the end of their step, until a later step has asked for
+    /// them or they have ended. Groups that were left over come again within a second or two, and
+    /// what is made meanwhile need not be made again.
+    async fn leave(&mut self) {
+        while !self.work.handed.load(Ordering::Relaxed) {
+            tokio::select! {
+                ran = self.runs.join_next() => if ran.is_none() { return },
+                () = self.work.bell.notified() => (),
+            }
+        }
+    }
+
     /// Begins as many runs as there is room for.
     fn place(&mut self) {
         if self.todo.is_empty() {
@@ -376,7 +469,8 @@
 
     fn choose(&self, route: &Route, todo: &Todo) -> Option<(Arc<str>, Arc<Listed>)> {
         let service = Plan::draw(route, rand::random())?;
-        let newest = todo.draft.versions.iter().copied().max().unwrap_or(0);
+        let draft = self.work.drafts[todo.job.index as usize].lock();
+        let newest = draft.versions.iter().copied().max().unwrap_or(0);
         let want = Want {
             service,
             model: Some(&self.work.head.model),
@@ -409,15 +503,13 @@
             single: route.single,
             engine: engine.clone(),
         };
-        let spec = self.work.spec.clone();
+        let work = self.work.clone();
         let index = todo.job.index;
-        let mut draft = todo.draft;
         self.runs.spawn(async move {
-            let sample = &spec.samples[index as usize];
-            let ended = run.go(sample, &mut draft).await;
+            let at = index as usize;
+            let ended = run.go(&work.spec.samples[at], &work.drafts[at]).await;
             Ran {
                 index,
-                draft,
                 ended,
                 engine,
             }
@@ -458,12 +550,15 @@
     fn take(&mut self, ran: Ran) {
         let Ran {
             index,
-            mut draft,
             ended,
             engine,
         } = ran;
+        let draft = &self.work.drafts[index as usize];
         match ended {
-            Ended::Whole => return self.finish(index, Outcome::Whole, draft),
+            Ended::Whole => {
+                let draft = draft.lock().clone();
+                return self.finish(index, Outcome::Whole, draft);
+            }
             Ended::Hopeless => return self.finish(index, Outcome::Failed, Draft::default()),
             Ended::Failed => {
                 let failures = self.failures.entry(index).or_default();
@@ -477,7 +572,7 @@
             Ended::Broken(why) if why.starts_with("version") => {
                 let single = self.work.route(self.app).is_some_and(|route| route.single);
                 if single {
-                    draft = Draft::default();
+                    *draft.lock() = Draft::default();
                 }
             }
             Ended::Unrun | Ended::Moved | Ended::Broken(_) => (),
@@ -487,12 +582,13 @@
             index,
             group: sample.group.clone(),
             expected: sample.expected,
+            carried: false,
         };
         let avoid = match ended {
             Ended::Unrun => Vec::new(),
             _ => vec![engine.id.clone()],
         };
-        self.todo.push_front(Todo { job, draft, avoid });
+        self.todo.push_front(Todo { job, avoid });
     }
 
     fn finish(&mut self, index: u32, outcome: Outcome, draft: Draft) {
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -23,12 +23,14 @@
 use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::task::JoinSet;
 
 use crate::App;
 use crate::member::Member;
 use crate::news::FRESH;
 use crate::news::Have;
 use crate::news::News;
+use crate::run::Draft;
 use crate::shelf::Page;
 
 /// Time that an answer may take beyond what it may wait for: milliseconds within a region, and a
@@ -38,6 +40,10 @@
 /// Time that a relayed call may take beyond its own wait: the platform's time limit and ours.
 const RELAY: Millis = 1_300;
 
+/// Time for which a step waits for what earlier ones have left over, in milliseconds: some ways
+/// within a region; a step begins that much later when an instance does not answer.
+const DRAFTS: Millis = 60;
+
 /// Most bytes of a question or an answer.
 const MOST: usize = 16 << 20;
 
@@ -52,6 +58,11 @@
     },
     /// A read of the platform that is newer than what the follower has.
     News { have: Have, wait: Millis },
+    /// What ended steps have left over of some samples.
+    Drafts {
+        model: Arc<str>,
+        samples: Vec<Arc<str>>,
+    },
     /// A call of the platform.
     Relay(Call),
 }
@@ -61,6 +72,7 @@
 enum Told {
     Page(Option<Page>),
     News(Option<News>),
+    Drafts(Vec<(Arc<str>, Draft)>),
     Relay(Result<Answer, PlatError>),
 }
 
@@ -93,6 +105,15 @@
             None => Told::Page(None),
         },
         Ask::News { have, wait } => Told::News(newer(app, have, wait).await),
+        Ask::Drafts { model, samples } => {
+            let mut left = Vec::new();
+            app.works.each(|map| {
+                for work in map.values() {
+                    left.extend(work.hand(&model, &samples));
+                }
+            });
+            Told::Drafts(left)
+        }
         // Never through a third one: two that are turned away would ask each other forever.
         Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
     }
@@ -163,6 +184,40 @@
     Reader,
 }
 
+/// Asks all other instances for what ended steps have left over of some samples.
+pub async fn drafts(
+    app: &Arc<App>,
+    model: &Arc<str>,
+    samples: &[Arc<str>],
+) -> Vec<(Arc<str>, Draft)> {
+    let others = others(app);
+    let question = Arc::new(Ask::Drafts {
+        model: model.clone(),
+        samples: samples.to_vec(),
+    });
+    let mut asks = JoinSet::new();
+    for addr in others {
+        let (app, question) = (app.clone(), question.clone());
+        asks.spawn(async move { ask(&app, addr, &question, DRAFTS).await });
+    }
+    let mut left = Vec::new();
+    for told in asks.join_all().await {
+        if let Some(Told::Drafts(drafts)) = told {
+            left.extend(drafts);
+        }
+    }
+    left
+}
+
+/// The addresses of all other instances.
+fn others(app: &App) -> Vec<SocketAddr> {
+    let members = app.members.lock();
+    let others = members
+        .iter()
+        .filter(|one| one.owner.instance != app.me.instance);
+    others.map(|one| one.addr).collect()
+}
+
 /// Asks the reader of this failure domain for a read that is newer than what this instance has.
 pub async fn news(app: &App, have: Have, wait: Millis) -> Heard {
     let Some(addr) = reader(&app.members.lock(), app) else {
@@ -197,15 +252,9 @@
 }
 
 async fn through(app: &App, call: Call) -> Result<Answer, PlatError> {
-    let addr = {
-        let members = app.members.lock();
-        let others: Vec<_> = members
-            .iter()
-            .filter(|one| one.owner.instance != app.me.instance)
-            .collect();
-        let other = others.choose(&mut rand::rng());
-        other.ok_or(PlatError::Unreachable)?.addr
-    };
+    let others = others(app);
+    let other = others.choose(&mut rand::rng());
+    let addr = *other.ok_or(PlatError::Unreachable)?;
     let wait = match &call {
         Call::Poll { wait, .. } => *wait,
         _ => 0,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -8,7 +8,10 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 use kernel::Millis;
+use parking_lot::Mutex;
 use place::Want;
+use serde::Deserialize;
+use serde::Serialize;
 use table::Listed;
 use tokio::time::timeout;
 
@@ -32,7 +35,7 @@
 const LOOK: u64 = 4;
 
 /// What a sample has so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Draft {
     /// The last event.
     pub last: u64,
@@ -110,10 +113,10 @@
 
 impl Run {
     /// Runs the sample on from what it has. The place at the engine was taken by whoever chose it.
-    pub async fn go(&self, sample: &Sample, draft: &mut Draft) -> Ended {
+    pub async fn go(&self, sample: &Sample, draft: &Mutex<Draft>) -> Ended {
         let _place = Place(self);
         let begun = self.app.clock.now();
-        let first = draft.last;
+        let first = draft.lock().last;
         let ended = self.attempt(sample, draft).await;
         if !matches!(
             ended,
@@ -134,15 +137,16 @@
             Ended::Broken(why) => why,
         };
         log::info!(target: "run", id = &*sample.id, step = &*self.step,
-            upstream = &*self.engine.id, from = first, to = draft.last, took_ms = took,
+            upstream = &*self.engine.id, from = first, to = draft.lock().last, took_ms = took,
             outcome; "run ended");
         metrics::counter!(crate::meter::ATTEMPTS, "outcome" => outcome).increment(1);
         ended
     }
 
-    async fn attempt(&self, sample: &Sample, draft: &mut Draft) -> Ended {
+    async fn attempt(&self, sample: &Sample, draft: &Mutex<Draft>) -> Ended {
+        let last = draft.lock().last;
         let dialect = &self.app.dialect;
-        let request = match dialect.sample(sample, &self.host, &self.engine, draft.last) {
+        let request = match dialect.sample(sample, &self.host, &self.engine, last) {
             Ok(request) => request,
             Err(error) => {
                 let why = error.to_string();
@@ -161,7 +165,7 @@
     async fn answer(
         &self,
         sample: &Sample,
-        draft: &mut Draft,
+        draft: &Mutex<Draft>,
         answer: Response<Incoming>,
     ) -> Ended {
         let now = self.app.clock.now();
@@ -188,7 +192,7 @@
         let Some(version) = said.version else {
             return rest(draft, &mut events).await;
         };
-        if !self.admit(draft, version) {
+        if !self.admit(&draft.lock(), version) {
             return Ended::Broken("version too old");
         }
         self.events(sample, draft, version, events).await
@@ -207,7 +211,7 @@
     async fn events(
         &self,
         sample: &Sample,
-        draft: &mut Draft,
+        draft: &Mutex<Draft>,
         mut version: u64,
         mut events: Events,
     ) -> Ended {
@@ -217,7 +221,7 @@
             let next = timeout(SILENCE, events.next()).await;
             let block = match next {
                 Ok(Next::Block(block)) => block,
-                Ok(Next::End) if draft.last > 0 => return Ended::Whole,
+                Ok(Next::End) if draft.lock().last > 0 => return Ended::Whole,
                 Ok(Next::End) => return Ended::Broken("empty"),
                 Ok(Next::Broken) => return Ended::Broken("stream broke"),
                 Err(_) => return Ended::Broken("silent"),
@@ -227,11 +231,11 @@
             };
             if let Some(next) = event.version {
                 version = next;
-                if !self.admit(draft, version) {
+                if !self.admit(&draft.lock(), version) {
                     return Ended::Broken("version changed");
                 }
             }
-            if !draft.add(&event, version) {
+            if !draft.lock().add(&event, version) {
                 return Ended::Broken("event out of turn");
             }
             let now = self.app.clock.now();
@@ -241,7 +245,7 @@
                 self.app.fleet.lock().event(&self.engine.id, gap);
             }
             at = now;
-            if seen.is_multiple_of(LOOK) && self.had_better_move(sample, draft) {
+            if seen.is_multiple_of(LOOK) && self.had_better_move(sample, &draft.lock()) {
                 return Ended::Moved;
             }
         }
@@ -281,9 +285,9 @@
 /// A run that broke off behind its last event leaves a text that is whole, and nobody knows it.
 /// Taking it up gives an answer without events, and so without a version; unless that counts as
 /// the end, the sample is asked for again and again until its step is over.
-async fn rest(draft: &Draft, events: &mut Events) -> Ended {
+async fn rest(draft: &Mutex<Draft>, events: &mut Events) -> Ended {
     match timeout(SILENCE, events.next()).await {
-        Ok(Next::End) if draft.last > 0 => Ended::Whole,
+        Ok(Next::End) if draft.lock().last > 0 => Ended::Whole,
         _ => Ended::Broken("no version"),
     }
 }
--- a/crates/place/src/order.rs
+++ b/crates/place/src/order.rs
@@ -2,7 +2,8 @@
 //!
 //! A group counts only whole, and the trainer goes on once enough groups are. So the groups whose
 //! longest sample is expected to be longest begin first, except for as many of the very longest as
-//! the trainer does not wait for: they begin last.
+//! the trainer does not wait for: they begin last. A group that was left over from an earlier step
+//! is waited for in any case, so it begins before all others.
 
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -18,6 +19,8 @@
     pub group: Arc<str>,
     /// Events that it is expected to have.
     pub expected: u32,
+    /// Whether it was left over from an earlier step.
+    pub carried: bool,
 }
 
 /// Orders the samples of a step, of whose groups `wanted` are waited for.
@@ -27,21 +30,25 @@
 /// ```
 /// use place::{Job, order};
 ///
-/// let job = |index, group: &str, expected| Job { index, group: group.into(), expected };
+/// let job = |index, group: &str, expected| Job {
+///     index, group: group.into(), expected, carried: false,
+/// };
 /// let jobs = vec![job(0, "a", 5), job(1, "b", 90), job(2, "c", 20), job(3, "c", 1)];
 /// let order: Vec<_> = order(jobs, 2).iter().map(|job| job.index).collect();
 /// assert_eq!(order, [2, 3, 0, 1]);
 /// ```
 pub fn order(mut jobs: Vec<Job>, wanted: u32) -> Vec<Job> {
-    let mut longest: Map<Arc<str>, u32> = Map::default();
+    let mut groups: Map<Arc<str>, (bool, u32)> = Map::default();
     for job in &jobs {
-        let most = longest.entry(job.group.clone()).or_default();
-        *most = job.expected.max(*most);
+        let (carried, longest) = groups.entry(job.group.clone()).or_default();
+        *carried |= job.carried;
+        *longest = job.expected.max(*longest);
     }
-    let mut groups: Vec<_> = longest.into_iter().collect();
+    let mut groups: Vec<_> = groups.into_iter().collect();
     groups.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
-    let spare = groups.len().saturating_sub(wanted as usize);
-    groups.rotate_left(spare);
+    let carried = groups.iter().filter(|(_, (carried, _))| *carried).count();
+    let spare = groups.len().saturating_sub(carried.max(wanted as usize));
+    groups[carried..].rotate_left(spare);
     let rank: Map<Arc<str>, usize> = groups
         .into_iter()
         .enumerate()
