--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,4 +31,5 @@
 pub use app::App;
 pub use dialect::Dialect;
 pub use settings::Settings;
+pub use start::Running;
 pub use start::run;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -60,8 +60,9 @@
 const HEADERS: Duration = Duration::from_secs(20);
 
 /// A running instance.
-struct Running {
-    app: Arc<App>,
+pub struct Running {
+    /// What its parts share; the settings name the ports that it listens on.
+    pub app: Arc<App>,
     drain: Drain,
     front: Option<JoinHandle<bool>>,
 }
@@ -87,29 +88,35 @@
 }
 
 impl Running {
-    async fn start(
-        settings: Settings,
+    /// Starts an instance. A port of 0 in the settings is replaced by a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be listened on.
+    pub async fn start(
+        mut settings: Settings,
         dialect: Arc<dyn Dialect>,
         protocol: Arc<dyn Protocol>,
     ) -> eyre::Result<Self> {
+        let inner = bind(SocketAddr::new(settings.address, settings.peer)).await?;
+        settings.peer = inner.local_addr()?.port();
+        let gate = bind_some(&mut settings.ready).await?;
+        let callers = bind_some(&mut settings.listen).await?;
         let plat = Client::speaking(vec![settings.platform], protocol);
         let app = App::new(settings, dialect, plat);
         let scrape = meter::begin();
         let drain = Drain::default();
-        let addr = SocketAddr::new(app.settings.address, app.settings.peer);
-        let inner = Arc::new(Inner {
+        let shared = Arc::new(Inner {
             app: app.clone(),
             scrape,
         });
-        listen(addr, Glue::new(&inner, inside), &Drain::default()).await?;
-        if let Some(addr) = app.settings.ready {
+        serve(inner, Glue::new(&shared, inside), &Drain::default());
+        if let Some(gate) = gate {
             // Goes on while the instance leaves, to say that it is not ready.
-            listen(addr, Glue::new(&app, ready), &Drain::default()).await?;
+            serve(gate, Glue::new(&app, ready), &Drain::default());
         }
-        let front = match app.settings.listen {
-            Some(addr) => Some(listen(addr, Glue::new(&app, front::answer), &drain).await?),
-            None => None,
-        };
+        let front = Glue::new(&app, front::answer);
+        let front = callers.map(|callers| serve(callers, front, &drain));
         app.plat
             .relay(Arc::new(peer::Through(Arc::downgrade(&app))));
         tokio::spawn(member::keep(app.clone()));
@@ -128,7 +135,7 @@
 
     /// Leaves: readiness falls, then nothing more is accepted, then running requests end. What is
     /// left of steps is taken up by others.
-    async fn leave(mut self) {
+    pub async fn leave(mut self) {
         let app = &self.app;
         log::info!(target: "start", steps = app.works.len(); "leaving");
         app.leave();
@@ -150,21 +157,30 @@
     }
 }
 
-async fn listen<A: Send + Sync + 'static>(
-    addr: SocketAddr,
+async fn bind(addr: SocketAddr) -> eyre::Result<TcpListener> {
+    let listener = TcpListener::bind(addr).await;
+    listener.wrap_err_with(|| format!("could not listen on {addr}"))
+}
+
+/// Listens on an address if there is one, and notes the port that was taken.
+async fn bind_some(addr: &mut Option<SocketAddr>) -> eyre::Result<Option<TcpListener>> {
+    let Some(addr) = addr else { return Ok(None) };
+    let listener = bind(*addr).await?;
+    *addr = listener.local_addr()?;
+    Ok(Some(listener))
+}
+
+fn serve<A: Send + Sync + 'static>(
+    listener: TcpListener,
     handler: Glue<A>,
     drain: &Drain,
-) -> eyre::Result<JoinHandle<bool>> {
-    let listener = TcpListener::bind(addr).await;
-    let listener = listener.wrap_err_with(|| format!("could not listen on {addr}"))?;
+) -> JoinHandle<bool> {
     let limits = Limits {
         headers: HEADERS,
         ..Limits::default()
     };
     let drain = drain.clone();
-    Ok(tokio::spawn(net::server::serve(
-        listener, handler, limits, drain,
-    )))
+    tokio::spawn(net::server::serve(listener, handler, limits, drain))
 }
 
 async fn ready(app: Arc<App>, _: Call) -> Reply {
--- a/crates/table/src/plan.rs
+++ b/crates/table/src/plan.rs
@@ -138,7 +138,7 @@
     }
 
     /// Chooses the service of one request; `draw` is drawn evenly from 0 to 1.
-    pub fn draw<'a>(route: &'a Route, draw: f64) -> Option<&'a Arc<str>> {
+    pub fn draw(route: &Route, draw: f64) -> Option<&Arc<str>> {
         let sum: u32 = route.shares.iter().map(|share| share.weight).sum();
         let mut left = draw * f64::from(sum);
         for share in &route.shares {
--- a/crates/weight/src/swap.rs
+++ b/crates/weight/src/swap.rs
@@ -150,34 +150,22 @@
         let mut due: Vec<_> = engines
             .iter()
             .filter(|engine| !engine.busy)
-            .filter_map(|engine| self.due(engine, targets))
+            .filter_map(|engine| Some((engine, self.due(engine, targets)?)))
             .collect();
-        due.sort();
+        due.sort_by_key(|(engine, load)| (engine.version(&load.model), engine.running, &engine.id));
         due.truncate(room);
-        due.into_iter()
-            .map(|(_, _, id, model, version)| Load { id, model, version })
-            .collect()
+        due.into_iter().map(|(_, load)| load).collect()
     }
 
-    /// What an engine has to load, with what decides how soon.
-    fn due(
-        &self,
-        engine: &Seen,
-        targets: &Map<Arc<str>, Version>,
-    ) -> Option<(Version, u32, Arc<str>, Arc<str>, Version)> {
+    /// What an engine has to load.
+    fn due(&self, engine: &Seen, targets: &Map<Arc<str>, Version>) -> Option<Load> {
         let model = self.given.get(&engine.id)?;
         let newest = *targets.get(model)?;
-        let version = engine.version(model)?;
-        if version >= newest {
-            return None;
-        }
-        let due = (
-            version,
-            engine.running,
-            engine.id.clone(),
-            model.clone(),
-            newest,
-        );
-        Some(due)
+        let old = engine.version(model)? < newest;
+        old.then(|| Load {
+            id: engine.id.clone(),
+            model: model.clone(),
+            version: newest,
+        })
     }
 }
