--- /dev/null
+++ b/crates/batch/tests/ledger.rs
@@ -0,0 +1,149 @@
+//! Positions of results never change, whatever happens to writes and owners.
+
+use batch::Entry;
+use batch::Ledger;
+use batch::Outcome;
+use batch::Sample;
+use batch::Spec;
+use batch::ledger::Next;
+use proptest::prelude::*;
+
+fn entry(index: u32, text: &str) -> Entry {
+    Entry {
+        index,
+        id: format!("s{index}").into(),
+        outcome: Outcome::Whole,
+        text: text.into(),
+        versions: vec![1],
+    }
+}
+
+fn writes(ledger: &mut Ledger, now: u64) -> Option<batch::Segment> {
+    match ledger.next(now) {
+        Next::Write(segment) => Some(segment),
+        Next::Wait(_) | Next::Idle => None,
+    }
+}
+
+// Symptom: two readers see different results at one position.
+// Sequence: a write is not answered, and another sample ends before it is repeated.
+// Cause: the repeated write must have the same content.
+#[test]
+fn an_unclear_segment_is_offered_again_unchanged() {
+    let mut ledger = Ledger::new(3, 0);
+    ledger.finish(entry(0, "a"), 0);
+    let first = writes(&mut ledger, 1);
+
+    ledger.finish(entry(1, "b"), 2);
+    let again = writes(&mut ledger, 3);
+
+    assert_eq!(first, again);
+}
+
+#[test]
+fn nothing_is_listed_before_it_is_written() {
+    let mut ledger = Ledger::new(1, 0);
+    ledger.finish(entry(0, "a"), 0);
+    ledger.next(1);
+    assert!(ledger.listed().is_empty());
+
+    ledger.written();
+
+    assert_eq!(ledger.listed().len(), 1);
+    assert!(ledger.is_done());
+}
+
+#[test]
+fn a_segment_stays_below_what_the_platform_takes() {
+    let mut ledger = Ledger::new(3, 0);
+    let text = "x".repeat(400 << 10);
+    for index in 0..3 {
+        ledger.finish(entry(index, &text), 0);
+    }
+
+    let segment = writes(&mut ledger, 1).unwrap();
+
+    assert_eq!(segment.entries.len(), 1);
+}
+
+#[test]
+fn the_samples_of_a_step_come_back_from_their_parts() {
+    let sample = |at: usize| Sample {
+        id: format!("s{at}").into(),
+        group: "g".into(),
+        path: "/a".into(),
+        headers: vec![("x-a".into(), "b".into())],
+        body: vec![at as u8; 300 << 10],
+        expected: 7,
+    };
+    let spec = Spec {
+        samples: (0..4).map(sample).collect(),
+    };
+
+    let parts = spec.parts().unwrap();
+
+    assert!(parts.len() > 1 && parts.iter().all(|part| part.len() <= 512 << 10));
+    let back = Spec::join(parts.iter().map(Vec::as_slice)).unwrap();
+    assert_eq!(back, spec);
+    assert!(Spec::join(parts[1..].iter().map(Vec::as_slice)).is_err());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Finish(u32),
+    Write,
+    Lose,
+    Crash,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0_u32..6).prop_map(Step::Finish),
+        3 => Just(Step::Write),
+        1 => Just(Step::Lose),
+        1 => Just(Step::Crash),
+    ]
+}
+
+proptest! {
+    /// Owners finish, write, lose answers and die in any order; the platform keeps what was
+    /// written under a number that did not exist. Each sample is listed at most once, and what a
+    /// reader has seen at a position stays there.
+    #[test]
+    fn positions_never_change(steps in proptest::collection::vec(step(), 1..60)) {
+        let mut kept: Vec<Vec<Entry>> = Vec::new();
+        let mut ledger = Ledger::new(6, 0);
+        let mut seen: Vec<Entry> = Vec::new();
+        for (now, step) in steps.into_iter().enumerate() {
+            let now = now as u64;
+            match step {
+                Step::Finish(index) => drop(ledger.finish(entry(index, &now.to_string()), now)),
+                Step::Write | Step::Lose => {
+                    if let Some(segment) = writes(&mut ledger, now) {
+                        if kept.len() == segment.seq as usize {
+                            kept.push(segment.entries.clone());
+                        }
+                        prop_assert_eq!(&kept[segment.seq as usize], &segment.entries);
+                        if matches!(step, Step::Write) {
+                            ledger.written();
+                        }
+                    }
+                }
+                Step::Crash => {
+                    ledger = Ledger::new(6, 0);
+                    for entries in &kept {
+                        ledger.restore(entries.clone());
+                    }
+                }
+            }
+            let all: Vec<_> = kept.iter().flatten().cloned().collect();
+            prop_assert_eq!(&all[..seen.len()], &seen[..]);
+            prop_assert!(all.starts_with(ledger.listed()));
+            let mut indexes: Vec<_> = all.iter().map(|entry| entry.index).collect();
+            indexes.sort_unstable();
+            indexes.dedup();
+            prop_assert_eq!(indexes.len(), all.len());
+            seen = all;
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/tests/place.rs
@@ -0,0 +1,214 @@
+//! Choice of engines, moves, and the order of samples, under the loads that they answer.
+
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use place::Fleet;
+use place::Job;
+use place::Load;
+use place::Want;
+use place::order;
+use table::Listed;
+use table::Roster;
+use yare::parameterized;
+
+fn engine(id: &str, slots: u32, version: u64) -> Listed {
+    Listed {
+        id: id.into(),
+        service: "fit".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        domain: "nord".into(),
+        slots,
+        leaving: false,
+        weights: vec![("m".into(), version)],
+    }
+}
+
+fn roster(engines: Vec<Listed>) -> Roster {
+    let mut roster = Roster::default();
+    roster.read(engines, 0);
+    roster
+}
+
+fn want() -> Want<'static> {
+    Want {
+        service: "fit",
+        model: Some("m"),
+        least: 1,
+        queue: 0,
+        domain: "nord",
+        kin: None,
+        avoid: &[],
+    }
+}
+
+fn id(name: &str) -> Arc<str> {
+    name.into()
+}
+
+fn chosen(fleet: &Fleet, roster: &Roster, want: &Want<'_>, now: u64) -> Option<String> {
+    fleet
+        .choose(roster, want, now)
+        .map(|one| one.id.to_string())
+}
+
+// Symptom: samples wait inside an engine while another one has a free slot.
+// Sequence: more samples come at once than there are slots.
+// Cause: what waits inside an engine cannot be placed elsewhere.
+#[test]
+fn a_full_engine_gets_nothing_more() {
+    let roster = roster(vec![engine("a", 2, 1), engine("b", 1, 1)]);
+    let mut fleet = Fleet::default();
+    let mut placed = Vec::new();
+
+    while let Some(one) = fleet.choose(&roster, &want(), 0) {
+        fleet.begin(&one.id);
+        placed.push(one.id.to_string());
+    }
+
+    placed.sort();
+    assert_eq!(placed, ["a", "a", "b"]);
+}
+
+#[test]
+fn what_others_run_there_counts_for_a_moment() {
+    let roster = roster(vec![engine("a", 2, 1)]);
+    let mut fleet = Fleet::default();
+    let load = Load {
+        running: 2,
+        waiting: 0,
+    };
+
+    fleet.report(&id("a"), load, 0);
+
+    assert_eq!(chosen(&fleet, &roster, &want(), 100), None);
+    assert_eq!(
+        chosen(&fleet, &roster, &want(), 1_000).as_deref(),
+        Some("a")
+    );
+}
+
+#[parameterized(
+    old_weights = { Want { least: 3, ..want() }, None },
+    new_enough = { Want { least: 2, ..want() }, Some("new") },
+    other_service = { Want { service: "other", ..want() }, None },
+    other_model = { Want { model: Some("x"), ..want() }, None },
+    kin = { Want { kin: Some("old"), ..want() }, Some("old") },
+)]
+fn an_engine_has_to_fit(want: Want<'_>, expected: Option<&str>) {
+    let roster = roster(vec![engine("new", 2, 2), engine("old", 2, 1)]);
+
+    let chosen = chosen(&Fleet::default(), &roster, &want, 0);
+
+    assert_eq!(chosen.as_deref(), expected);
+}
+
+// Symptom: samples wait for weights that an engine has had for two seconds.
+// Sequence: the engine states its new version; the list of upstreams still has the old one.
+// Cause: the list lags; what an engine states itself counts at once.
+#[test]
+fn what_an_engine_states_counts_before_the_list() {
+    let roster = roster(vec![engine("a", 2, 1)]);
+    let mut fleet = Fleet::default();
+
+    fleet.saw(&id("a"), &id("m"), 2);
+
+    let want = Want { least: 2, ..want() };
+    assert_eq!(chosen(&fleet, &roster, &want, 0).as_deref(), Some("a"));
+}
+
+#[test]
+fn an_engine_that_failed_rests_longer_each_time() {
+    let roster = roster(vec![engine("a", 2, 1)]);
+    let mut fleet = Fleet::default();
+
+    fleet.failed(&id("a"), 0);
+    let first = chosen(&fleet, &roster, &want(), 300);
+    fleet.failed(&id("a"), 300);
+    let second = chosen(&fleet, &roster, &want(), 600);
+
+    assert!(first.is_some());
+    assert!(second.is_none());
+}
+
+// Symptom: a step waits for samples on engines that have turned slow.
+// Sequence: a third of the engines become four times slower while samples run there.
+// Cause: a run moves as soon as another engine with room makes it whole sooner.
+#[test]
+fn a_slow_third_does_not_hold_a_step_up() {
+    let roster = roster(vec![
+        engine("a", 4, 1),
+        engine("b", 4, 1),
+        engine("c", 4, 1),
+    ]);
+    let mut fleet = Fleet::default();
+    for _ in 0..30 {
+        fleet.event(&id("a"), 40.0);
+        fleet.event(&id("b"), 40.0);
+        fleet.event(&id("c"), 160.0);
+    }
+
+    let long = fleet.better(&roster, &want(), "c", 50, 0);
+    let short = fleet.better(&roster, &want(), "c", 1, 0);
+    let fine = fleet.better(&roster, &want(), "a", 50, 0);
+
+    assert!(long.is_some_and(|one| &*one.id != "c"));
+    assert!(short.is_none());
+    assert!(fine.is_none());
+}
+
+fn job(index: u32, group: u32, expected: u32) -> Job {
+    Job {
+        index,
+        group: format!("g{group}").into(),
+        expected,
+        carried: false,
+    }
+}
+
+/// When the last of the jobs ends, begun in this order on so many places.
+fn makespan(jobs: &[Job], places: usize) -> u32 {
+    let mut free: BinaryHeap<_> = (0..places).map(|_| std::cmp::Reverse(0)).collect();
+    let mut last = 0;
+    for job in jobs {
+        let std::cmp::Reverse(at) = free.pop().unwrap();
+        let end = at + job.expected;
+        last = last.max(end);
+        free.push(std::cmp::Reverse(end));
+    }
+    last
+}
+
+// Symptom: a step ends late though there was room.
+// Sequence: a burst of samples, a tenth of them five times as long, on a quarter as many places.
+// Cause: a long sample that begins last ends last.
+#[test]
+fn a_burst_ends_sooner_with_the_longest_first() {
+    let jobs: Vec<_> = (0..96)
+        .map(|at| job(at, at / 4, if at % 11 == 10 { 125 } else { 25 }))
+        .collect();
+
+    let before = makespan(&jobs, 24);
+    let after = makespan(&order(jobs, 24), 24);
+
+    assert!(after * 10 <= before * 9, "{after} of {before}");
+}
+
+#[test]
+fn what_the_trainer_does_not_wait_for_begins_last() {
+    let jobs = vec![job(0, 0, 10), job(1, 1, 90), job(2, 2, 20)];
+
+    let order: Vec<_> = order(jobs, 2).iter().map(|job| job.index).collect();
+
+    assert_eq!(order, [2, 0, 1]);
+}
+
+#[test]
+fn a_left_over_group_is_never_put_last() {
+    let mut jobs = vec![job(0, 0, 10), job(1, 1, 90), job(2, 2, 20)];
+    jobs[1].carried = true;
+
+    let order: Vec<_> = order(jobs, 2).iter().map(|job| job.index).collect();
+
+    assert_eq!(order[0], 1);
+}
