Say 504, not 503, of a call that is still at an upstream when its time is over

Change: only a call that no upstream has is refused as not run; the log names the reason. Conclusion: 'not run' is true again.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -85,8 +85,7 @@
     let mut tries = Tries::new(sent, route, app.clock.now() + wait);
     match timeout(left, tries.answer()).await {
         Ok(reply) => reply,
-        Err(_) if tries.unclear => Refusal::Late.reply(),
-        Err(_) => Refusal::Unrun.reply(),
+        Err(_) => tries.late(),
     }
 }
 
@@ -203,11 +202,24 @@
         reply
     }
 
+    /// Answers when the time is over. A call that is still at an upstream may have run there.
+    fn late(&self) -> Reply {
+        let sent = self.unclear || !self.running.is_empty();
+        let refusal = if sent { Refusal::Late } else { Refusal::Unrun };
+        self.refuse(refusal, "time is over")
+    }
+
     fn give_up(&self, why: &str) -> Reply {
-        let refusal = match self.unclear {
-            true => Refusal::Unknown,
-            false => Refusal::Unrun,
+        let sent = self.unclear || !self.running.is_empty();
+        let refusal = if sent {
+            Refusal::Unknown
+        } else {
+            Refusal::Unrun
         };
+        self.refuse(refusal, why)
+    }
+
+    fn refuse(&self, refusal: Refusal, why: &str) -> Reply {
         let age = self.sent.app.roster.lock().age(self.sent.app.clock.now());
         log::info!(target: "forward", id = &*self.sent.id, why, attempts = self.used.len(),
             outcome = refusal.name(), list_age_ms = age.unwrap_or(0); "given up");
