--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -69,6 +69,9 @@
 /// Time between two looks at engines whose version is too old.
 const LOOK: Millis = 250;
 
+/// Time between two lines that say for what samples wait.
+const TELL: Millis = 1_000;
+
 /// Engines that are asked in one such look: about as many as finish loading meanwhile.
 const LOOKED: usize = 4;
 
@@ -364,6 +367,7 @@
     checks: JoinSet<Option<bool>>,
     looks: JoinSet<()>,
     looked: Millis,
+    told: Millis,
     failures: Map<u32, u32>,
     kin: Map<Arc<str>, Arc<str>>,
 }
@@ -398,6 +402,7 @@
             checks: JoinSet::new(),
             looks: JoinSet::new(),
             looked: 0,
+            told: 0,
             failures: Map::default(),
             kin: Map::default(),
         }
@@ -545,6 +550,12 @@
                     .is_some_and(|version| version < least)
             })
             .collect();
+        if now >= self.told + TELL {
+            self.told = now;
+            let engines = roster.all().filter(mine).count();
+            log::info!(target: "owner", id = &*self.work.step, samples = self.todo.len(),
+                engines, old = old.len(), least; "samples wait for engines");
+        }
         old.shuffle(&mut rand::rng());
         for one in old.into_iter().take(LOOKED) {
             let (app, one) = (self.app.clone(), one.clone());
--- /dev/null
+++ b/crates/node/tests/fields.rs
@@ -0,0 +1,55 @@
+//! The table of log fields in docs/OPERATIONS.md names every field that the code writes.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+fn files(folder: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder)
+        .unwrap()
+        .map(|entry| entry.unwrap().path());
+    let (folders, files): (Vec<_>, Vec<_>) = entries.partition(|path| path.is_dir());
+    let inner = folders.iter().flat_map(|folder| self::files(folder));
+    files.into_iter().chain(inner).collect()
+}
+
+/// The names of the fields of a log macro's arguments, which stand before the message.
+fn fields(call: &str) -> Vec<String> {
+    let Some((head, _)) = call.split_once(';') else {
+        return Vec::new();
+    };
+    let parts = head.split([',', '\n']).map(str::trim);
+    let parts = parts.filter(|part| !part.starts_with("target"));
+    let names = parts.map(|part| part.split([' ', '=']).next().unwrap_or_default());
+    let word = |name: &&str| {
+        let plain = name.bytes().all(|b| b.is_ascii_lowercase() || b == b'_');
+        plain && !name.is_empty()
+    };
+    names.filter(word).map(str::to_owned).collect()
+}
+
+#[test]
+fn every_field_is_in_the_table() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = fs::read_to_string(root.join("../../docs/OPERATIONS.md")).unwrap();
+    let mut written = BTreeSet::new();
+    for file in files(&root.join("src")) {
+        let text = fs::read_to_string(&file).unwrap();
+        for call in text.split("log::").skip(1) {
+            let level = call.split('!').next().unwrap_or_default();
+            if ["info", "warn", "error", "debug"].contains(&level) {
+                let end = call.find(");").unwrap_or(call.len());
+                written.extend(fields(&call[..end]));
+            }
+        }
+    }
+
+    let missing: Vec<_> = written
+        .iter()
+        .filter(|name| !page.contains(&format!("`{name}`")))
+        .collect();
+
+    assert!(written.len() > 30, "{written:?}");
+    assert!(missing.is_empty(), "{missing:?}");
+}
