Take left-over text for the same request only

Cause: what a step left over was found by the names of samples. Change: the next owner asks by a print of name, path, headers and body. Test: what_is_left_over_is_taken_for_the_same_request_only failed with the print of the name alone, passes now; its neighbour shows that left-over text of the same request is still taken.

--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -1,5 +1,8 @@
 //! What the platform keeps of a step.
 
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync::Arc;
 
 use kernel::Millis;
@@ -69,6 +72,18 @@
     pub expected: u32,
 }
 
+impl Sample {
+    /// A number that differs between samples whose requests differ, though their names be alike.
+    pub fn print(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.id.hash(&mut hasher);
+        self.path.hash(&mut hasher);
+        self.headers.hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
 /// The samples of a step, in the order in which they were submitted.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spec {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -11,6 +11,7 @@
 use batch::Head;
 use batch::Ledger;
 use batch::Outcome;
+use batch::Sample;
 use batch::Segment;
 use batch::Spec;
 use batch::keys;
@@ -196,14 +197,15 @@
             .cloned()
     }
 
-    /// Hands over what the step has left over of some samples, once it has ended.
-    pub fn hand(&self, model: &str, samples: &[Arc<str>]) -> Vec<(Arc<str>, Draft)> {
+    /// Hands over what the step has left over of samples with some prints, once it has ended.
+    pub fn hand(&self, model: &str, samples: &[u64]) -> Vec<(u64, Draft)> {
         if !self.has_ended() || *self.head.model != *model {
             return Vec::new();
         }
         let all = self.spec.samples.iter().zip(&self.drafts);
-        let left = all.filter(|(sample, _)| samples.contains(&sample.id));
-        let left = left.map(|(sample, draft)| (sample.id.clone(), draft.lock().clone()));
+        let prints = all.map(|(sample, draft)| (sample.print(), draft));
+        let left = prints.filter(|(print, _)| samples.contains(print));
+        let left = left.map(|(print, draft)| (print, draft.lock().clone()));
         let left: Vec<_> = left.filter(|(_, draft)| draft.last > 0).collect();
         if !left.is_empty() {
             self.handed.store(true, Ordering::Relaxed);
@@ -214,22 +216,22 @@
 
     /// Takes over what an earlier step has left over, as far as the versions do here; gives the
     /// number of samples.
-    fn take_drafts(&self, drafts: Vec<(Arc<str>, Draft)>) -> usize {
-        let mut left: Map<Arc<str>, Draft> = Map::default();
-        for (id, draft) in drafts {
+    fn take_drafts(&self, drafts: Vec<(u64, Draft)>) -> usize {
+        let mut left: Map<u64, Draft> = Map::default();
+        for (print, draft) in drafts {
             let fits = draft
                 .versions
                 .iter()
                 .all(|version| *version >= self.head.least);
-            let longer = left.get(&id).is_none_or(|have| have.last < draft.last);
+            let longer = left.get(&print).is_none_or(|have| have.last < draft.last);
             if fits && longer {
-                left.insert(id, draft);
+                left.insert(print, draft);
             }
         }
         let ledger = self.ledger.lock();
         let mut taken = 0;
         for (index, sample) in self.spec.samples.iter().enumerate() {
-            let Some(draft) = left.remove(&sample.id) else {
+            let Some(draft) = left.remove(&sample.print()) else {
                 continue;
             };
             if !ledger.has_ended(index as u32) {
@@ -318,7 +320,7 @@
     if single {
         return;
     }
-    let samples: Vec<_> = work.spec.samples.iter().map(|one| one.id.clone()).collect();
+    let samples: Vec<_> = work.spec.samples.iter().map(Sample::print).collect();
     let mut drafts = peer::drafts(app, &work.head.model, &samples).await;
     app.works.each(|map| {
         for other in map.values() {
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -58,11 +58,8 @@
     },
     /// A read of the platform that is newer than what the follower has.
     News { have: Have, wait: Millis },
-    /// What ended steps have left over of some samples.
-    Drafts {
-        model: Arc<str>,
-        samples: Vec<Arc<str>>,
-    },
+    /// What ended steps have left over of samples with these prints.
+    Drafts { model: Arc<str>, samples: Vec<u64> },
     /// A call of the platform.
     Relay(Call),
 }
@@ -72,7 +69,7 @@
 enum Told {
     Page(Option<Page>),
     News(Option<News>),
-    Drafts(Vec<(Arc<str>, Draft)>),
+    Drafts(Vec<(u64, Draft)>),
     Relay(Result<Answer, PlatError>),
 }
 
@@ -185,11 +182,7 @@
 }
 
 /// Asks all other instances for what ended steps have left over of some samples.
-pub async fn drafts(
-    app: &Arc<App>,
-    model: &Arc<str>,
-    samples: &[Arc<str>],
-) -> Vec<(Arc<str>, Draft)> {
+pub async fn drafts(app: &Arc<App>, model: &Arc<str>, samples: &[u64]) -> Vec<(u64, Draft)> {
     let others = others(app);
     let question = Arc::new(Ask::Drafts {
         model: model.clone(),
