--- a/crates/node/src/control/targets.rs
+++ b/crates/node/src/control/targets.rs
@@ -15,8 +15,9 @@
 use crate::App;
 use crate::news::Reach;
 
-/// Longest time that one watch waits, in milliseconds.
-const WATCH: Millis = 10_000;
+/// Longest time that one watch waits, in milliseconds. A watch may hear nothing of a change, so
+/// the newest state is read after each that heard nothing.
+const WATCH: Millis = 3_000;
 
 /// Pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(300);
@@ -56,7 +57,7 @@
         rev = match next {
             Ok(next) => {
                 reach.back();
-                Some(next)
+                next
             }
             Err(error) => {
                 reach.lost(&error);
@@ -67,22 +68,28 @@
     }
 }
 
-async fn read(app: &App, targets: &Targets, prefix: &str) -> Result<i64, PlatError> {
+async fn read(app: &App, targets: &Targets, prefix: &str) -> Result<Option<i64>, PlatError> {
     let range = app.plat.list(prefix).await?;
     for item in &range.items {
         note(app, targets, item);
     }
-    Ok(range.rev)
+    Ok(Some(range.rev))
 }
 
-async fn watch(app: &App, targets: &Targets, prefix: &str, rev: i64) -> Result<i64, PlatError> {
+/// Waits for changes; gives the revision to go on from, or nothing when it heard none.
+async fn watch(
+    app: &App,
+    targets: &Targets,
+    prefix: &str,
+    rev: i64,
+) -> Result<Option<i64>, PlatError> {
     let (changes, next) = app.plat.poll(prefix, rev, WATCH).await?;
     for change in &changes {
         if let Change::Put(item) = change {
             note(app, targets, item);
         }
     }
-    Ok(next.max(rev))
+    Ok((!changes.is_empty()).then_some(next.max(rev)))
 }
 
 fn note(app: &App, targets: &Targets, item: &Item) {
--- a/crates/node/src/shelf.rs
+++ b/crates/node/src/shelf.rs
@@ -128,6 +128,11 @@
         let Ok((changes, rev)) = plat.poll(&prefix, read.rev, wait).await else {
             return self.fetch(plat, read).await;
         };
+        if changes.is_empty() {
+            // It may have missed one; the next read asks for the newest state.
+            read.rev = 0;
+            return Ok(());
+        }
         for change in &changes {
             if let Change::Put(item) = change {
                 self.add(read, item)?;
