--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -8,15 +8,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
 use http::Response;
-use http::Uri;
 use http::request::Parts;
-use http_body_util::Full;
 use kernel::Millis;
 use net::Reply;
 use net::SendError;
-use place::Want;
 use table::Kind;
 use table::Listed;
 use table::Plan;
@@ -29,6 +25,8 @@
 use crate::dialect::Caller;
 use crate::meter;
 use crate::refuse::Refusal;
+use crate::sent::Place;
+use crate::sent::Sent;
 
 /// Time after which a call that may be repeated is sent to a second upstream as well: four times
 /// the usual work of today's services, and early enough for the second to answer within the
@@ -39,9 +37,6 @@
 /// be repeated.
 const PART: u32 = 2;
 
-/// Time kept back for the way of the answer to the caller, in milliseconds.
-const WAY: Millis = 10;
-
 /// Time for which an upstream that turned a call away gets none, in milliseconds.
 const FULL: Millis = 100;
 
@@ -58,14 +53,6 @@
     Unknown,
 }
 
-/// A call as it is sent, once for each attempt.
-pub(crate) struct Sent {
-    app: Arc<App>,
-    head: Parts,
-    body: Bytes,
-    id: Arc<str>,
-}
-
 /// Passes a call on and answers with what the upstream answered.
 pub async fn call(
     app: &Arc<App>,
@@ -74,15 +61,9 @@
     caller: &Caller,
     body: Bytes,
 ) -> Reply {
-    let sent = Arc::new(Sent {
-        app: app.clone(),
-        head: head.clone(),
-        body,
-        id: caller.id.clone(),
-    });
-    let wait = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let left = Duration::from_millis(wait.saturating_sub(WAY));
-    let mut tries = Tries::new(sent, route, app.clock.now() + wait);
+    let sent = Arc::new(Sent::new(app, head, caller, body, route.timeout));
+    let left = Duration::from_millis(sent.left());
+    let mut tries = Tries::new(sent, route);
     match timeout(left, tries.answer()).await {
         Ok(reply) => reply,
         Err(_) => tries.late(),
@@ -93,7 +74,6 @@
 struct Tries<'a> {
     sent: Arc<Sent>,
     route: &'a Route,
-    until: Millis,
     service: Option<Arc<str>>,
     used: Vec<Arc<str>>,
     running: JoinSet<Came>,
@@ -102,11 +82,10 @@
 }
 
 impl<'a> Tries<'a> {
-    fn new(sent: Arc<Sent>, route: &'a Route, until: Millis) -> Self {
+    fn new(sent: Arc<Sent>, route: &'a Route) -> Self {
         Self {
             sent,
             route,
-            until,
             service: Plan::draw(route, rand::random()).cloned(),
             used: Vec::new(),
             running: JoinSet::new(),
@@ -159,12 +138,12 @@
         if self.used.len() >= self.attempts() {
             return false;
         }
-        let Some(one) = self.choose(queue) else {
+        let service = self.service.as_deref();
+        let Some(one) = service.and_then(|name| self.sent.choose(name, &self.used, queue)) else {
             return false;
         };
         self.used.push(one.id.clone());
-        let now = self.sent.app.clock.now();
-        let left = self.until.saturating_sub(now + WAY);
+        let left = self.sent.left();
         let part = match self.may_repeat() && self.used.len() < self.attempts() {
             true => left / Millis::from(PART),
             false => left,
@@ -173,27 +152,10 @@
             attempt = self.used.len(), left_ms = left; "sent");
         let sent = self.sent.clone();
         self.running
-            .spawn(async move { sent.attempt(one, left, part).await });
+            .spawn(async move { attempt(&sent, one, part).await });
         true
     }
 
-    fn choose(&self, queue: bool) -> Option<Arc<Listed>> {
-        let app = &self.sent.app;
-        let roster = app.roster.lock();
-        let service = self.service.as_deref()?;
-        let slots = roster.of(service).map(|one| one.slots).max().unwrap_or(0);
-        let want = Want {
-            service,
-            model: None,
-            least: 0,
-            queue: if queue { slots } else { 0 },
-            domain: &app.settings.domain,
-            kin: None,
-            avoid: &self.used,
-        };
-        app.plain.lock().choose(&roster, &want, app.clock.now())
-    }
-
     fn pass(&self, answer: Response<Bytes>) -> Reply {
         let (head, bytes) = answer.into_parts();
         let mut reply = Response::new(net::body::full(bytes));
@@ -227,100 +189,61 @@
     }
 }
 
-/// Counts a request at an upstream for as long as it lives, also when the caller leaves.
-pub(crate) struct Place {
-    app: Arc<App>,
-    one: Arc<Listed>,
-}
-
-impl Place {
-    pub(crate) fn take(app: &Arc<App>, one: &Arc<Listed>) -> Self {
-        app.plain.lock().begin(&one.id);
-        Self {
-            app: app.clone(),
-            one: one.clone(),
-        }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.app.plain.lock().end(&self.one.id);
-    }
+async fn attempt(sent: &Sent, one: Arc<Listed>, part: Millis) -> Came {
+    let _place = Place::take(&sent.app, &one);
+    let Some(request) = sent.request(&one, None) else {
+        return Came::Unrun;
+    };
+    let begun = sent.app.clock.now();
+    let limit = Duration::from_millis(part);
+    let answer = sent.app.http.fetch(request, limit, ANSWER).await;
+    let took = sent.app.clock.now() - begun;
+    let came = judge(sent, &one, answer, took);
+    let outcome = match &came {
+        Came::Answer(_) => "answered",
+        Came::Unrun => "unrun",
+        Came::Unknown => "unknown",
+    };
+    metrics::counter!(meter::ATTEMPTS, "outcome" => outcome).increment(1);
+    came
 }
 
-impl Sent {
-    fn request(&self, one: &Listed, left: Millis) -> Option<Request<Full<Bytes>>> {
-        let path = self
-            .head
-            .uri
-            .path_and_query()
-            .map_or("/", |path| path.as_str());
-        let uri: Uri = net::client::uri(one.addr, path).parse().ok()?;
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = uri;
-        let dialect = &self.app.dialect;
-        *request.headers_mut() = dialect.forward(&self.head.headers, &one.id, Some(left));
-        Some(request)
-    }
-
-    async fn attempt(&self, one: Arc<Listed>, left: Millis, part: Millis) -> Came {
-        let _place = Place::take(&self.app, &one);
-        let Some(request) = self.request(&one, left) else {
-            return Came::Unrun;
-        };
-        let begun = self.app.clock.now();
-        let limit = Duration::from_millis(part);
-        let answer = self.app.http.fetch(request, limit, ANSWER).await;
-        let took = self.app.clock.now() - begun;
-        let came = self.judge(&one, answer, took);
-        let outcome = match &came {
-            Came::Answer(_) => "answered",
-            Came::Unrun => "unrun",
-            Came::Unknown => "unknown",
-        };
-        metrics::counter!(meter::ATTEMPTS, "outcome" => outcome).increment(1);
-        came
-    }
-
-    fn judge(
-        &self,
-        one: &Arc<Listed>,
-        answer: Result<Response<Bytes>, SendError>,
-        took: Millis,
-    ) -> Came {
-        let now = self.app.clock.now();
-        let answer = match answer {
-            Ok(answer) => answer,
-            Err(error) => {
-                self.app.plain.lock().failed(&one.id, now);
-                let why = error.to_string();
-                log::info!(target: "forward", id = &*self.id, upstream = &*one.id,
+fn judge(
+    sent: &Sent,
+    one: &Arc<Listed>,
+    answer: Result<Response<Bytes>, SendError>,
+    took: Millis,
+) -> Came {
+    let now = sent.app.clock.now();
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) => {
+            sent.app.plain.lock().failed(&one.id, now);
+            let why = error.to_string();
+            log::info!(target: "forward", id = &*sent.id, upstream = &*one.id,
                     took_ms = took, why = why.as_str(); "attempt failed");
-                return match error.is_unsent() {
-                    true => Came::Unrun,
-                    false => Came::Unknown,
-                };
-            }
-        };
-        let said = self.app.dialect.said(answer.status(), answer.headers());
-        let mut plain = self.app.plain.lock();
-        if let Some(load) = said.load {
-            plain.report(&one.id, load, now);
-        }
-        if said.unrun || said.other {
-            plain.busy(&one.id, now + FULL);
-            return Came::Unrun;
+            return match error.is_unsent() {
+                true => Came::Unrun,
+                false => Came::Unknown,
+            };
         }
-        if said.id.as_deref() != Some(&*self.id) || !said.signed {
-            plain.failed(&one.id, now);
-            let status = answer.status().as_u16();
-            log::warn!(target: "forward", id = &*self.id, upstream = &*one.id, status,
+    };
+    let said = sent.app.dialect.said(answer.status(), answer.headers());
+    let mut plain = sent.app.plain.lock();
+    if let Some(load) = said.load {
+        plain.report(&one.id, load, now);
+    }
+    if said.unrun || said.other {
+        plain.busy(&one.id, now + FULL);
+        return Came::Unrun;
+    }
+    if said.id.as_deref() != Some(&*sent.id) || !said.signed {
+        plain.failed(&one.id, now);
+        let status = answer.status().as_u16();
+        log::warn!(target: "forward", id = &*sent.id, upstream = &*one.id, status,
                 answers = said.id.as_deref().unwrap_or("nothing"); "answer of something else");
-            return Came::Unknown;
-        }
-        plain.event(&one.id, took as f64);
-        Came::Answer(answer)
+        return Came::Unknown;
     }
+    plain.event(&one.id, took as f64);
+    Came::Answer(answer)
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`Dialect`]'s matter; what is decided, kept and repeated is decided here.
 //!
 //! - [`front`] takes requests in: [`forward`] passes calls on, [`steps`] answers for steps.
-//! - [`owner`] runs the samples of a step that this instance owns, one by one in [`run`].
+//! - [`owner`] runs the samples of a step that this instance owns, one by one in [`mod@run`].
 //! - [`news`] follows the configuration and the list of upstreams.
 //! - [`control`] holds the lease on orders to engines and takes up steps whose owner is gone.
 
@@ -22,6 +22,7 @@
 pub mod peer;
 pub mod refuse;
 pub mod run;
+mod sent;
 pub mod settings;
 pub mod shelf;
 pub mod start;
--- /dev/null
+++ b/crates/node/src/owner/drive.rs
@@ -0,0 +1,396 @@
+//! The loop that runs the samples of a step.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use batch::Outcome;
+use batch::keys;
+use batch::ledger::Next;
+use kernel::Map;
+use kernel::Millis;
+use place::Job;
+use place::Want;
+use rand::seq::SliceRandom;
+use table::Listed;
+use table::Plan;
+use table::Route;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::Work;
+use super::write::Written;
+use super::write::write_segment;
+use crate::App;
+use crate::control;
+use crate::meter;
+use crate::run::Draft;
+use crate::run::Ended;
+use crate::run::Run;
+
+/// Longest pause between two looks at what can be done.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Pause after a write whose outcome is not known.
+const AGAIN: Duration = Duration::from_millis(150);
+
+/// Time without word from the platform after which it is asked whether the step has ended. A
+/// sample must not begin more than three seconds after the end.
+const CHECK: Millis = 900;
+
+/// Time between two looks at engines whose version is too old.
+const LOOK: Millis = 250;
+
+/// Engines that are asked in one such look: about as many as finish loading meanwhile.
+const LOOKED: usize = 4;
+
+/// Time between two lines that say for what samples wait.
+const TELL: Millis = 1_000;
+
+/// What a run came to.
+struct Ran {
+    index: u32,
+    ended: Ended,
+    engine: Arc<Listed>,
+}
+
+/// A sample that has to run.
+struct Todo {
+    job: Job,
+    avoid: Vec<Arc<str>>,
+}
+
+/// The loop that runs a step.
+pub(super) struct Drive<'a> {
+    app: &'a Arc<App>,
+    work: &'a Arc<Work>,
+    todo: VecDeque<Todo>,
+    runs: JoinSet<Ran>,
+    writes: JoinSet<Written>,
+    checks: JoinSet<Option<bool>>,
+    looks: JoinSet<()>,
+    looked: Millis,
+    told: Millis,
+    failures: Map<u32, u32>,
+    kin: Map<Arc<str>, Arc<str>>,
+}
+
+impl<'a> Drive<'a> {
+    pub(super) fn new(app: &'a Arc<App>, work: &'a Arc<Work>) -> Self {
+        let ledger = work.ledger.lock();
+        let samples = work.spec.samples.iter().enumerate();
+        let jobs = samples
+            .map(|(index, sample)| {
+                let last = work.drafts[index].lock().last;
+                Job {
+                    index: index as u32,
+                    group: sample.group.clone(),
+                    expected: sample.expected.saturating_sub(last as u32),
+                    carried: last > 0,
+                }
+            })
+            .filter(|job| !ledger.has_ended(job.index))
+            .collect();
+        let jobs = place::order(jobs, work.head.wanted);
+        let todo = jobs.into_iter().map(|job| Todo {
+            job,
+            avoid: Vec::new(),
+        });
+        Self {
+            app,
+            work,
+            todo: todo.collect(),
+            runs: JoinSet::new(),
+            writes: JoinSet::new(),
+            checks: JoinSet::new(),
+            looks: JoinSet::new(),
+            looked: 0,
+            told: 0,
+            failures: Map::default(),
+            kin: Map::default(),
+        }
+    }
+
+    /// Runs the step until it is whole, has ended or belongs to somebody else. Dropping the runs
+    /// closes their connections, at which the engines stop.
+    pub(super) async fn run(&mut self) {
+        loop {
+            if self.work.is_lost() || self.work.has_ended() {
+                return;
+            }
+            self.place();
+            if self.write() {
+                return;
+            }
+            self.check();
+            tokio::select! {
+                Some(Ok(ran)) = self.runs.join_next() => self.take(ran),
+                Some(Ok(written)) = self.writes.join_next() => self.note(written).await,
+                Some(Ok(ended)) = self.checks.join_next() => {
+                    if ended == Some(true) {
+                        self.work.end();
+                    }
+                }
+                Some(_) = self.looks.join_next() => (),
+                () = self.work.bell.notified() => (),
+                () = self.app.room.notified() => (),
+                () = sleep(TICK) => (),
+            }
+        }
+    }
+
+    /// Lets running samples go on after the end of their step, until a later step has asked for
+    /// them or they have ended. Groups that were left over come again within a second or two, and
+    /// what is made meanwhile need not be made again.
+    pub(super) async fn leave(&mut self) {
+        while !self.work.handed.load(Ordering::Relaxed) {
+            tokio::select! {
+                ran = self.runs.join_next() => if ran.is_none() { return },
+                () = self.work.bell.notified() => (),
+            }
+        }
+    }
+
+    /// Begins as many runs as there is room for.
+    fn place(&mut self) {
+        if self.todo.is_empty() {
+            return;
+        }
+        let Some(route) = self.work.route(self.app) else {
+            // Without any configuration nothing is known; with one, the route is gone.
+            if self.app.plan.load().is_some() {
+                self.give_up("route gone");
+            }
+            return;
+        };
+        if self.app.clock.now() > self.work.opened + route.ttl {
+            self.give_up("time to live is over");
+            return;
+        }
+        while let Some(todo) = self.todo.pop_front() {
+            match self.choose(&route, &todo) {
+                Some((service, engine)) => self.begin(&route, service, engine, todo),
+                None => {
+                    self.todo.push_front(todo);
+                    self.look(&route);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn choose(&self, route: &Route, todo: &Todo) -> Option<(Arc<str>, Arc<Listed>)> {
+        let service = Plan::draw(route, rand::random())?;
+        let draft = self.work.drafts[todo.job.index as usize].lock();
+        let newest = draft.versions.iter().copied().max().unwrap_or(0);
+        let want = Want {
+            service,
+            model: Some(&self.work.head.model),
+            least: self.work.head.least.max(newest),
+            queue: 0,
+            domain: &self.app.settings.domain,
+            kin: self.kin.get(&todo.job.group).map(|kin| &**kin),
+            avoid: &todo.avoid,
+        };
+        let any = Want { avoid: &[], ..want };
+        let now = self.app.clock.now();
+        let roster = self.app.roster.lock();
+        let mut fleet = self.app.fleet.lock();
+        let engine = fleet
+            .choose(&roster, &want, now)
+            .or_else(|| fleet.choose(&roster, &any, now))?;
+        fleet.begin(&engine.id);
+        Some((service.clone(), engine))
+    }
+
+    fn begin(&mut self, route: &Route, service: Arc<str>, engine: Arc<Listed>, todo: Todo) {
+        self.kin.insert(todo.job.group.clone(), engine.id.clone());
+        let run = Run {
+            app: self.app.clone(),
+            step: self.work.step.clone(),
+            host: self.work.head.host.clone(),
+            service,
+            model: self.work.head.model.clone(),
+            least: self.work.head.least,
+            single: route.single,
+            engine: engine.clone(),
+        };
+        let work = self.work.clone();
+        let index = todo.job.index;
+        self.runs.spawn(async move {
+            let at = index as usize;
+            let ended = run.go(&work.spec.samples[at], &work.drafts[at]).await;
+            Ran {
+                index,
+                ended,
+                engine,
+            }
+        });
+    }
+
+    /// Asks engines whose version is too old whether they have a newer one by now.
+    fn look(&mut self, route: &Route) {
+        let now = self.app.clock.now();
+        if now < self.looked + LOOK || !self.looks.is_empty() {
+            return;
+        }
+        self.looked = now;
+        let (model, least) = (&self.work.head.model, self.work.head.least);
+        let roster = self.app.roster.lock();
+        let fleet = self.app.fleet.lock();
+        let mine = |one: &&Arc<Listed>| {
+            route
+                .shares
+                .iter()
+                .any(|share| share.service == one.service)
+        };
+        let mut old: Vec<_> = roster
+            .all()
+            .filter(mine)
+            .filter(|one| {
+                fleet
+                    .version(one, model)
+                    .is_some_and(|version| version < least)
+            })
+            .collect();
+        if now >= self.told + TELL {
+            self.told = now;
+            let engines = roster.all().filter(mine).count();
+            log::info!(target: "owner", id = &*self.work.step, samples = self.todo.len(),
+                engines, old = old.len(), least; "samples wait for engines");
+        }
+        old.shuffle(&mut rand::rng());
+        for one in old.into_iter().take(LOOKED) {
+            let (app, one) = (self.app.clone(), one.clone());
+            self.looks.spawn(async move {
+                // An engine that does not tell is asked again with a later look.
+                let _ = control::state(&app, &one).await;
+            });
+        }
+    }
+
+    /// Takes in how a run ended.
+    fn take(&mut self, ran: Ran) {
+        let Ran {
+            index,
+            ended,
+            engine,
+        } = ran;
+        let draft = &self.work.drafts[index as usize];
+        match ended {
+            Ended::Whole => {
+                let draft = draft.lock().clone();
+                return self.finish(index, Outcome::Whole, draft);
+            }
+            Ended::Hopeless => return self.finish(index, Outcome::Failed, Draft::default()),
+            Ended::Failed => {
+                let failures = self.failures.entry(index).or_default();
+                *failures += 1;
+                let route = self.work.route(self.app);
+                let most = route.map_or(1, |route| route.attempts.max(1));
+                if *failures >= most {
+                    return self.finish(index, Outcome::Failed, Draft::default());
+                }
+            }
+            Ended::Broken(why) if why.starts_with("version") => {
+                let single = self.work.route(self.app).is_some_and(|route| route.single);
+                if single {
+                    *draft.lock() = Draft::default();
+                }
+            }
+            Ended::Unrun | Ended::Moved | Ended::Broken(_) => (),
+        }
+        let sample = &self.work.spec.samples[index as usize];
+        let job = Job {
+            index,
+            group: sample.group.clone(),
+            expected: sample.expected,
+            carried: false,
+        };
+        let avoid = match ended {
+            Ended::Unrun => Vec::new(),
+            _ => vec![engine.id.clone()],
+        };
+        self.todo.push_front(Todo { job, avoid });
+    }
+
+    fn finish(&mut self, index: u32, outcome: Outcome, draft: Draft) {
+        let word = match outcome {
+            Outcome::Whole => "whole",
+            Outcome::Failed => "failed",
+        };
+        metrics::counter!(meter::SAMPLES, "outcome" => word).increment(1);
+        let entry = self.work.entry(index, outcome, draft);
+        self.work.ledger.lock().finish(entry, self.app.clock.now());
+    }
+
+    /// Lists every sample that has not begun as failed.
+    fn give_up(&mut self, why: &str) {
+        log::warn!(target: "owner", id = &*self.work.step, why, samples = self.todo.len();
+            "samples given up");
+        for todo in std::mem::take(&mut self.todo) {
+            self.finish(todo.job.index, Outcome::Failed, Draft::default());
+        }
+    }
+
+    /// Writes the next segment when it is time; tells whether all is written.
+    fn write(&mut self) -> bool {
+        let mut ledger = self.work.ledger.lock();
+        if ledger.is_done() {
+            return true;
+        }
+        if !self.writes.is_empty() {
+            return false;
+        }
+        if let Next::Write(segment) = ledger.next(self.app.clock.now()) {
+            let (app, work) = (self.app.clone(), self.work.clone());
+            self.writes
+                .spawn(async move { write_segment(&app, &work, &segment).await });
+        }
+        false
+    }
+
+    async fn note(&mut self, written: Written) {
+        match written {
+            Written::Kept(sent) => {
+                self.work.confirm(sent);
+                let mut ledger = self.work.ledger.lock();
+                ledger.written();
+                let count = ledger.listed().len();
+                self.work.listed.send_replace(count);
+                log::info!(target: "owner", id = &*self.work.step, listed = count,
+                    total = self.work.head.total; "results listed");
+            }
+            Written::Unclear => sleep(AGAIN).await,
+            Written::Ended => self.work.end(),
+            Written::Lost => {
+                log::warn!(target: "owner", id = &*self.work.step, revision = self.work.rev;
+                    "step taken over by somebody else");
+                self.work.lose();
+            }
+        }
+    }
+
+    /// Asks the platform whether the step has ended when nothing was heard for a while.
+    fn check(&mut self) {
+        let now = self.app.clock.now();
+        if now < self.work.confirmed() + CHECK || !self.checks.is_empty() {
+            return;
+        }
+        let (app, work) = (self.app.clone(), self.work.clone());
+        self.checks.spawn(async move {
+            let ended = app.plat.get(&keys::end(&work.step)).await;
+            match ended {
+                Ok(found) => {
+                    work.confirm(now);
+                    Some(found.is_some())
+                }
+                Err(_) => {
+                    sleep(AGAIN).await;
+                    None
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/write.rs
@@ -0,0 +1,80 @@
+//! Writing a segment of results under the conditions that make it safe.
+
+use batch::Segment;
+use batch::keys;
+use batch::record;
+use kernel::Millis;
+use plat::Done;
+use plat::Guard;
+use plat::PlatError;
+use plat::Put;
+use plat::Txn;
+
+use super::Work;
+use crate::App;
+
+/// What a write of a segment came to.
+pub(super) enum Written {
+    /// It is at the platform; the write was sent at this time.
+    Kept(Millis),
+    /// Whether it is there is not known.
+    Unclear,
+    /// The step has ended.
+    Ended,
+    /// Somebody else owns the step.
+    Lost,
+}
+
+pub(super) async fn write_segment(app: &App, work: &Work, segment: &Segment) -> Written {
+    let sent = app.clock.now();
+    let Ok(value) = record::encode(&segment.entries) else {
+        // Texts and numbers always have an encoding.
+        return Written::Unclear;
+    };
+    let key = keys::segment(&work.step, segment.seq);
+    let end = keys::end(&work.step);
+    let txn = Txn {
+        guards: vec![
+            Guard::At(keys::head(&work.step), work.rev),
+            Guard::Absent(key.clone()),
+            Guard::Absent(end.clone()),
+        ],
+        puts: vec![Put::new(key.clone(), value.clone())],
+        deletes: Vec::new(),
+    };
+    match app.plat.txn(&txn).await {
+        Ok(Done::At(_)) => Written::Kept(sent),
+        Ok(Done::Conflict) => settle(app, work, &key, &end, &value).await,
+        Err(error) => {
+            let why = error.to_string();
+            log::warn!(target: "owner", id = &*work.step, segment = segment.seq,
+                why = why.as_str(); "segment not written");
+            Written::Unclear
+        }
+    }
+}
+
+/// Finds out why a segment could not be written: an earlier try of the same write took effect, the
+/// step has ended, or it was taken over.
+async fn settle(app: &App, work: &Work, key: &str, end: &str, value: &[u8]) -> Written {
+    let sent = app.clock.now();
+    let found: Result<_, PlatError> = async {
+        let head = app.plat.get(&keys::head(&work.step)).await?;
+        let there = app.plat.get(key).await?;
+        let ended = app.plat.get(end).await?;
+        Ok((head, there, ended))
+    }
+    .await;
+    let Ok((head, there, ended)) = found else {
+        return Written::Unclear;
+    };
+    if head.is_none_or(|head| head.rev != work.rev) {
+        return Written::Lost;
+    }
+    match there {
+        Some(item) if item.value == value => Written::Kept(sent),
+        Some(_) => Written::Lost,
+        None if ended.is_some() => Written::Ended,
+        None => Written::Unclear,
+    }
+}
--- /dev/null
+++ b/crates/node/src/sent.rs
@@ -0,0 +1,121 @@
+//! A caller's request as it goes on to upstreams, once for each attempt.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Uri;
+use http::request::Parts;
+use http_body_util::Full;
+use kernel::Millis;
+use place::Want;
+use table::Listed;
+
+use crate::App;
+use crate::dialect::Caller;
+
+/// Time kept back for the way of the answer to the caller, in milliseconds: three each way on the
+/// users' deployments, and the rest for our own work.
+pub(crate) const WAY: Millis = 10;
+
+/// The header that names the last event of a stream that broke.
+const LAST_EVENT: &str = "last-event-id";
+
+/// A caller's request.
+pub(crate) struct Sent {
+    pub(crate) app: Arc<App>,
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+    /// The caller's name for it.
+    pub(crate) id: Arc<str>,
+    /// When its time is over.
+    pub(crate) until: Millis,
+}
+
+impl Sent {
+    /// Takes in a request that may wait for as long as its caller and its route allow.
+    pub(crate) fn new(
+        app: &Arc<App>,
+        head: &Parts,
+        caller: &Caller,
+        body: Bytes,
+        timeout: Millis,
+    ) -> Self {
+        let wait = caller.deadline.unwrap_or(timeout).min(timeout);
+        Self {
+            app: app.clone(),
+            head: head.clone(),
+            body,
+            id: caller.id.clone(),
+            until: app.clock.now() + wait,
+        }
+    }
+
+    /// Time that an upstream may still use.
+    pub(crate) fn left(&self) -> Millis {
+        self.until.saturating_sub(self.app.clock.now() + WAY)
+    }
+
+    /// The request for one upstream, behind event `last` of a stream that broke.
+    pub(crate) fn request(&self, one: &Listed, last: Option<&str>) -> Option<Request<Full<Bytes>>> {
+        let path = self.head.uri.path_and_query();
+        let path = path.map_or("/", |path| path.as_str());
+        let uri: Uri = net::client::uri(one.addr, path).parse().ok()?;
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = uri;
+        let dialect = &self.app.dialect;
+        *request.headers_mut() = dialect.forward(&self.head.headers, &one.id, Some(self.left()));
+        if let Some(last) = last {
+            let last = HeaderValue::from_str(last).ok()?;
+            request.headers_mut().insert(LAST_EVENT, last);
+        }
+        Some(request)
+    }
+
+    /// Chooses an upstream of a service that was not used yet; `queue` tells whether the request
+    /// may wait inside it.
+    pub(crate) fn choose(
+        &self,
+        service: &str,
+        used: &[Arc<str>],
+        queue: bool,
+    ) -> Option<Arc<Listed>> {
+        let app = &self.app;
+        let roster = app.roster.lock();
+        let slots = roster.of(service).map(|one| one.slots).max().unwrap_or(0);
+        let want = Want {
+            service,
+            model: None,
+            least: 0,
+            queue: if queue { slots } else { 0 },
+            domain: &app.settings.domain,
+            kin: None,
+            avoid: used,
+        };
+        app.plain.lock().choose(&roster, &want, app.clock.now())
+    }
+}
+
+/// Counts a request at an upstream for as long as it lives, also when the caller leaves.
+pub(crate) struct Place {
+    app: Arc<App>,
+    one: Arc<Listed>,
+}
+
+impl Place {
+    pub(crate) fn take(app: &Arc<App>, one: &Arc<Listed>) -> Self {
+        app.plain.lock().begin(&one.id);
+        Self {
+            app: app.clone(),
+            one: one.clone(),
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.app.plain.lock().end(&self.one.id);
+    }
+}
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -8,16 +8,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::request::Parts;
-use http_body_util::Full;
 use hyper::body::Incoming;
-use kernel::Millis;
 use net::Reply;
 use net::body::Sender;
-use place::Want;
 use table::Listed;
 use table::Plan;
 use table::Route;
@@ -27,15 +23,13 @@
 use crate::dialect::Caller;
 use crate::events::Events;
 use crate::events::Next;
-use crate::forward::Place;
 use crate::refuse::Refusal;
+use crate::sent::Place;
+use crate::sent::Sent;
 
 /// Silence within a stream after which its upstream is taken for lost.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
-/// Time kept back for the way of the answer to the caller, in milliseconds.
-const WAY: Millis = 10;
-
 /// Most bytes of an answer that is no stream.
 const ANSWER: usize = 1 << 20;
 
@@ -51,12 +45,9 @@
 
 /// One caller's stream.
 struct Stream {
-    app: Arc<App>,
+    sent: Sent,
     route: Arc<Route>,
-    head: Parts,
-    body: Bytes,
-    caller: Caller,
-    until: Millis,
+    last: Option<Arc<str>>,
     used: Vec<Arc<str>>,
 }
 
@@ -68,14 +59,10 @@
     caller: &Caller,
     body: Bytes,
 ) -> Reply {
-    let wait = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
     let mut stream = Stream {
-        app: app.clone(),
+        sent: Sent::new(app, head, caller, body, route.timeout),
         route: route.clone(),
-        head: head.clone(),
-        body,
-        caller: caller.clone(),
-        until: app.clock.now() + wait,
+        last: caller.last.clone(),
         used: Vec::new(),
     };
     match stream.open(None).await {
@@ -87,38 +74,8 @@
 
 impl Stream {
     fn choose(&self) -> Option<Arc<Listed>> {
-        let app = &self.app;
-        let roster = app.roster.lock();
         let service = Plan::draw(&self.route, rand::random())?;
-        let want = Want {
-            service,
-            model: None,
-            least: 0,
-            queue: 0,
-            domain: &app.settings.domain,
-            kin: None,
-            avoid: &self.used,
-        };
-        app.plain.lock().choose(&roster, &want, app.clock.now())
-    }
-
-    fn request(&self, one: &Listed, last: Option<&str>) -> Option<Request<Full<Bytes>>> {
-        let path = self
-            .head
-            .uri
-            .path_and_query()
-            .map_or("/", |path| path.as_str());
-        let left = self.until.saturating_sub(self.app.clock.now() + WAY);
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = net::client::uri(one.addr, path).parse().ok()?;
-        let dialect = &self.app.dialect;
-        *request.headers_mut() = dialect.forward(&self.head.headers, &one.id, Some(left));
-        if let Some(last) = last {
-            let last = http::HeaderValue::from_str(last).ok()?;
-            request.headers_mut().insert("last-event-id", last);
-        }
-        Some(request)
+        self.sent.choose(service, &self.used, false)
     }
 
     /// Opens the stream behind an event at one upstream after the other.
@@ -141,18 +98,26 @@
     }
 
     async fn attempt(&self, one: Arc<Listed>, last: Option<&str>) -> Came {
-        let place = Place::take(&self.app, &one);
-        let Some(request) = self.request(&one, last) else {
+        let place = Place::take(&self.sent.app, &one);
+        let Some(request) = self.sent.request(&one, last) else {
             return Came::Unrun;
         };
-        let left = self.until.saturating_sub(self.app.clock.now());
-        let sent = self.app.http.send(request, Duration::from_millis(left));
+        let left = self.sent.left();
+        let sent = self
+            .sent
+            .app
+            .http
+            .send(request, Duration::from_millis(left));
         let answer = match sent.await {
             Ok(answer) => answer,
             Err(error) => {
-                self.app.plain.lock().failed(&one.id, self.app.clock.now());
+                self.sent
+                    .app
+                    .plain
+                    .lock()
+                    .failed(&one.id, self.sent.app.clock.now());
                 let why = error.to_string();
-                log::info!(target: "stream", id = &*self.caller.id, upstream = &*one.id,
+                log::info!(target: "stream", id = &*self.sent.id, upstream = &*one.id,
                     why = why.as_str(); "attempt failed");
                 return match error.is_unsent() {
                     true => Came::Unrun,
@@ -160,11 +125,15 @@
                 };
             }
         };
-        let said = self.app.dialect.said(answer.status(), answer.headers());
+        let said = self
+            .sent
+            .app
+            .dialect
+            .said(answer.status(), answer.headers());
         if said.unrun || said.other {
             return Came::Unrun;
         }
-        match said.id.as_deref() == Some(&*self.caller.id) && said.signed {
+        match said.id.as_deref() == Some(&*self.sent.id) && said.signed {
             true => Came::Stream(Box::new(answer), place),
             false => Came::Unknown,
         }
@@ -178,9 +147,9 @@
         let (sender, out) = net::body::stream();
         let mut reply = Response::new(out);
         *reply.status_mut() = head.status;
-        *reply.headers_mut() = self.app.dialect.back(&head.headers);
+        *reply.headers_mut() = self.sent.app.dialect.back(&head.headers);
         tokio::spawn(async move {
-            let id = self.caller.id.clone();
+            let id = self.sent.id.clone();
             let whole = self.pump(body, place, &sender).await;
             if !whole {
                 log::info!(target: "stream", id = &*id; "cut off");
@@ -199,7 +168,7 @@
         };
         let mut reply = Response::new(net::body::full(bytes));
         *reply.status_mut() = head.status;
-        *reply.headers_mut() = self.app.dialect.back(&head.headers);
+        *reply.headers_mut() = self.sent.app.dialect.back(&head.headers);
         reply
     }
 
@@ -207,7 +176,7 @@
     async fn pump(mut self, body: Incoming, place: Place, sender: &Sender) -> bool {
         let mut events = Events::new(body);
         let mut place = Some(place);
-        let mut last = self.caller.last.clone();
+        let mut last = self.last.clone();
         loop {
             let next = tokio::select! {
                 next = timeout(SILENCE, events.next()) => next.unwrap_or(Next::Broken),
@@ -215,7 +184,7 @@
             };
             match next {
                 Next::Block(block) => {
-                    if let Some(event) = self.app.dialect.event(&block) {
+                    if let Some(event) = self.sent.app.dialect.event(&block) {
                         last = Some(event.number.to_string().into());
                     }
                     let block = Bytes::from(block + "\n\n");
