--- a/crates/args/src/parse.rs
+++ b/crates/args/src/parse.rs
@@ -30,7 +30,8 @@
 }
 
 /// What is wrong with a command line.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum UsageError {
     /// No such option.
     #[error("unknown option {0}{1}")]
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -14,7 +14,8 @@
 const PART: usize = 512 << 10;
 
 /// A record cannot be written or read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum RecordError {
     /// It cannot be encoded.
     #[error("could not encode a record")]
@@ -25,7 +26,8 @@
 }
 
 /// One start of an instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Owner {
     /// The instance.
     pub instance: Arc<str>,
@@ -34,7 +36,8 @@
 }
 
 /// What is kept of a step beside its samples; it changes with its owner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Head {
     /// Who runs its samples.
     pub owner: Owner,
@@ -55,7 +58,8 @@
 }
 
 /// A sample to be generated.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Sample {
     /// Its name.
     pub id: Arc<str>,
@@ -85,7 +89,8 @@
 }
 
 /// The samples of a step, in the order in which they were submitted.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Spec {
     /// The samples.
     pub samples: Vec<Sample>,
@@ -114,7 +119,8 @@
 }
 
 /// How a sample ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// It is whole.
     Whole,
@@ -123,7 +129,8 @@
 }
 
 /// A listed result.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// The sample's place in the step.
     pub index: u32,
--- a/crates/conf/src/load.rs
+++ b/crates/conf/src/load.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 
 /// A settings file cannot be read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("could not read {file}")]
 pub struct LoadError {
     file: String,
--- a/crates/conf/src/mistake.rs
+++ b/crates/conf/src/mistake.rs
@@ -15,7 +15,8 @@
 }
 
 /// What is wrong at the place that a [`Mistake`] names.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Problem {
     /// The line is no section, key or comment.
     #[error("expected `[section]`, `key = value` or a comment, found {text:?}")]
--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -9,7 +9,8 @@
 use kernel::time::SECOND;
 
 /// The text does not have the expected form. The settings reader says which form that is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("not of the expected form")]
 pub struct FormError;
 
--- a/crates/contract/src/audit.rs
+++ b/crates/contract/src/audit.rs
@@ -7,7 +7,8 @@
 use crate::Revision;
 
 /// One change of a contract, written in the same transaction as the change itself.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Audit {
     /// The change's identifier, chosen by who made it.
     pub change: Box<str>,
--- a/crates/contract/src/book.rs
+++ b/crates/contract/src/book.rs
@@ -12,7 +12,8 @@
 use crate::Revision;
 
 /// A contract as the platform keeps it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stored {
     /// The contract.
     pub contract: Contract,
@@ -21,7 +22,8 @@
 }
 
 /// A contract in force, with the platform's revision of it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct InForce {
     /// The revision.
     pub rev: Revision,
--- a/crates/contract/src/model.rs
+++ b/crates/contract/src/model.rs
@@ -14,7 +14,8 @@
 pub const MAX_CLASS: u8 = 7;
 
 /// Which of two costs the customer weighs more.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Weighs {
     /// Trainer idle time: running samples are kept while weights are swapped.
@@ -25,7 +26,8 @@
 }
 
 /// What becomes of a sample that cannot be scored.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Unscored {
     /// It waits until it is scored.
@@ -36,7 +38,8 @@
 }
 
 /// A call that is marked as non-idempotent: `SERVICE:METHOD:/path`, where the path is a prefix.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Rule {
     /// The plain service.
     pub service: Name,
@@ -47,7 +50,8 @@
 }
 
 /// The text is not of the form `SERVICE:METHOD:/path`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("expected SERVICE:METHOD:/path")]
 pub struct RuleError;
 
@@ -79,7 +83,8 @@
 }
 
 /// What one customer may use, and how much of it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Contract {
     /// The customer.
     pub customer: Name,
--- a/crates/contract/src/token.rs
+++ b/crates/contract/src/token.rs
@@ -20,12 +20,14 @@
 /// assert!(digest.matches(&Digest::of("till-7")));
 /// assert_eq!(digest.to_string().parse::<Digest>(), Ok(digest));
 /// ```
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Digest([u8; 32]);
 
 /// The text is not a SHA-256 digest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("expected 64 hexadecimal digits")]
 pub struct DigestError;
 
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -8,7 +8,8 @@
 
 /// A fencing number: the platform's revision at which the lease was taken. A later holder always
 /// has a higher one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Fence(pub i64);
 
 /// Nobody here holds the lease.
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -9,7 +9,8 @@
 /// Whether an instance is thought to be there.
 ///
 /// The order is that of precedence at the same incarnation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub enum Life {
     /// It answers.
     Alive,
@@ -29,7 +30,8 @@
 }
 
 /// One instance as its peers see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// Its name.
     pub name: Name,
--- a/crates/fleet/src/rumour.rs
+++ b/crates/fleet/src/rumour.rs
@@ -8,7 +8,8 @@
 use crate::Member;
 
 /// A customer's demand on one instance.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Demand {
     /// The customer.
     pub customer: Name,
@@ -17,7 +18,8 @@
 }
 
 /// One piece of news.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Rumour {
     /// An instance's life.
     Member(Member),
--- a/crates/kernel/src/id.rs
+++ b/crates/kernel/src/id.rs
@@ -17,11 +17,13 @@
 /// let id = RequestId::from_bits(7);
 /// assert_eq!(id.to_string().parse::<RequestId>(), Ok(id));
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestId(u128);
 
 /// The text is not a request identifier.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("not a request identifier: expected 32 hexadecimal digits")]
 pub struct IdError;
 
@@ -65,7 +67,8 @@
 }
 
 /// Names one attempt at a request, so that an answer can be matched to the attempt it belongs to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptId {
     /// The request.
     pub request: RequestId,
--- a/crates/kernel/src/name.rs
+++ b/crates/kernel/src/name.rs
@@ -27,12 +27,14 @@
 /// assert!("../etc".parse::<Name>().is_err());
 /// # Ok::<(), kernel::NameError>(())
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "Arc<str>", into = "Arc<str>")]
 pub struct Name(Arc<str>);
 
 /// Why a text is not a [`Name`].
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum NameError {
     /// The text is empty.
     #[error("a name must not be empty")]
--- a/crates/kernel/src/plugin.rs
+++ b/crates/kernel/src/plugin.rs
@@ -15,7 +15,8 @@
 }
 
 /// No plug-in of this kind has the name that the settings ask for.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("unknown {kind} {name:?}; known: {}", .known.join(", "))]
 pub struct UnknownPlugin {
     /// The kind asked for.
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -29,7 +29,8 @@
 }
 
 /// The text names no form.
-#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[derive(Clone, Copy, Debug)]
+#[derive(thiserror::Error)]
 #[error("expected pairs or json")]
 pub struct FormError;
 
@@ -80,7 +81,8 @@
 }
 
 /// Logging cannot begin.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum LogError {
     /// The audit trail's file cannot be opened.
     #[error("could not open the audit log")]
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -21,7 +21,8 @@
 pub type Reply = Response<Body>;
 
 /// Why a body could not be read whole.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ReadError {
     /// It has more bytes than are allowed.
     #[error("the body has more than {0} bytes")]
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -43,7 +43,8 @@
 const CONNECT: Duration = Duration::from_millis(500);
 
 /// Why there is no answer.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum SendError {
     /// No connection was made: nothing was sent.
     #[error("could not connect")]
@@ -185,7 +186,8 @@
 const MOST: usize = 16 << 20;
 
 /// Why an exchange of JSON failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum JsonError {
     /// The request could not be written.
     #[error("could not encode the request")]
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -93,7 +93,8 @@
 }
 
 /// Why an engine's state is not known.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum StateError {
     /// There is no answer.
     #[error(transparent)]
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -21,7 +21,8 @@
 use table::Plan;
 
 /// A message cannot be understood.
-#[derive(Clone, Debug, thiserror::Error)]
+#[derive(Clone, Debug)]
+#[derive(thiserror::Error)]
 #[error("{what} cannot be understood: {why}")]
 pub struct DialectError {
     /// The message.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -221,7 +221,7 @@
             sent.app.plain.lock().failed(&one.id, now);
             let why = error.to_string();
             log::info!(target: "forward", id = &*sent.id, upstream = &*one.id,
-                    took_ms = took, why = why.as_str(); "attempt failed");
+                took_ms = took, why = why.as_str(); "attempt failed");
             return match error.is_unsent() {
                 true => Came::Unrun,
                 false => Came::Unknown,
@@ -241,7 +241,7 @@
         plain.failed(&one.id, now);
         let status = answer.status().as_u16();
         log::warn!(target: "forward", id = &*sent.id, upstream = &*one.id, status,
-                answers = said.id.as_deref().unwrap_or("nothing"); "answer of something else");
+            answers = said.id.as_deref().unwrap_or("nothing"); "answer of something else");
         return Came::Unknown;
     }
     plain.event(&one.id, took as f64);
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -40,7 +40,8 @@
 }
 
 /// An instance's entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// Which start of which instance.
     pub owner: Owner,
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -67,7 +67,8 @@
 }
 
 /// A read of the configuration and of the whole list of upstreams.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct News {
     /// The entries of upstreams.
     pub items: Vec<Item>,
@@ -82,7 +83,8 @@
 }
 
 /// What a follower has already.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Have {
     /// The last read that it has from the reader.
     pub count: u64,
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -48,7 +48,8 @@
 const MOST: usize = 16 << 20;
 
 /// A question.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 enum Ask {
     /// Results of a step that the other one runs.
     Page {
@@ -65,7 +66,8 @@
 }
 
 /// An answer.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 enum Told {
     Page(Option<Page>),
     News(Option<News>),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -35,7 +35,8 @@
 const LOOK: u64 = 4;
 
 /// What a sample has so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Draft {
     /// The last event.
     pub last: u64,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -18,7 +18,8 @@
 }
 
 /// The text names no role.
-#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[derive(Clone, Copy, Debug)]
+#[derive(thiserror::Error)]
 #[error("expected entry or control")]
 pub struct RoleError;
 
--- a/crates/node/src/shelf.rs
+++ b/crates/node/src/shelf.rs
@@ -39,7 +39,8 @@
 }
 
 /// Results from a position on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Page {
     /// Samples of the step.
     pub total: u32,
--- a/crates/once/src/key.rs
+++ b/crates/once/src/key.rs
@@ -13,15 +13,18 @@
 pub const MAX_KEY: usize = 200;
 
 /// The hash of a customer's key for one service: what the journal keeps instead of the text.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Key(u128);
 
 /// The hash of a request's method, path and body, by which a key used for another request shows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Print(u64);
 
 /// Why a text is no `Idempotency-Key`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum KeyError {
     /// It is empty.
     #[error("the key is empty")]
--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -12,7 +12,8 @@
 pub const MAX_BODY: usize = 4_096;
 
 /// The recorded answer of a request that ran.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Outcome {
     /// The HTTP status.
     pub status: u16,
@@ -23,7 +24,8 @@
 }
 
 /// One fact about a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Record {
     /// An attempt holds the right to run the request.
     Intent {
@@ -62,7 +64,8 @@
 }
 
 /// The records of one write to a shard.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Segment {
     /// The ordinal of the segment in its shard, from 1 without gaps.
     pub seq: u64,
@@ -73,12 +76,14 @@
 }
 
 /// A segment cannot be read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("could not decode a journal segment")]
 pub struct DecodeError(#[from] rmp_serde::decode::Error);
 
 /// A segment cannot be written.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("could not encode a journal segment")]
 pub struct EncodeError(#[from] rmp_serde::encode::Error);
 
--- a/crates/operate/src/ask.rs
+++ b/crates/operate/src/ask.rs
@@ -27,7 +27,8 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Why an instance gave no answer.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum AskError {
     /// It cannot be reached.
     #[error(transparent)]
--- a/crates/operate/src/contracts.rs
+++ b/crates/operate/src/contracts.rs
@@ -55,7 +55,8 @@
 }
 
 /// Why a change was not even tried, or a read failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ContractError {
     /// The platform.
     #[error(transparent)]
--- a/crates/plat/src/call.rs
+++ b/crates/plat/src/call.rs
@@ -7,7 +7,8 @@
 use crate::budget::Kind;
 
 /// A key with its value.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Item {
     /// The key.
     pub key: String,
@@ -18,7 +19,8 @@
 }
 
 /// What a read gave.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Range {
     /// The items in the order of their keys.
     pub items: Vec<Item>,
@@ -30,7 +32,8 @@
 }
 
 /// A condition on one key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Guard {
     /// It does not exist.
     Absent(String),
@@ -49,7 +52,8 @@
 }
 
 /// A write of one key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Put {
     /// The key.
     pub key: String,
@@ -71,7 +75,8 @@
 }
 
 /// Keys to delete.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Delete {
     /// One key.
     Key(String),
@@ -80,7 +85,8 @@
 }
 
 /// A transaction: if every guard holds, all is written and deleted, else nothing.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Txn {
     /// The conditions.
     pub guards: Vec<Guard>,
@@ -91,7 +97,8 @@
 }
 
 /// What came of a transaction.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Done {
     /// It took effect at this revision.
     At(i64),
@@ -100,7 +107,8 @@
 }
 
 /// A granted lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Lease {
     /// Its identifier.
     pub id: i64,
@@ -109,7 +117,8 @@
 }
 
 /// What a watch gives.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Change {
     /// A key was written.
     Put(Item),
@@ -120,7 +129,8 @@
 }
 
 /// How fresh a read has to be.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Fresh {
     /// It gives the newest state.
     #[default]
@@ -130,7 +140,8 @@
 }
 
 /// A call of the platform that has one answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Call {
     /// Reads one key.
     Get(String),
@@ -179,7 +190,8 @@
 }
 
 /// The answer to a [`Call`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Answer {
     /// The keys that a read found.
     Range(Range),
--- a/crates/plat/src/error.rs
+++ b/crates/plat/src/error.rs
@@ -1,7 +1,8 @@
 //! Why a call of the platform gave nothing.
 
 /// Why a call of the platform gave nothing.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize, thiserror::Error)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize, thiserror::Error)]
 pub enum PlatError {
     /// No connection was made: a write did not take effect.
     #[error("could not reach the platform")]
--- a/crates/plat/src/proto.rs
+++ b/crates/plat/src/proto.rs
@@ -59,7 +59,8 @@
 }
 
 /// What every answer begins with.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Header {
     /// The revision of the store.
     #[serde(default)]
@@ -67,7 +68,8 @@
 }
 
 /// A key with its value.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyValue {
     /// The key.
     pub key: Bytes,
@@ -86,7 +88,8 @@
 }
 
 /// `/v3/kv/range`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct RangeRequest {
     /// The first key.
     pub key: Bytes,
@@ -99,7 +102,8 @@
 }
 
 /// Answer of `/v3/kv/range`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct RangeResponse {
     /// The header.
     #[serde(default)]
@@ -113,7 +117,8 @@
 }
 
 /// A put within a transaction.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct PutRequest {
     /// The key.
     pub key: Bytes,
@@ -125,7 +130,8 @@
 }
 
 /// A deletion within a transaction.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct DeleteRequest {
     /// The first key.
     pub key: Bytes,
@@ -135,7 +141,8 @@
 }
 
 /// One operation of a transaction.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Op {
     /// A read.
     #[serde(default, rename = "requestRange", alias = "request_range")]
@@ -152,7 +159,8 @@
 }
 
 /// One condition of a transaction.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Compare {
     /// The key.
     pub key: Bytes,
@@ -169,7 +177,8 @@
 }
 
 /// `/v3/kv/txn`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct TxnRequest {
     /// The conditions.
     #[serde(default)]
@@ -183,7 +192,8 @@
 }
 
 /// The result of one operation.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct OpResponse {
     /// The result of a read.
     #[serde(
@@ -195,7 +205,8 @@
 }
 
 /// Answer of `/v3/kv/txn`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct TxnResponse {
     /// The header.
     #[serde(default)]
@@ -209,7 +220,8 @@
 }
 
 /// `/v3/lease/grant`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct GrantRequest {
     /// Seconds to live.
     #[serde(rename = "TTL")]
@@ -217,7 +229,8 @@
 }
 
 /// Answer of `/v3/lease/grant`, and the inner part of that of `/v3/lease/keepalive`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct GrantResponse {
     /// The lease.
     #[serde(rename = "ID", default)]
@@ -228,7 +241,8 @@
 }
 
 /// `/v3/lease/keepalive` and `/v3/lease/revoke`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseRequest {
     /// The lease.
     #[serde(rename = "ID")]
@@ -236,21 +250,24 @@
 }
 
 /// A message of a stream.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Streamed<T> {
     /// The message.
     pub result: T,
 }
 
 /// `/v3/watch`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct WatchRequest {
     /// What to watch.
     pub create_request: WatchCreate,
 }
 
 /// What to watch.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct WatchCreate {
     /// The first key.
     pub key: Bytes,
@@ -264,7 +281,8 @@
 }
 
 /// One message of a watch.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct WatchResponse {
     /// The header.
     #[serde(default)]
@@ -284,7 +302,8 @@
 }
 
 /// A change of one key.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// `DELETE`; absent or `PUT` for a write.
     #[serde(rename = "type", default, skip_serializing_if = "Option::is_none")]
@@ -294,7 +313,8 @@
 }
 
 /// A refusal.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusal {
     /// In words.
     #[serde(default, alias = "error")]
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -26,7 +26,8 @@
 use serde::Serialize;
 
 /// Whether a request ran, as a refusal states it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ran {
     /// It did not run.
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -18,7 +18,8 @@
 }
 
 /// The text names no kind of upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("expected engine or service")]
 pub struct KindError;
 
--- a/crates/serve/src/cache.rs
+++ b/crates/serve/src/cache.rs
@@ -38,7 +38,8 @@
 const KEPT: usize = 2;
 
 /// Why a version cannot be served.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum CacheError {
     /// The disk.
     #[error("could not use the cache's folder")]
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -42,7 +42,8 @@
 }
 
 /// Why an attempt ended early.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Why {
     /// No connection was made.
     #[error("could not connect")]
--- a/crates/serve/src/gossip.rs
+++ b/crates/serve/src/gossip.rs
@@ -43,7 +43,8 @@
 const REPEAT: u64 = 10;
 
 /// Why a message with a peer failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ExchangeError {
     /// The message could not be written or read.
     #[error(transparent)]
--- a/crates/serve/src/history.rs
+++ b/crates/serve/src/history.rs
@@ -13,7 +13,8 @@
 const ROOM: usize = 4_096;
 
 /// What happened to one request or upstream.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Story {
     /// What it is about: a request's identifier, or a name.
     pub about: String,
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -26,7 +26,8 @@
 const FLUSH: Duration = Duration::from_secs(3);
 
 /// An instance cannot start.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum StartError {
     /// The settings name a policy that is not there.
     #[error(transparent)]
--- a/crates/serve/src/steps/ledger.rs
+++ b/crates/serve/src/steps/ledger.rs
@@ -29,7 +29,8 @@
 const PAUSE: Duration = Duration::from_secs(2);
 
 /// What the platform keeps of a step.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct Head {
     pub(super) customer: Name,
     pub(super) spec: Spec,
--- a/crates/serve/src/steps/score.rs
+++ b/crates/serve/src/steps/score.rs
@@ -28,7 +28,8 @@
 const TRIES: u32 = 3;
 
 /// Why there is no score.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 enum ScoreError {
     /// The settings know no such service.
     #[error("the settings have no service {0}")]
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -36,7 +36,8 @@
 const LATER: u64 = 1_000;
 
 /// An announcement as the platform keeps it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Version {
     /// The newest version.
     pub version: u64,
--- a/crates/snipeway/src/error.rs
+++ b/crates/snipeway/src/error.rs
@@ -1,7 +1,8 @@
 //! Why a command that was understood did not do what it was asked.
 
 /// Why a command that was understood did not do what it was asked.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum CommandError {
     /// Another operator was faster.
     #[error("not applied: the contract is at revision {0} now; look, then amend that")]
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -8,7 +8,8 @@
 use serde::Serialize;
 
 /// What goes wrong at a stand-in.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Fault {
     /// It closes every connection without an answer, and before it does anything.
--- a/crates/standin/src/platform/messages.rs
+++ b/crates/standin/src/platform/messages.rs
@@ -43,7 +43,8 @@
     }
 }
 
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(crate) struct KeyValue {
     pub(crate) key: Blob,
     pub(crate) value: Blob,
@@ -53,14 +54,16 @@
     pub(crate) lease: Long,
 }
 
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub(crate) struct Event {
     #[serde(rename = "type", skip_serializing_if = "Option::is_none")]
     pub(crate) kind: Option<&'static str>,
     pub(crate) kv: KeyValue,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Range {
     pub(crate) key: Blob,
     #[serde(default)]
@@ -69,7 +72,8 @@
     pub(crate) limit: Long,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Put {
     pub(crate) key: Blob,
     #[serde(default)]
@@ -78,7 +82,8 @@
     pub(crate) lease: Long,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub(crate) struct Op {
     #[serde(default)]
@@ -87,7 +92,8 @@
     pub(crate) request_delete_range: Option<Range>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Compare {
     pub(crate) key: Blob,
     pub(crate) result: String,
@@ -98,7 +104,8 @@
     pub(crate) create_revision: Long,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Txn {
     #[serde(default)]
     pub(crate) compare: Vec<Compare>,
@@ -108,19 +115,22 @@
     pub(crate) failure: Vec<Op>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Grant {
     #[serde(rename = "TTL")]
     pub(crate) ttl: Long,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Id {
     #[serde(rename = "ID")]
     pub(crate) id: Long,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Create {
     pub(crate) key: Blob,
     #[serde(default)]
@@ -129,7 +139,8 @@
     pub(crate) start_revision: Long,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Watch {
     pub(crate) create_request: Create,
 }
--- a/crates/step/src/assembly.rs
+++ b/crates/step/src/assembly.rs
@@ -36,7 +36,8 @@
 }
 
 /// How an engine contradicted itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Contradiction {
     /// A version below the one it stated for earlier tokens of the same attempt.
     #[error("the engine went back to an older weight version within a stream")]
--- a/crates/step/src/cursor.rs
+++ b/crates/step/src/cursor.rs
@@ -35,7 +35,8 @@
 }
 
 /// A text is no cursor of this step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum CursorError {
     /// It is not base64.
     #[error("the cursor is not base64")]
--- a/crates/step/src/run.rs
+++ b/crates/step/src/run.rs
@@ -107,7 +107,8 @@
 }
 
 /// What happened in a step, for `explain` and the metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     /// Attempts begun.
     pub begun: u64,
--- a/crates/step/src/sample.rs
+++ b/crates/step/src/sample.rs
@@ -6,7 +6,8 @@
 use crate::Version;
 
 /// One piece of a stream, as an engine sends it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Chunk {
     /// Tokens of the completion before this chunk.
     pub offset: u32,
@@ -22,7 +23,8 @@
 }
 
 /// A run of tokens that one weight version produced.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Span {
     /// The first token.
     pub from: u32,
@@ -33,7 +35,8 @@
 }
 
 /// A whole sample.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Sample {
     /// The ordinal within the step.
     pub index: u32,
--- a/crates/step/src/spec.rs
+++ b/crates/step/src/spec.rs
@@ -13,7 +13,8 @@
 pub const MAX_TOKENS: u32 = 131_072;
 
 /// What a trainer asks of a step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Spec {
     /// The model.
     pub model: Name,
@@ -28,7 +29,8 @@
 }
 
 /// What is wrong with a [`Spec`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum SpecError {
     /// There is no group.
     #[error("a step needs at least one group")]
--- a/crates/weight/src/plan.rs
+++ b/crates/weight/src/plan.rs
@@ -16,7 +16,8 @@
 const REPAIR: Millis = 5_000;
 
 /// What an engine states of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stated {
     /// The versions that it may use for the next token: one, unless a swap failed partway.
     pub versions: Vec<Version>,
@@ -35,7 +36,8 @@
 }
 
 /// Why an engine is quarantined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Why {
     /// It states several versions, or none: a swap failed partway.
     Mixed,
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -22,7 +22,8 @@
 pub const REPLAYED: &str = "idempotent-replayed";
 
 /// A request for a completion, in the usual form.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Completion {
     /// The model.
@@ -57,7 +58,8 @@
 }
 
 /// One choice of an answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Choice {
     /// Always 0: one choice a request.
     pub index: u32,
@@ -68,14 +70,16 @@
 }
 
 /// Tokens of an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Usage {
     /// Tokens that were generated.
     pub completion_tokens: u32,
 }
 
 /// An answer to a [`Completion`], or one event of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Completed {
     /// The identifier of the request.
     pub id: String,
@@ -94,7 +98,8 @@
 }
 
 /// Opens a step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Open {
     /// The model.
@@ -111,7 +116,8 @@
 }
 
 /// An opened step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Opened {
     /// Its identifier.
     pub step: String,
@@ -122,7 +128,8 @@
 }
 
 /// Takes finished samples of a step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Pull {
     /// The version that the trainer trains on now.
@@ -143,7 +150,8 @@
 }
 
 /// A batch of samples.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Batch {
     /// The samples.
     pub samples: Vec<Arc<Sample>>,
@@ -154,7 +162,8 @@
 }
 
 /// Announces a weight version of a model.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announce {
     /// The version; higher than any before.
@@ -162,14 +171,16 @@
 }
 
 /// What became of an announcement.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Announced {
     /// The newest version that is announced now.
     pub version: u64,
 }
 
 /// How a step stands, for `explain`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StepState {
     /// Its identifier.
     pub step: String,
@@ -192,7 +203,8 @@
 }
 
 /// One line of a history.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Note {
     /// Milliseconds since 1970.
     pub at: u64,
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -22,7 +22,8 @@
 pub const RUNNING: &str = "x-running";
 
 /// Asks an engine to generate.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Generate {
     /// The attempt; cancelling is closing the connection.
     pub attempt: AttemptId,
@@ -54,7 +55,8 @@
 }
 
 /// A load report.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Requests that it is working on or holds back.
     pub running: u32,
@@ -68,7 +70,8 @@
 }
 
 /// An order to load a weight version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// The version.
     pub version: u64,
@@ -81,7 +84,8 @@
 }
 
 /// What an engine says to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ordered {
     /// It begins to load.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -49,7 +49,8 @@
 pub const STEP_END: &str = "/peer/step/end";
 
 /// A probe, with news.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ping {
     /// Who probes.
     pub from: Member,
@@ -70,7 +71,8 @@
 }
 
 /// The answer to a probe.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Pong {
     /// Who answers.
     pub from: Member,
@@ -91,7 +93,8 @@
 }
 
 /// Something for the journal, sent to the instance that writes a shard for others.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Journal {
     /// Ask for the right to run.
     Ask {
@@ -109,7 +112,8 @@
 }
 
 /// The answer to a [`Journal`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Journaled {
     /// To [`Journal::Ask`].
     Answer(Verdict),
@@ -118,7 +122,8 @@
 }
 
 /// [`Answer`] as it travels.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Verdict {
     /// The attempt may run.
     Run,
@@ -157,7 +162,8 @@
 }
 
 /// A pull that is passed on to the instance that works on the step.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct StepPull {
     /// The step.
     pub step: String,
@@ -168,7 +174,8 @@
 }
 
 /// The answer to a [`StepPull`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum StepPulled {
     /// The batch.
     Batch(Batch),
@@ -177,7 +184,8 @@
 }
 
 /// Tells the instance that works on a step that it is over.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct StepEnd {
     /// The step.
     pub step: String,
@@ -186,7 +194,8 @@
 }
 
 /// How an instance stands, for `status`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Status {
     /// The instance.
     pub me: Member,
@@ -205,7 +214,8 @@
 }
 
 /// How an upstream stands in one instance's eyes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct UpstreamState {
     /// Its name.
     pub name: Name,
@@ -222,7 +232,8 @@
 }
 
 /// A message between instances is not to be believed or not to be understood.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum PeerError {
     /// The signature is missing or wrong.
     #[error("the signature is missing or wrong")]
--- a/crates/wire/src/problem.rs
+++ b/crates/wire/src/problem.rs
@@ -10,7 +10,8 @@
 pub const KIND: &str = "application/problem+json";
 
 /// What kind of refusal it is; the `type` of the document.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Type {
     /// No bearer token, or one that no contract has.
@@ -109,7 +110,8 @@
 }
 
 /// A refusal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Problem {
     /// What kind of refusal it is.
     #[serde(rename = "type")]
--- a/crates/wire/src/scorer.rs
+++ b/crates/wire/src/scorer.rs
@@ -9,7 +9,8 @@
 pub const SCORE: &str = "/score";
 
 /// Asks for the score of a sample.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Score {
     /// The prompt.
     pub prompt: Arc<str>,
@@ -18,7 +19,8 @@
 }
 
 /// The score of a sample.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Scored {
     /// The score; higher is better.
     pub score: f64,
