Refuse a step whose model no engine of its route has

Cause: such a step was accepted, and its samples were given up only when their time was over. Change: it is refused as not run, with a time to come back: a configuration on its way may bring the model. Test: a_step_of_an_unknown_model_is_refused failed before, passes now.

--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -85,6 +85,11 @@
     if app.works.get(&id).is_some() {
         return accepted();
     }
+    if !serves(app, head, caller, &submitted.model) {
+        // Not for good: the configuration here may be a second behind one that has the model.
+        log::info!(target: "steps", id = &*id, model = &*submitted.model; "unknown model");
+        return Refusal::Unrun.reply();
+    }
     let (sender, receiver) = oneshot::channel();
     let record = make_head(app, head, caller, &submitted);
     let spec = Spec {
@@ -104,6 +109,22 @@
     }
 }
 
+/// Tells whether an engine of the step's route may have the model.
+fn serves(app: &App, head: &Parts, caller: &Caller, model: &str) -> bool {
+    let plan = app.plan.load();
+    let Some(plan) = plan.as_ref() else {
+        return false;
+    };
+    let Some(route) = plan.find(&caller.host, head.uri.path()) else {
+        return false;
+    };
+    route.shares.iter().any(|share| {
+        let service = plan.service(&share.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.is_none_or(|engine| engine.models.iter().any(|name| &**name == model))
+    })
+}
+
 fn accepted() -> Reply {
     body::reply(StatusCode::ACCEPTED, "application/json", "{}")
 }
