Give a key back that a peer refused

A peer that writes the intent and gets no answer says "refused" when its time is over; the instance that asked returned that without giving the right back, so a key whose caller heard "not run" stayed in doubt for as long as keys are kept. It depends on which of the two instances writes the key's shard, hence the rarity. Besides, an instance in step answered "in doubt" from what it had read, though another instance had given the key back since.

Change: every refusal gives the right back, through the writer of the shard and in the background; a key in doubt is read again before it is called so.

--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -163,12 +163,18 @@
             print,
             at: now,
         };
-        // What is in step and known needs no write.
-        if self.phase == Phase::Ready
-            && let Some(answer) = self.known(attempt, &waiting)
-        {
-            self.answers.insert(attempt, answer);
-            return;
+        if self.phase == Phase::Ready {
+            match self.known(attempt, &waiting) {
+                // Another instance may have given the key back since the last read. Without a new
+                // one this instance would call it in doubt until it next writes to the shard.
+                Some(Answer::Unknown) => self.phase = Phase::Behind,
+                // What is known for good needs no call of the platform.
+                Some(answer) => {
+                    self.answers.insert(attempt, answer);
+                    return;
+                }
+                None => (),
+            }
         }
         self.waiting.insert(attempt, waiting);
         self.order.push_back(attempt);
--- a/crates/once/tests/shard.rs
+++ b/crates/once/tests/shard.rs
@@ -49,6 +49,24 @@
     shard.take(attempt(bits)).unwrap()
 }
 
+// Symptom: a key stays in doubt at one instance though another has given it back.
+// Sequence: one instance writes the intent, a second reads it, the first proves that nothing ran.
+// Cause: the second answers from what it read before.
+#[test]
+fn a_key_that_another_instance_gave_back_can_be_used() {
+    let mut platform = Platform::default();
+    let (mut first, mut second) = (Shard::new(KEEP), Shard::new(KEEP));
+    let run = ask(&mut platform, &mut first, "k", 1, 0);
+    let before = ask(&mut platform, &mut second, "k", 2, 0);
+
+    first.free(key("k"), attempt(1));
+    settle(&mut platform, &mut first, 0);
+    let after = ask(&mut platform, &mut second, "k", 3, 0);
+
+    assert_eq!((run, before), (Answer::Run, Answer::Unknown));
+    assert_eq!(after, Answer::Run);
+}
+
 #[test]
 fn the_same_key_gets_the_recorded_answer() {
     let (mut platform, mut shard) = (Platform::default(), Shard::new(KEEP));
--- a/crates/serve/src/journal.rs
+++ b/crates/serve/src/journal.rs
@@ -108,6 +108,25 @@
 
     /// Asks for the right to run, through the peer that writes the shard if it can be reached.
     pub async fn ask(
+        &self,
+        app: &Arc<App>,
+        key: Key,
+        print: Print,
+        attempt: AttemptId,
+        deadline: Millis,
+    ) -> Answer {
+        let answer = self.ask_any(app, key, print, attempt, deadline).await;
+        if answer == Answer::Refused {
+            // The intent may have been written all the same, by the peer or here, and the answer
+            // lost. Unless the right is given back, the key stays in doubt for as long as it is
+            // kept, though its caller heard that nothing ran.
+            let app = app.clone();
+            tokio::spawn(async move { app.journal.free(&app, key, attempt).await });
+        }
+        answer
+    }
+
+    async fn ask_any(
         &self,
         app: &App,
         key: Key,
@@ -130,13 +149,8 @@
             // The peer may have written the intent all the same. It carries this attempt's
             // identifier, so reading the shard here shows it as this attempt's own.
         }
-        let answer = self
-            .ask_here(key, print, attempt, deadline, Own::Mine)
-            .await;
-        if answer == Answer::Refused {
-            self.note_here(Record::Free { key, attempt });
-        }
-        answer
+        self.ask_here(key, print, attempt, deadline, Own::Mine)
+            .await
     }
 
     /// Asks for the right to run without a peer.
--- a/crates/serve/tests/once.rs
+++ b/crates/serve/tests/once.rs
@@ -215,6 +215,36 @@
     assert_eq!(rig.parts.twice(), Vec::<String>::new());
 }
 
+// Symptom: an order that was refused as "not run" can never be sent again: its key stays in doubt.
+// Sequence: a peer writes the intent, the platform's answer is lost, the peer says "refused"; the
+//   caller is told that nothing ran.
+// Cause: taking the peer's refusal for proof that no intent was written, and giving nothing back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_whose_intent_a_peer_may_have_written_can_be_used_again() {
+    let rig = rig().await;
+    let to = rig.addrs();
+    // Both shards have been read, so that the next question is a write at once.
+    for turn in 0..8 {
+        let key = format!("warm{turn}");
+        Asked::order(to[0], "aarhus", &key).send().await.unwrap();
+    }
+    rig.parts.platform.host.faults.set(mute());
+    let keys: Vec<_> = (0..16).map(|turn| format!("k{turn}")).collect();
+    let asked = keys.iter().zip(to.iter().cycle());
+    let asked = asked.map(|(key, to)| async {
+        let order = Asked::order(*to, "aarhus", key);
+        order.send().await.unwrap().problem().unwrap().ran
+    });
+    let ran = futures_util::future::join_all(asked).await;
+    rig.parts.platform.host.faults.set(Fault::default());
+
+    assert_eq!(ran, [Ran::No; 16]);
+    for key in &keys {
+        assert!(until_created(&rig, key).await, "{key} cannot be used again");
+    }
+    assert_eq!(rig.parts.twice(), Vec::<String>::new());
+}
+
 // Symptom: an order runs again after the service took it and died.
 // Sequence: the service carries the order out and its answer is lost; the caller asks again.
 // Cause: a retry of what may have run.
