Read a step's results at its owner, from the position that is asked for

Cause: callers read at any instance, and each of them read the step's head at the store first, then asked the owner for all results from the first on, though a caller asked for the last few. While the store was away an instance that had not read the step before could not tell of it at all.

Change: the owner of a step tells one instance, found by rank, that it runs the step; whoever is asked for the step asks that one, then the owner, for what was asked for only. Bodies and ends go the same way. The platform is read when that leads nowhere. The rank moved from serve to kernel. Lines of reads bear the step's name.

--- a/crates/control/src/sources.rs
+++ b/crates/control/src/sources.rs
@@ -5,9 +5,9 @@
 
 use kernel::Map;
 use kernel::Name;
+use kernel::rank;
 use net::client::uri;
 use parking_lot::Mutex;
-use serve::journal::rank;
 use serve::settings::Weights;
 
 /// Where engines are told to fetch weights: from a cache of their failure domain, another one when
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod map;
 pub mod name;
 pub mod plugin;
+pub mod rank;
 pub mod shard;
 pub mod time;
 
@@ -16,5 +17,6 @@
 pub use map::Set;
 pub use name::Name;
 pub use name::NameError;
+pub use rank::rank;
 pub use shard::Shards;
 pub use time::Millis;
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -20,6 +20,7 @@
 
 use crate::Dialect;
 use crate::Settings;
+use crate::hint::Hint;
 use crate::member::Member;
 use crate::news::News;
 use crate::owner::Work;
@@ -63,6 +64,8 @@
     pub works: Shards<Arc<str>, Arc<Work>>,
     /// What this instance has read of the results of other steps.
     pub shelves: Shards<Arc<str>, Arc<Shelf>>,
+    /// Who runs the steps that callers ask for here.
+    pub hints: Shards<Arc<str>, Hint>,
     leaving: AtomicBool,
     entry: AtomicI64,
 }
@@ -93,6 +96,7 @@
             news: watch::Sender::default(),
             works: Shards::new(),
             shelves: Shards::new(),
+            hints: Shards::new(),
             leaving: AtomicBool::new(false),
             entry: AtomicI64::new(0),
         })
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -23,7 +23,11 @@
     let from = app.clock.now();
     let (head, body) = split(call);
     let caller = app.dialect.caller(&head);
-    let id = caller.id.clone();
+    // Reads of steps have no name of their own; their lines are found by the step's.
+    let id = match &caller.asked {
+        Asked::Read { step, .. } | Asked::Body { step, .. } | Asked::End { step } => step.clone(),
+        Asked::Wrong(_) | Asked::Route => caller.id.clone(),
+    };
     let (route, mut reply) = dispatch(&app, head, caller, body).await;
     if app.is_leaving() {
         refuse::close(&mut reply);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -27,6 +27,7 @@
 
 use self::drive::Drive;
 use crate::App;
+use crate::hint;
 use crate::peer;
 use crate::run::Draft;
 use crate::shelf::Page;
@@ -252,6 +253,7 @@
     let work = Arc::new(work);
     app.works.insert(work.step.clone(), work.clone());
     app.shelves.remove(&work.step);
+    hint::tell(app, &work.step);
     let app = app.clone();
     tokio::spawn(async move {
         gather(&app, &work).await;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -26,6 +26,7 @@
 use tokio::task::JoinSet;
 
 use crate::App;
+use crate::hint;
 use crate::member::Member;
 use crate::news::FRESH;
 use crate::news::Have;
@@ -40,6 +41,9 @@
 /// Time that a relayed call may take beyond its own wait: the platform's time limit and ours.
 const RELAY: Millis = 1_300;
 
+/// Time that the keeper of a step's hint has to answer; the platform answers within milliseconds too.
+const HINT: Millis = 120;
+
 /// Time for which a step waits for what earlier ones have left over, in milliseconds: some ways
 /// within a region; a step begins that much later when an instance does not answer.
 const DRAFTS: Millis = 60;
@@ -57,6 +61,12 @@
         from: usize,
         wait: Millis,
     },
+    /// The body of a sample of a step that the other one runs.
+    Body { step: Arc<str>, sample: Arc<str> },
+    /// Who runs a step.
+    Owner(Arc<str>),
+    /// That an instance runs a step.
+    Own { step: Arc<str>, owner: Arc<str> },
     /// A read of the platform that is newer than what the follower has.
     News { have: Have, wait: Millis },
     /// What ended steps have left over of samples with these prints.
@@ -70,6 +80,10 @@
 #[derive(Serialize, Deserialize)]
 enum Told {
     Page(Option<Page>),
+    /// Nothing when the step is not run here; inside, nothing when it has no such sample.
+    Body(Option<Option<Vec<u8>>>),
+    Owner(Option<Arc<str>>),
+    Noted,
     News(Option<News>),
     Drafts(Vec<(u64, Draft)>),
     Relay(Result<Answer, PlatError>),
@@ -103,6 +117,15 @@
             Some(work) => Told::Page(work.page(app, from, wait).await),
             None => Told::Page(None),
         },
+        Ask::Body { step, sample } => {
+            let work = app.works.get(&step);
+            Told::Body(work.map(|work| work.body(&sample)))
+        }
+        Ask::Owner(step) => Told::Owner(hint::known(app, &step)),
+        Ask::Own { step, owner } => {
+            hint::note(app, step, owner);
+            Told::Noted
+        }
         Ask::News { have, wait } => Told::News(newer(app, have, wait).await),
         Ask::Drafts { model, samples } => {
             let mut left = Vec::new();
@@ -157,11 +180,7 @@
     from: usize,
     wait: Millis,
 ) -> Option<Page> {
-    let addr = {
-        let members = app.members.lock();
-        let found = members.iter().find(|one| &*one.owner.instance == owner)?;
-        found.addr
-    };
+    let addr = address(app, owner)?;
     let question = Ask::Page {
         step: step.clone(),
         from,
@@ -173,6 +192,45 @@
     }
 }
 
+/// The address of an instance that has entered.
+fn address(app: &App, instance: &str) -> Option<SocketAddr> {
+    let members = app.members.lock();
+    let found = members.iter().find(|one| &*one.owner.instance == instance);
+    found.map(|one| one.addr)
+}
+
+/// Asks the owner of a step for the body of a sample; [`None`] when it does not run the step.
+pub async fn body(
+    app: &App,
+    owner: &str,
+    step: &Arc<str>,
+    sample: &Arc<str>,
+) -> Option<Option<Vec<u8>>> {
+    let addr = address(app, owner)?;
+    let question = Ask::Body {
+        step: step.clone(),
+        sample: sample.clone(),
+    };
+    match ask(app, addr, &question, LIMIT).await? {
+        Told::Body(body) => body,
+        _ => None,
+    }
+}
+
+/// Tells the keeper of a step's hint who runs it.
+pub async fn own(app: &App, keeper: SocketAddr, step: Arc<str>, owner: Arc<str>) {
+    // It need not arrive.
+    let _ = ask(app, keeper, &Ask::Own { step, owner }, HINT).await;
+}
+
+/// Asks the keeper of a step's hint who runs it.
+pub async fn owner(app: &App, keeper: SocketAddr, step: &Arc<str>) -> Option<Arc<str>> {
+    match ask(app, keeper, &Ask::Owner(step.clone()), HINT).await? {
+        Told::Owner(owner) => owner,
+        _ => None,
+    }
+}
+
 /// What was heard from the reader of this failure domain.
 pub enum Heard {
     /// A newer read.
--- a/crates/node/src/shelf.rs
+++ b/crates/node/src/shelf.rs
@@ -19,14 +19,12 @@
 use tokio::sync::Mutex;
 
 use crate::App;
-use crate::peer;
 
 /// What an instance has read of a step's results.
 #[derive(Debug)]
 pub struct Shelf {
     step: Arc<str>,
     total: u32,
-    owner: Arc<str>,
     read: Mutex<Results>,
 }
 
@@ -56,7 +54,6 @@
         Self {
             step,
             total: head.total,
-            owner: head.owner.instance.clone(),
             read: Mutex::default(),
         }
     }
@@ -76,7 +73,7 @@
         let mut read = self.read.lock().await;
         read.used = app.clock.now();
         let whole = read.entries.len() == self.total as usize;
-        if read.entries.len() <= from && !whole && !self.ask(app, &mut read, wait).await {
+        if read.entries.len() <= from && !whole {
             match read.rev > 0 && wait > 0 {
                 true => self.wait(plat, &mut read, wait).await?,
                 false => self.fetch(plat, &mut read).await?,
@@ -90,21 +87,6 @@
         })
     }
 
-    /// Asks the owner for what is new, which costs the platform no call; tells whether it was sure.
-    async fn ask(&self, app: &App, read: &mut Results, wait: Millis) -> bool {
-        let have = read.entries.len();
-        match peer::page(app, &self.owner, &self.step, have, wait).await {
-            Some(page) => {
-                read.entries.extend(page.entries);
-                read.segments = page.segments;
-                // The revision up to which the platform was read is not that of these results.
-                read.rev = 0;
-                true
-            }
-            None => false,
-        }
-    }
-
     /// Reads what is new. The answer is the newest state, so nothing means that there is nothing.
     async fn fetch(&self, plat: &Client, read: &mut Results) -> Result<(), PlatError> {
         let prefix = keys::segments(&self.step);
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -28,6 +28,7 @@
 use crate::Settings;
 use crate::control;
 use crate::front;
+use crate::hint;
 use crate::member;
 use crate::meter;
 use crate::news;
@@ -209,6 +210,7 @@
 async fn tidy(app: Arc<App>) {
     loop {
         sleep(TIDY).await;
+        hint::tidy(&app);
         let mut all = Vec::new();
         app.shelves.each(|map| all.extend(map.values().cloned()));
         let mut old = Vec::new();
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -25,9 +25,12 @@
 use crate::App;
 use crate::dialect::Caller;
 use crate::dialect::Submitted;
+use crate::hint;
 use crate::meter;
 use crate::owner;
+use crate::peer;
 use crate::refuse::Refusal;
+use crate::shelf::Page;
 use crate::shelf::Shelf;
 
 /// Longest time that a caller waits for a step to be accepted, unless it says less.
@@ -243,7 +246,7 @@
         let bytes = app.dialect.page(page.total, from, &page.entries);
         return body::reply(StatusCode::OK, "application/json", bytes);
     }
-    match read_shelf(app, step, from, wait).await {
+    match read_elsewhere(app, step, from, wait).await {
         Ok(Some(page)) => {
             let bytes = app.dialect.page(page.total, from, &page.entries);
             body::reply(StatusCode::OK, "application/json", bytes)
@@ -259,15 +262,31 @@
     Refusal::Unrun.reply()
 }
 
-async fn read_shelf(
+/// Reads results of a step that another instance runs: from that one, which costs the platform no
+/// call and gives the newest ones at once, or from the platform.
+async fn read_elsewhere(
     app: &Arc<App>,
     step: &Arc<str>,
     from: usize,
     wait: Millis,
-) -> Result<Option<crate::shelf::Page>, PlatError> {
+) -> Result<Option<Page>, PlatError> {
+    let hint = hint::owner(app, step).await;
+    if let Some(owner) = &hint {
+        if let Some(page) = peer::page(app, owner, step, from, wait).await {
+            return Ok(Some(page));
+        }
+        hint::forget(app, step);
+    }
     let Some(shelf) = find_shelf(app, step).await? else {
         return Ok(None);
     };
+    // The platform knows an owner that nobody hinted at, or another one.
+    let owner = hint::known(app, step).filter(|owner| hint.as_ref() != Some(owner));
+    if let Some(owner) = owner
+        && let Some(page) = peer::page(app, &owner, step, from, wait).await
+    {
+        return Ok(Some(page));
+    }
     let page = shelf.page(app, from, wait).await?;
     Ok(Some(page))
 }
@@ -280,6 +299,7 @@
         return Ok(None);
     };
     let head: Head = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
+    hint::note(app, step.clone(), head.owner.instance.clone());
     let shelf = app.shelves.with(step, |map| {
         let new = || Arc::new(Shelf::new(step.clone(), &head));
         map.entry(step.clone()).or_insert_with(new).clone()
@@ -294,7 +314,7 @@
     }
     let found = match app.works.get(step) {
         Some(work) => Ok(work.body(sample)),
-        None => read_body(app, step, sample).await,
+        None => find_body(app, step, sample).await,
     };
     match found {
         Ok(Some(bytes)) => net::body::reply(StatusCode::OK, "application/octet-stream", bytes),
@@ -303,6 +323,20 @@
     }
 }
 
+/// Finds the body of a sample of a step that another instance runs.
+async fn find_body(
+    app: &App,
+    step: &Arc<str>,
+    sample: &Arc<str>,
+) -> Result<Option<Vec<u8>>, PlatError> {
+    if let Some(owner) = hint::owner(app, step).await
+        && let Some(body) = peer::body(app, &owner, step, sample).await
+    {
+        return Ok(body);
+    }
+    read_body(app, step, sample).await
+}
+
 async fn read_body(app: &App, step: &str, sample: &str) -> Result<Option<Vec<u8>>, PlatError> {
     let range = app.plat.list(&keys::spec(step)).await?;
     if range.items.is_empty() {
@@ -320,7 +354,7 @@
         return Refusal::Missing.reply();
     }
     let known = app.works.get(step).is_some() || app.shelves.get(step).is_some();
-    if !known {
+    if !known && hint::owner(app, step).await.is_none() {
         match app.plat.get(&keys::head(step)).await {
             Ok(Some(_)) => (),
             Ok(None) => return Refusal::Missing.reply(),
--- a/crates/serve/src/journal.rs
+++ b/crates/serve/src/journal.rs
@@ -14,6 +14,7 @@
 use fleet::Member;
 use kernel::AttemptId;
 use kernel::Millis;
+use kernel::rank;
 use once::Answer;
 use once::Key;
 use once::Outcome;
@@ -283,15 +284,6 @@
     (best.name != view.me().name).then(|| best.clone())
 }
 
-/// Seeds of the rank; the same on every instance.
-const SEEDS: [u64; 4] = [1, 2, 3, 4];
-
-/// The rank of an instance for something (rendezvous hashing); the same on every instance.
-pub fn rank(name: &str, what: impl std::hash::Hash) -> u64 {
-    let [a, b, c, d] = SEEDS;
-    ahash::RandomState::with_seeds(a, b, c, d).hash_one((name, what))
-}
-
 async fn relay(
     app: &App,
     writer: &Member,
--- a/crates/serve/src/poll.rs
+++ b/crates/serve/src/poll.rs
@@ -17,7 +17,7 @@
 use crate::App;
 use crate::dispatcher::Dispatcher;
 use crate::history::Story;
-use crate::journal::rank;
+use kernel::rank;
 use wire::caller::Note;
 
 /// Time that a report may take.
--- a/crates/serve/src/steps.rs
+++ b/crates/serve/src/steps.rs
@@ -210,10 +210,7 @@
     drop(view);
     live.sort_by_key(|member| {
         let away = *member.name != *home;
-        (
-            away,
-            std::cmp::Reverse(crate::journal::rank(&member.name, step)),
-        )
+        (away, std::cmp::Reverse(kernel::rank(&member.name, step)))
     });
     // One after the home is enough: if that one is gone as well, this instance takes the step.
     live.truncate(2);
