Run the steps of a route at one instance, the strongest of its failure domain

Cause: each step was run by the instance that it was submitted to, another one each time.

Change: a step goes to one of the instances with the most processor in the failure domain, found by rank from its route's name, which writes it and runs it; it is taken where it was submitted when that one does not answer within a second or has 12 steps. The write that accepts a step succeeds once, whoever makes it. What earlier steps have left over is there, so nobody asks all instances for it any more. Bytes travel as bytes (serde_bytes replaces a module of our own).

--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -73,7 +73,7 @@
     /// Headers of its request.
     pub headers: Vec<(Arc<str>, Arc<str>)>,
     /// The body of its request.
-    #[serde(with = "serde_bytes_vec")]
+    #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
     /// Events that it is expected to have; 0 when nobody has said.
     pub expected: u32,
@@ -164,32 +164,3 @@
 pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, RecordError> {
     Ok(rmp_serde::from_slice(bytes)?)
 }
-
-/// Bytes as bytes, where serde would write a sequence of numbers.
-mod serde_bytes_vec {
-    use serde::Deserializer;
-    use serde::Serializer;
-    use serde::de::Visitor;
-
-    struct Bytes;
-
-    impl<'de> Visitor<'de> for Bytes {
-        type Value = Vec<u8>;
-
-        fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-            f.write_str("bytes")
-        }
-
-        fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
-            Ok(bytes.to_vec())
-        }
-    }
-
-    pub(super) fn serialize<S: Serializer>(bytes: &[u8], to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_bytes(bytes)
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u8>, D::Error> {
-        from.deserialize_bytes(Bytes)
-    }
-}
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -9,6 +9,8 @@
 use arc_swap::ArcSwapOption;
 use batch::Owner;
 use clock::Clock;
+use kernel::Map;
+use kernel::Millis;
 use kernel::Shards;
 use parking_lot::Mutex;
 use place::Fleet;
@@ -66,6 +68,8 @@
     pub shelves: Shards<Arc<str>, Arc<Shelf>>,
     /// Who runs the steps that callers ask for here.
     pub hints: Shards<Arc<str>, Hint>,
+    /// Instances that get no steps from here until a time.
+    shunned: Mutex<Map<Arc<str>, Millis>>,
     leaving: AtomicBool,
     entry: AtomicI64,
 }
@@ -97,6 +101,7 @@
             works: Shards::new(),
             shelves: Shards::new(),
             hints: Shards::new(),
+            shunned: Mutex::default(),
             leaving: AtomicBool::new(false),
             entry: AtomicI64::new(0),
         })
@@ -112,6 +117,16 @@
         self.entry.load(Ordering::Relaxed)
     }
 
+    /// The time until which an instance gets no steps from here.
+    pub fn shunned(&self, instance: &str) -> Millis {
+        self.shunned.lock().get(instance).copied().unwrap_or(0)
+    }
+
+    /// Gives an instance no steps from here until a time.
+    pub fn shun(&self, instance: &Arc<str>, until: Millis) {
+        self.shunned.lock().insert(instance.clone(), until);
+    }
+
     /// Begins to leave: nothing new is taken on.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod forward;
 pub mod front;
+pub mod hand;
 pub mod hint;
 pub mod member;
 pub mod meter;
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -34,6 +34,9 @@
 /// Pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(250);
 
+/// Hundredths in a core.
+const HUNDREDTHS: f64 = 100.0;
+
 /// The key of an instance.
 pub fn key(instance: &str) -> String {
     format!("{INSTANCES}{instance}")
@@ -51,6 +54,8 @@
     pub addr: SocketAddr,
     /// Whether it reads the list of upstreams for others.
     pub reads: bool,
+    /// The processor that it has, in hundredths of a core.
+    pub power: u32,
 }
 
 /// Reads an entry.
@@ -95,6 +100,7 @@
         domain: app.settings.domain.clone(),
         addr: SocketAddr::new(app.settings.address, app.settings.peer),
         reads: app.settings.role == Role::Entry,
+        power: (app.settings.cores * HUNDREDTHS) as u32,
     };
     let value = record::encode(&member).map_err(|_| PlatError::Garbled)?;
     let put = Put {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -28,7 +28,6 @@
 use self::drive::Drive;
 use crate::App;
 use crate::hint;
-use crate::peer;
 use crate::run::Draft;
 use crate::shelf::Page;
 
@@ -256,7 +255,7 @@
     hint::tell(app, &work.step);
     let app = app.clone();
     tokio::spawn(async move {
-        gather(&app, &work).await;
+        gather(&app, &work);
         let mut drive = Drive::new(&app, &work);
         drive.run().await;
         let ledger_done = work.ledger.lock().is_done();
@@ -282,14 +281,15 @@
     });
 }
 
-/// Gathers what earlier steps have left over of this step's samples, from all instances.
-async fn gather(app: &Arc<App>, work: &Work) {
+/// Gathers what earlier steps have left over of this step's samples. The steps of one route are run
+/// by one instance, so it is here.
+fn gather(app: &App, work: &Work) {
     let single = work.route(app).is_none_or(|route| route.single);
     if single {
         return;
     }
     let samples: Vec<_> = work.spec.samples.iter().map(Sample::print).collect();
-    let mut drafts = peer::drafts(app, &work.head.model, &samples).await;
+    let mut drafts = Vec::new();
     app.works.each(|map| {
         for other in map.values() {
             drafts.extend(other.hand(&work.head.model, &samples));
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -23,7 +23,6 @@
 use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::task::JoinSet;
 
 use crate::App;
 use crate::hint;
@@ -31,8 +30,10 @@
 use crate::news::FRESH;
 use crate::news::Have;
 use crate::news::News;
-use crate::run::Draft;
 use crate::shelf::Page;
+use crate::steps;
+use crate::steps::Accepted;
+use crate::steps::Submission;
 
 /// Time that an answer may take beyond what it may wait for: milliseconds within a region, and a
 /// busy instance has a part of one core.
@@ -41,13 +42,13 @@
 /// Time that a relayed call may take beyond its own wait: the platform's time limit and ours.
 const RELAY: Millis = 1_300;
 
+/// Time that an instance has to accept a step that is handed to it: the store may take half a second
+/// on a slow day, and the trainer waits.
+const HAND: Millis = 1_000;
+
 /// Time that the keeper of a step's hint has to answer; the platform answers within milliseconds too.
 const HINT: Millis = 120;
 
-/// Time for which a step waits for what earlier ones have left over, in milliseconds: some ways
-/// within a region; a step begins that much later when an instance does not answer.
-const DRAFTS: Millis = 60;
-
 /// Most bytes of a question or an answer.
 const MOST: usize = 16 << 20;
 
@@ -61,6 +62,8 @@
         from: usize,
         wait: Millis,
     },
+    /// A step to accept.
+    Submit(Submission),
     /// The body of a sample of a step that the other one runs.
     Body { step: Arc<str>, sample: Arc<str> },
     /// Who runs a step.
@@ -69,8 +72,6 @@
     Own { step: Arc<str>, owner: Arc<str> },
     /// A read of the platform that is newer than what the follower has.
     News { have: Have, wait: Millis },
-    /// What ended steps have left over of samples with these prints.
-    Drafts { model: Arc<str>, samples: Vec<u64> },
     /// A call of the platform.
     Relay(Call),
 }
@@ -80,12 +81,13 @@
 #[derive(Serialize, Deserialize)]
 enum Told {
     Page(Option<Page>),
+    /// Nothing when the asking one had better take the step.
+    Submit(Option<Accepted>),
     /// Nothing when the step is not run here; inside, nothing when it has no such sample.
     Body(Option<Option<Vec<u8>>>),
     Owner(Option<Arc<str>>),
     Noted,
     News(Option<News>),
-    Drafts(Vec<(u64, Draft)>),
     Relay(Result<Answer, PlatError>),
 }
 
@@ -117,6 +119,7 @@
             Some(work) => Told::Page(work.page(app, from, wait).await),
             None => Told::Page(None),
         },
+        Ask::Submit(submission) => Told::Submit(steps::take_over(app, submission).await),
         Ask::Body { step, sample } => {
             let work = app.works.get(&step);
             Told::Body(work.map(|work| work.body(&sample)))
@@ -127,15 +130,6 @@
             Told::Noted
         }
         Ask::News { have, wait } => Told::News(newer(app, have, wait).await),
-        Ask::Drafts { model, samples } => {
-            let mut left = Vec::new();
-            app.works.each(|map| {
-                for work in map.values() {
-                    left.extend(work.hand(&model, &samples));
-                }
-            });
-            Told::Drafts(left)
-        }
         // Never through a third one: two that are turned away would ask each other forever.
         Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
     }
@@ -217,6 +211,16 @@
     }
 }
 
+/// Hands a step over; [`None`] when the other one does not take it, or nothing was heard of it. It
+/// may have accepted the step all the same.
+pub async fn submit(app: &App, to: SocketAddr, submission: &Submission) -> Option<Accepted> {
+    let question = Ask::Submit(submission.clone());
+    match ask(app, to, &question, HAND).await? {
+        Told::Submit(accepted) => accepted,
+        _ => None,
+    }
+}
+
 /// Tells the keeper of a step's hint who runs it.
 pub async fn own(app: &App, keeper: SocketAddr, step: Arc<str>, owner: Arc<str>) {
     // It need not arrive.
@@ -241,27 +245,6 @@
     Reader,
 }
 
-/// Asks all other instances for what ended steps have left over of some samples.
-pub async fn drafts(app: &Arc<App>, model: &Arc<str>, samples: &[u64]) -> Vec<(u64, Draft)> {
-    let others = others(app);
-    let question = Arc::new(Ask::Drafts {
-        model: model.clone(),
-        samples: samples.to_vec(),
-    });
-    let mut asks = JoinSet::new();
-    for addr in others {
-        let (app, question) = (app.clone(), question.clone());
-        asks.spawn(async move { ask(&app, addr, &question, DRAFTS).await });
-    }
-    let mut left = Vec::new();
-    for told in asks.join_all().await {
-        if let Some(Told::Drafts(drafts)) = told {
-            left.extend(drafts);
-        }
-    }
-    left
-}
-
 /// The addresses of all other instances.
 fn others(app: &App) -> Vec<SocketAddr> {
     let members = app.members.lock();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -52,6 +52,8 @@
     pub ready: Option<SocketAddr>,
     /// The port for other instances, the same on all of them.
     pub peer: u16,
+    /// The part of a core that it has: steps are run where there is most.
+    pub cores: f64,
     /// The platform's store.
     pub platform: SocketAddr,
     /// Time that a stop may take before the process is killed, in milliseconds.
@@ -90,6 +92,7 @@
     let listen = one.get::<SocketAddr>("listen", "an IP address and a port");
     let ready = one.get::<SocketAddr>("ready", "an IP address and a port");
     let peer = one.need::<u16>("peer", "a port");
+    let cores = one.or("cores", "a part of a core, as 0.5", 1.0);
     doc.put(one);
 
     let mut plat = doc.take("platform");
@@ -127,6 +130,7 @@
         listen,
         ready,
         peer: peer.unwrap_or_default(),
+        cores,
         platform: platform.unwrap_or((unset, 0).into()),
         grace: millis(grace),
         lease,
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -18,6 +18,8 @@
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -25,6 +27,7 @@
 use crate::App;
 use crate::dialect::Caller;
 use crate::dialect::Submitted;
+use crate::hand;
 use crate::hint;
 use crate::meter;
 use crate::owner;
@@ -56,69 +59,131 @@
 /// Time kept back for the way of the answer to the caller, in milliseconds.
 const WAY: Millis = 20;
 
+/// Steps beyond which an instance takes none from others: each holds its samples in memory, and
+/// each running sample takes processor.
+const MOST: usize = 12;
+
 /// What came of submitting a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Accepted {
+#[derive(Serialize, Deserialize)]
+pub enum Accepted {
     /// It is kept.
     Kept,
     /// Nothing was written and nothing will be.
     Refused,
+    /// It is no proper step.
+    Wrong,
+    /// Whether it is kept was not known in time.
+    Unclear,
 }
 
-/// Accepts a step.
-///
-/// The step is at the platform before the caller hears that it is accepted. A refusal that
-/// promises that nothing runs is given only while no write was sent that may yet take effect.
+impl Accepted {
+    fn reply(self) -> Reply {
+        match self {
+            Self::Kept => body::reply(StatusCode::ACCEPTED, "application/json", "{}"),
+            Self::Refused => Refusal::Unrun.reply(),
+            Self::Wrong => Refusal::Wrong.reply(),
+            Self::Unclear => Refusal::Late.reply(),
+        }
+    }
+}
+
+/// A step as a caller submits it, not yet looked into.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Submission {
+    /// Its name.
+    pub id: Arc<str>,
+    /// The host under which it was submitted.
+    pub host: Arc<str>,
+    /// The path under which it was submitted.
+    pub path: Arc<str>,
+    /// Time that the caller waits for the answer, in milliseconds, if it says so.
+    pub left: Option<Millis>,
+    /// The body of the request.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// Accepts a step, here or at the instance that takes the steps of its route.
 pub async fn submit(app: &Arc<App>, head: &Parts, caller: &Caller, bytes: &Bytes) -> Reply {
-    let id = caller.id.clone();
     if app.is_leaving() {
         return Refusal::Unrun.reply();
     }
-    if !keys::is_name(&id) {
+    if !keys::is_name(&caller.id) {
         return Refusal::Wrong.reply();
     }
-    let submitted = match app.dialect.submitted(bytes) {
+    let submission = Submission {
+        id: caller.id.clone(),
+        host: caller.host.clone(),
+        path: head.uri.path().into(),
+        left: caller.deadline,
+        body: bytes.to_vec(),
+    };
+    if app.works.get(&submission.id).is_some() {
+        return Accepted::Kept.reply();
+    }
+    match hand::over(app, &submission).await {
+        Some(accepted) => accepted.reply(),
+        None => take(app, submission).await.reply(),
+    }
+}
+
+/// Accepts a step that another instance hands over; [`None`] when that one had better take it.
+pub async fn take_over(app: &Arc<App>, submission: Submission) -> Option<Accepted> {
+    if app.is_leaving() || app.works.len() >= MOST || !keys::is_name(&submission.id) {
+        return None;
+    }
+    Some(take(app, submission).await)
+}
+
+/// Accepts a step here.
+///
+/// The step is at the platform before the caller hears that it is accepted. A refusal that
+/// promises that nothing runs is given only while no write was sent that may yet take effect.
+async fn take(app: &Arc<App>, submission: Submission) -> Accepted {
+    let id = submission.id.clone();
+    let submitted = match app.dialect.submitted(&submission.body) {
         Ok(submitted) => submitted,
         Err(error) => {
             let why = error.to_string();
             log::info!(target: "steps", id = &*id, why = why.as_str(); "improper step");
-            return Refusal::Wrong.reply();
+            return Accepted::Wrong;
         }
     };
     if app.works.get(&id).is_some() {
-        return accepted();
+        return Accepted::Kept;
     }
-    if !serves(app, head, caller, &submitted.model) {
+    if !serves(app, &submission, &submitted.model) {
         // Not for good: the configuration here may be a second behind one that has the model.
         log::info!(target: "steps", id = &*id, model = &*submitted.model; "unknown model");
-        return Refusal::Unrun.reply();
+        return Accepted::Refused;
     }
     let (sender, receiver) = oneshot::channel();
-    let record = make_head(app, head, caller, &submitted);
+    let record = make_head(app, &submission, &submitted);
     let spec = Spec {
         samples: submitted.samples,
     };
     // Goes on when the caller leaves: whether the step was kept must become known.
-    let task = accept(app.clone(), id.clone(), record, spec);
+    let task = accept(app.clone(), id, record, spec);
     tokio::spawn(async move {
         let _ = sender.send(task.await);
     });
-    let wait = caller.deadline.map(|left| left.saturating_sub(WAY));
+    let wait = submission.left.map(|left| left.saturating_sub(WAY));
     let wait = wait.map_or(ACCEPT, Duration::from_millis).min(ACCEPT);
     match timeout(wait, receiver).await {
-        Ok(Ok(Some(Accepted::Kept))) => accepted(),
-        Ok(Ok(Some(Accepted::Refused))) => Refusal::Unrun.reply(),
-        Ok(Ok(None) | Err(_)) | Err(_) => Refusal::Late.reply(),
+        Ok(Ok(accepted)) => accepted,
+        Ok(Err(_)) | Err(_) => Accepted::Unclear,
     }
 }
 
 /// Tells whether an engine of the step's route may have the model.
-fn serves(app: &App, head: &Parts, caller: &Caller, model: &str) -> bool {
+fn serves(app: &App, submission: &Submission, model: &str) -> bool {
     let plan = app.plan.load();
     let Some(plan) = plan.as_ref() else {
         return false;
     };
-    let Some(route) = plan.find(&caller.host, head.uri.path()) else {
+    let Some(route) = plan.find(&submission.host, &submission.path) else {
         return false;
     };
     route.shares.iter().any(|share| {
@@ -128,17 +193,13 @@
     })
 }
 
-fn accepted() -> Reply {
-    body::reply(StatusCode::ACCEPTED, "application/json", "{}")
-}
-
-fn make_head(app: &App, head: &Parts, caller: &Caller, submitted: &Submitted) -> Head {
+fn make_head(app: &App, submission: &Submission, submitted: &Submitted) -> Head {
     let samples = submitted.samples.iter();
     Head {
         owner: app.me.clone(),
         opened: app.clock.wall(),
-        host: caller.host.clone(),
-        path: head.uri.path().into(),
+        host: submission.host.clone(),
+        path: submission.path.clone(),
         model: submitted.model.clone(),
         least: submitted.least,
         wanted: submitted.wanted,
@@ -147,8 +208,8 @@
     }
 }
 
-/// Writes the step until it is known whether it is kept; [`None`] when that stays unknown.
-async fn accept(app: Arc<App>, id: Arc<str>, head: Head, spec: Spec) -> Option<Accepted> {
+/// Writes the step until it is known whether it is kept.
+async fn accept(app: Arc<App>, id: Arc<str>, head: Head, spec: Spec) -> Accepted {
     let begun = app.clock.now();
     let mut unclear = false;
     loop {
@@ -160,12 +221,12 @@
                     model = &*head.model, revision = rev, took_ms = age; "step accepted");
                 metrics::counter!(meter::STEPS, "outcome" => "accepted").increment(1);
                 owner::begin(&app, &id, head, spec, rev);
-                return Some(Accepted::Kept);
+                return Accepted::Kept;
             }
             Ok(Done::Conflict) => match app.plat.get(&keys::head(&id)).await {
-                Ok(Some(item)) => return Some(known(&app, &id, &item, head, spec)),
+                Ok(Some(item)) => return known(&app, &id, &item, head, spec),
                 // Expired between the two calls: nothing of it can run.
-                Ok(None) if !unclear => return Some(Accepted::Refused),
+                Ok(None) if !unclear => return Accepted::Refused,
                 Ok(None) | Err(_) => (),
             },
             Err(error) if error.is_unclear() => unclear = true,
@@ -174,13 +235,13 @@
                 log::warn!(target: "steps", id = &*id, why = why.as_str(), took_ms = age;
                     "step refused");
                 metrics::counter!(meter::STEPS, "outcome" => "refused").increment(1);
-                return Some(Accepted::Refused);
+                return Accepted::Refused;
             }
             Err(_) => (),
         }
         if age > SETTLE {
             log::warn!(target: "steps", id = &*id, took_ms = age; "step unclear");
-            return None;
+            return Accepted::Unclear;
         }
         sleep(PAUSE).await;
     }
--- a/crates/plat/src/call.rs
+++ b/crates/plat/src/call.rs
@@ -13,6 +13,7 @@
     /// The key.
     pub key: String,
     /// The value.
+    #[serde(with = "serde_bytes")]
     pub value: Vec<u8>,
     /// The revision that changed it last.
     pub rev: i64,
@@ -58,6 +59,7 @@
     /// The key.
     pub key: String,
     /// The value.
+    #[serde(with = "serde_bytes")]
     pub value: Vec<u8>,
     /// The lease that it goes with; 0 for none.
     pub lease: i64,
