Choose who orders by a renewed record instead of a lease

And a store may end a lease early while its holder believes in it.

Change: fleet::election, pure: the leader rewrites its record under its revision every 0.9 s and orders for 1.6 s after the last renewal was sent. A candidate that saw one revision for 2.4 s of reads that did not fail replaces the record under that revision; it waits out what the former leader can have left, counted from when it first saw that revision. A leader restarted on its machine goes on at once, one that leaves says so. The leader's turn comes every 0.1 s instead of 0.15.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,6 +1,7 @@
 //! Work that one instance at a time does for all: orders to engines, steps whose owner is gone,
 //! and records that are not needed any more.
 
+pub mod office;
 pub mod orders;
 pub mod orphans;
 pub mod targets;
@@ -8,11 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::Lease;
-use fleet::lease::Held;
-use kernel::Millis;
-use plat::holder;
-use plat::holder::Taken;
 use table::Listed;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -21,22 +17,10 @@
 use crate::dialect::DialectError;
 use crate::dialect::Stated;
 use crate::news;
+use office::Office;
 
-/// The key of the lease.
-const KEY: &str = "snipeway/control";
-
-/// Longest time that one watch of the lease waits, in milliseconds.
-const WATCH: Millis = 10_000;
-
-/// Time between two looks while holding the lease.
-const TICK: Duration = Duration::from_millis(150);
-
-/// Pause after a failed call.
-const AGAIN: Duration = Duration::from_millis(400);
-
-/// Time beyond the bound on two holders that a new holder waits before its first order: the store
-/// may notice the end of a lease late, and an order takes time to arrive.
-const MARGIN: Millis = 500;
+/// Time between two looks of the leader at what is due.
+const TICK: Duration = Duration::from_millis(100);
 
 /// Time that an engine has to state its versions and load.
 const STATE: Duration = Duration::from_millis(400);
@@ -46,50 +30,35 @@
 
 /// Takes part in control until the instance has left.
 pub async fn run(app: Arc<App>) {
-    loop {
-        let ttl = app.settings.lease.max(app.settings.shortest);
-        let name = app.me.instance.as_bytes();
-        match holder::take(&app.plat, KEY, name, ttl, app.clock).await {
-            Ok(Taken::Ours(lease)) => hold(&app, lease).await,
-            Ok(Taken::Others) => wait(&app).await,
-            Err(_) => sleep(AGAIN.mul_f64(0.5 + rand::random::<f64>())).await,
-        }
-    }
-}
-
-/// Waits until the lease changes hands.
-async fn wait(app: &App) {
-    let Ok(range) = app.plat.list(KEY).await else {
-        return sleep(AGAIN).await;
-    };
-    if range.items.is_empty() {
-        return;
-    }
-    if app.plat.poll(KEY, range.rev, WATCH).await.is_err() {
-        sleep(AGAIN).await;
+    while !app.is_leaving() {
+        let office = office::stand(&app).await;
+        lead(&app, office).await;
     }
 }
 
-async fn hold(app: &Arc<App>, mut lease: Lease<Held>) {
-    let fence = lease.fence().0;
-    log::info!(target: "control", fence; "lease taken");
+async fn lead(app: &Arc<App>, office: Office) {
+    let fence = office.fence();
+    log::info!(target: "control", fence; "became leader");
     let mut tasks = JoinSet::new();
     tasks.spawn(news::follow(app.clone()));
     let targets = targets::Targets::default();
     tasks.spawn(targets::follow(app.clone(), targets.clone()));
     tasks.spawn(orphans::run(app.clone(), targets.clone()));
-    let from = app.clock.now() + app.settings.lease + MARGIN;
-    let mut orders = orders::Orders::new(app, fence, from);
-    while holder::keep(&app.plat, &mut lease, app.clock).await {
-        orders.turn(&targets, &lease).await;
-        sleep(TICK).await;
-        if app.is_leaving() {
-            // Another instance takes over at once instead of after the lease's time.
-            let _ = app.plat.revoke(lease.id()).await;
-            break;
+    let orders = async {
+        let mut orders = orders::Orders::new(app, &office);
+        while !app.is_leaving() {
+            orders.turn(&targets).await;
+            sleep(TICK).await;
         }
+    };
+    let leaves = tokio::select! {
+        () = office.keep(app) => false,
+        () = orders => true,
+    };
+    if leaves {
+        office.resign(app).await;
     }
-    log::warn!(target: "control", fence; "lease lost");
+    log::warn!(target: "control", fence; "leader no more");
 }
 
 /// Why an engine's state is not known.
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -3,9 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::Lease;
-use fleet::lease::Held;
-use fleet::lease::Next;
 use futures_util::future::join_all;
 use kernel::Map;
 use kernel::Millis;
@@ -17,6 +14,7 @@
 use weight::swap::Seen;
 use weight::swap::Swap;
 
+use super::office::Office;
 use super::targets::Targets;
 use crate::App;
 use crate::dialect::Order;
@@ -31,7 +29,7 @@
 /// Time for which an engine counts as loading after an order. A load takes 0.9 s on the users'
 /// deployments; the engine's own word comes some hundred milliseconds later, and waiting for it
 /// left a fifth of the time between loads unused.
-const LOADING: Millis = 950;
+const LOADING: Millis = 900;
 
 /// Time for which an engine is left alone after a question or an order that it did not answer, in
 /// milliseconds. An order may be carried out late; the next one expects that it was not.
@@ -43,11 +41,10 @@
 /// Most bytes of an engine's answer.
 const MOST: usize = 64 << 10;
 
-/// The holder's orders.
+/// The leader's orders.
 pub struct Orders<'a> {
     app: &'a Arc<App>,
-    fence: i64,
-    from: Millis,
+    office: &'a Office,
     swaps: Map<Arc<str>, Swap>,
     /// Engines that were ordered and of which nothing more is asked for a while.
     ordered: Map<Arc<str>, Loading>,
@@ -64,12 +61,11 @@
 }
 
 impl<'a> Orders<'a> {
-    /// Makes a holder that gives no order before `from`.
-    pub fn new(app: &'a Arc<App>, fence: i64, from: Millis) -> Self {
+    /// Makes a leader that has ordered nothing yet.
+    pub fn new(app: &'a Arc<App>, office: &'a Office) -> Self {
         Self {
             app,
-            fence,
-            from,
+            office,
             swaps: Map::default(),
             ordered: Map::default(),
             silent: Map::default(),
@@ -77,10 +73,10 @@
     }
 
     /// Looks at the engines and orders what is due.
-    pub async fn turn(&mut self, targets: &Targets, lease: &Lease<Held>) {
+    pub async fn turn(&mut self, targets: &Targets) {
         let now = self.app.clock.now();
         let aims = targets.aims(now);
-        if now < self.from || aims.is_empty() {
+        if !self.office.may_order(now) || aims.is_empty() {
             return;
         }
         self.ordered.retain(|_, ordered| now < ordered.until);
@@ -89,7 +85,7 @@
         let Some(plan) = plan else { return };
         for service in plan.services() {
             if service.engine.is_some() {
-                self.serve(&service.name, &aims, lease).await;
+                self.serve(&service.name, &aims).await;
             }
         }
     }
@@ -102,7 +98,7 @@
         engines
     }
 
-    async fn serve(&mut self, service: &Arc<str>, aims: &Map<Arc<str>, Aim>, lease: &Lease<Held>) {
+    async fn serve(&mut self, service: &Arc<str>, aims: &Map<Arc<str>, Aim>) {
         let engines = self.engines(service);
         let part = self.app.settings.part * engines.len() as f64;
         let width = (part.round() as usize).max(1);
@@ -122,7 +118,7 @@
         let orders = loads.iter().filter_map(|load| {
             let engine = engines.iter().find(|one| one.id == load.id)?;
             // An engine that does not tell gets no order.
-            Some(self.order(engine, load, states.get(&load.id)?, lease))
+            Some(self.order(engine, load, states.get(&load.id)?))
         });
         // All at once: each engine that does not answer holds the others up otherwise.
         let ordered = join_all(orders).await;
@@ -175,11 +171,10 @@
         engine: &Arc<Listed>,
         load: &Load,
         state: &Stated,
-        lease: &Lease<Held>,
     ) -> Option<(Arc<str>, Loading)> {
         let now = self.app.clock.now();
         // Asked right before each order: the process may have been paused since the last renewal.
-        if matches!(lease.next(now), Next::Lapsed) {
+        if !self.office.may_order(now) {
             return None;
         }
         let order = Order {
@@ -189,7 +184,7 @@
             version: load.version,
             passing: self.passing(&engine.service),
             holder: self.app.me.instance.clone(),
-            fence: self.fence,
+            fence: self.office.fence(),
             orders: state.orders,
         };
         let result = self.send(&order).await;
@@ -207,7 +202,7 @@
         };
         metrics::counter!(meter::ORDERS, "result" => word).increment(1);
         log::info!(target: "control", upstream = &*engine.id, model = &*load.model,
-            version = load.version, fence = self.fence, orders = state.orders,
+            version = load.version, fence = self.office.fence(), orders = state.orders,
             running = state.running, result = word; "ordered");
         Some((engine.id.clone(), loading))
     }
