Take events for events when a run asks whether to move

Cause: senders state the length that they expect of a sample in tokens, about a hundred times the events that it has. Every run looked as if it had its whole length before it, so runs moved to a faster engine for the sake of their last events, each move a new connection and a prompt read again. Besides, choosing an engine computed the median pace once for each engine that was not measured yet.

The median is computed once for a choice, and a run whose rest costs less than a move gains is not looked at.

--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -119,6 +119,10 @@
         let begun = self.app.clock.now();
         let first = draft.lock().last;
         let ended = self.attempt(sample, draft).await;
+        if ended == Ended::Whole {
+            let events = draft.lock().last;
+            self.app.fleet.lock().whole(sample.expected, events);
+        }
         if !matches!(
             ended,
             Ended::Whole | Ended::Hopeless | Ended::Unrun | Ended::Moved
@@ -254,9 +258,6 @@
 
     /// Tells whether the rest of the sample would be whole sooner at another engine.
     fn had_better_move(&self, sample: &Sample, draft: &Draft) -> bool {
-        let left = u64::from(sample.expected)
-            .saturating_sub(draft.last)
-            .max(LOOK);
         let want = Want {
             service: &self.service,
             model: Some(&self.model),
@@ -274,9 +275,10 @@
         };
         let roster = self.app.roster.lock();
         let fleet = self.app.fleet.lock();
+        let left = fleet.left(sample.expected, draft.last);
         let now = self.app.clock.now();
         fleet
-            .better(&roster, &want, &self.engine.id, left as u32, now)
+            .better(&roster, &want, &self.engine.id, left, now)
             .is_some()
     }
 }
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -8,6 +8,7 @@
 use table::Roster;
 
 use crate::Load;
+use crate::Scale;
 use crate::engine::Engine;
 
 /// Gain that a move has to promise, in milliseconds: reading the prompt and the text so far again
@@ -47,6 +48,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     engines: Map<Arc<str>, Engine>,
+    scale: Scale,
 }
 
 impl Fleet {
@@ -107,15 +109,26 @@
         listed.max(seen)
     }
 
+    /// Notes that a sample is whole, of which `expected` was expected.
+    pub fn whole(&mut self, expected: u32, events: u64) {
+        self.scale.ended(expected, events);
+    }
+
+    /// Events that a run is expected to have left when it has `done` of them.
+    pub fn left(&self, expected: u32, done: u64) -> u32 {
+        self.scale.left(expected, done)
+    }
+
     /// Runs of this instance at an engine.
     pub fn mine(&self, id: &str) -> u32 {
         self.engines.get(id).map_or(0, |engine| engine.mine)
     }
 
-    fn pace(&self, id: &str) -> f64 {
+    /// The pace of an engine, or the usual one as long as its own is not known.
+    fn pace(&self, id: &str, usual: f64) -> f64 {
         match self.engines.get(id) {
             Some(engine) if engine.pace > 0.0 => engine.pace,
-            _ => self.usual(),
+            _ => usual,
         }
     }
 
@@ -144,7 +157,7 @@
     }
 
     /// What a run of one event costs at an engine, in milliseconds.
-    fn cost(&self, one: &Listed, want: &Want<'_>) -> f64 {
+    fn cost(&self, one: &Listed, want: &Want<'_>, usual: f64) -> f64 {
         let far = if *one.domain == *want.domain {
             0.0
         } else {
@@ -152,22 +165,25 @@
         };
         let full = f64::from(self.mine(&one.id)) / f64::from(one.slots.max(1));
         // A fuller engine is a little slower, and the last slots are kept for what comes next.
-        self.pace(&one.id) * (1.0 + 0.2 * full) + far
+        self.pace(&one.id, usual) * (1.0 + 0.2 * full) + far
     }
 
     /// Chooses the engine for a sample; [`None`] when none has room.
     pub fn choose(&self, roster: &Roster, want: &Want<'_>, now: Millis) -> Option<Arc<Listed>> {
+        let usual = self.usual();
         let fits = |one: &&Arc<Listed>| self.fits(one, want, now);
         let best = roster.of(want.service).filter(fits).min_by(|a, b| {
-            self.cost(a, want)
-                .total_cmp(&self.cost(b, want))
+            self.cost(a, want, usual)
+                .total_cmp(&self.cost(b, want, usual))
                 .then(a.id.cmp(&b.id))
         })?;
         // The kin has the prompt in its cache; it wins unless it has become slow.
         let kin = want.kin.and_then(|kin| roster.get(kin));
         let kin = kin.filter(fits).filter(|kin| *kin.service == *want.service);
         match kin {
-            Some(kin) if self.pace(&kin.id) <= self.pace(&best.id) * FASTER => Some(kin.clone()),
+            Some(kin) if self.pace(&kin.id, usual) <= self.pace(&best.id, usual) * FASTER => {
+                Some(kin.clone())
+            }
             _ => Some(best.clone()),
         }
     }
@@ -181,9 +197,14 @@
         left: u32,
         now: Millis,
     ) -> Option<Arc<Listed>> {
-        let slow = self.pace(here);
+        let usual = self.usual();
+        let slow = self.pace(here, usual);
+        if f64::from(left) * slow <= GAIN {
+            // Not even an engine that took no time would be worth it.
+            return None;
+        }
         let best = self.choose(roster, want, now)?;
-        let fast = self.pace(&best.id);
+        let fast = self.pace(&best.id, usual);
         let gain = f64::from(left) * (slow - fast);
         let worth = *best.id != *here && slow > fast * FASTER && gain > GAIN;
         worth.then_some(best)
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,9 +8,11 @@
 mod engine;
 mod fleet;
 mod order;
+mod scale;
 
 pub use engine::Load;
 pub use fleet::Fleet;
 pub use fleet::Want;
 pub use order::Job;
 pub use order::order;
+pub use scale::Scale;
--- a/crates/place/tests/place.rs
+++ b/crates/place/tests/place.rs
@@ -212,3 +212,24 @@
 
     assert_eq!(order[0], 1);
 }
+
+// Symptom: runs move to another engine for the sake of their last few events.
+// Sequence: senders expect 2,000 tokens; an engine sends a hundred of them in one event.
+// Cause: taking tokens for events.
+#[test]
+fn a_run_that_is_nearly_whole_does_not_move() {
+    let roster = roster(vec![engine("slow", 8, 1), engine("fast", 8, 1)]);
+    let mut fleet = Fleet::default();
+    for _ in 0..30 {
+        fleet.event(&id("slow"), 100.0);
+        fleet.event(&id("fast"), 50.0);
+    }
+    fleet.whole(1_000, 10);
+    let better = |done| {
+        let left = fleet.left(2_000, done);
+        fleet.better(&roster, &want(), "slow", left, 0).is_some()
+    };
+
+    assert!(better(2));
+    assert!(!better(18));
+}
