Expect no more tokens at an engine than its memory holds

Samples begin with the longest, all went to the fastest engine with a free slot, and the memory of an engine there holds two of the longest.

Change: the configuration says what an engine's memory holds, a sample's headers what it may take. An engine gets no more runs than are expected to fill one and a quarter of its memory in the end; a fuller memory counts as a fuller engine.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -107,6 +107,14 @@
         })
     }
 
+    /// Tokens that the memory of a service's engines holds; 0 when it is not known.
+    pub fn memory(&self, service: &str) -> u32 {
+        let plan = self.plan.load();
+        let service = plan.as_ref().and_then(|plan| plan.service(service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(0, |engine| engine.memory)
+    }
+
     /// Notes the lease of this instance's own entry.
     pub fn enter(&self, lease: i64) {
         self.entry.store(lease, Ordering::Relaxed);
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -87,7 +87,7 @@
                 Job {
                     index: index as u32,
                     group: sample.group.clone(),
-                    expected: sample.expected.saturating_sub(last as u32),
+                    expected: sample.expected,
                     carried: last > 0,
                 }
             })
@@ -193,6 +193,8 @@
             domain: &self.app.settings.domain,
             kin: self.kin.get(&todo.job.group).map(|kin| &**kin),
             avoid: &todo.avoid,
+            need: self.work.spec.samples[todo.job.index as usize].need(),
+            memory: self.app.memory(service),
         };
         let any = Want { avoid: &[], ..want };
         let now = self.app.clock.now();
@@ -201,7 +203,7 @@
         let engine = fleet
             .choose(&roster, &want, now)
             .or_else(|| fleet.choose(&roster, &any, now))?;
-        fleet.begin(&engine.id);
+        fleet.begin(&engine.id, want.need);
         Some((service.clone(), engine))
     }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -102,12 +102,15 @@
 }
 
 /// Counts a run at an engine for as long as it lives.
-struct Place<'a>(&'a Run);
+struct Place<'a> {
+    run: &'a Run,
+    need: u32,
+}
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        let Run { app, engine, .. } = self.0;
-        app.fleet.lock().end(&engine.id);
+        let Run { app, engine, .. } = self.run;
+        app.fleet.lock().end(&engine.id, self.need);
         app.room.notify_waiters();
     }
 }
@@ -115,7 +118,8 @@
 impl Run {
     /// Runs the sample on from what it has. The place at the engine was taken by whoever chose it.
     pub async fn go(&self, sample: &Sample, draft: &Mutex<Draft>) -> Ended {
-        let _place = Place(self);
+        let need = sample.need();
+        let _place = Place { run: self, need };
         let begun = self.app.clock.now();
         let first = draft.lock().last;
         let ended = self.attempt(sample, draft).await;
@@ -272,6 +276,8 @@
             domain: &self.app.settings.domain,
             kin: None,
             avoid: &[],
+            need: sample.need(),
+            memory: self.app.memory(&self.service),
         };
         let roster = self.app.roster.lock();
         let fleet = self.app.fleet.lock();
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -93,6 +93,8 @@
             domain: &app.settings.domain,
             kin: None,
             avoid: used,
+            need: 0,
+            memory: 0,
         };
         app.plain.lock().choose(&roster, &want, app.clock.now())
     }
@@ -106,7 +108,7 @@
 
 impl Place {
     pub(crate) fn take(app: &Arc<App>, one: &Arc<Listed>) -> Self {
-        app.plain.lock().begin(&one.id);
+        app.plain.lock().begin(&one.id, 0);
         Self {
             app: app.clone(),
             one: one.clone(),
@@ -116,6 +118,6 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.app.plain.lock().end(&self.one.id);
+        self.app.plain.lock().end(&self.one.id, 0);
     }
 }
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -32,6 +32,8 @@
 pub(crate) struct Engine {
     /// Runs of this instance that are there.
     pub(crate) mine: u32,
+    /// Tokens that they are expected to take in its memory in the end.
+    pub(crate) tokens: u64,
     /// Mean time between two events of a run, in milliseconds; 0 before the first.
     pub(crate) pace: f64,
     /// The newest version of each model that the engine has stated itself.
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -25,6 +25,10 @@
 /// tie is decided for the own domain, and a free or faster engine elsewhere still wins.
 const FAR: f64 = 2.0;
 
+/// Part of an engine's memory that its runs may be expected to take in the end: they do not all end
+/// at the same time, and one that ends leaves what it has.
+const CROWD: f64 = 1.25;
+
 /// What a sample needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Want<'a> {
@@ -42,6 +46,10 @@
     pub kin: Option<&'a str>,
     /// Engines that it has just failed at.
     pub avoid: &'a [Arc<str>],
+    /// Tokens that it is expected to take in an engine's memory in the end.
+    pub need: u32,
+    /// Tokens that an engine's memory holds; 0 when it is not known.
+    pub memory: u32,
 }
 
 /// The engines as one instance sees them.
@@ -62,15 +70,18 @@
             .retain(|id, engine| engine.mine > 0 || roster.get(id).is_some());
     }
 
-    /// Notes that a run begins at an engine.
-    pub fn begin(&mut self, id: &Arc<str>) {
-        self.engine(id).mine += 1;
+    /// Notes that a run begins at an engine, which is expected to take so many tokens there.
+    pub fn begin(&mut self, id: &Arc<str>, need: u32) {
+        let engine = self.engine(id);
+        engine.mine += 1;
+        engine.tokens += u64::from(need);
     }
 
     /// Notes that a run has left an engine.
-    pub fn end(&mut self, id: &Arc<str>) {
+    pub fn end(&mut self, id: &Arc<str>, need: u32) {
         let engine = self.engine(id);
         engine.mine = engine.mine.saturating_sub(1);
+        engine.tokens = engine.tokens.saturating_sub(u64::from(need));
     }
 
     /// Notes the time since the event before, in milliseconds.
@@ -151,11 +162,22 @@
         }
         let slots = one.slots + want.queue;
         match self.engines.get(&one.id) {
-            Some(engine) => !engine.rests(now) && engine.room(slots, now) > 0,
+            Some(engine) => {
+                !engine.rests(now) && engine.room(slots, now) > 0 && holds(engine, want)
+            }
             None => slots > 0,
         }
     }
 
+    /// The part of an engine's memory that its runs are expected to take.
+    fn crowd(&self, id: &str, want: &Want<'_>) -> f64 {
+        let tokens = self.engines.get(id).map_or(0, |engine| engine.tokens);
+        match want.memory {
+            0 => 0.0,
+            memory => tokens as f64 / f64::from(memory),
+        }
+    }
+
     /// What a run of one event costs at an engine, in milliseconds.
     fn cost(&self, one: &Listed, want: &Want<'_>, usual: f64) -> f64 {
         let far = if *one.domain == *want.domain {
@@ -163,7 +185,8 @@
         } else {
             FAR
         };
-        let full = f64::from(self.mine(&one.id)) / f64::from(one.slots.max(1));
+        let slots = f64::from(self.mine(&one.id)) / f64::from(one.slots.max(1));
+        let full = slots.max(self.crowd(&one.id, want));
         // A fuller engine is a little slower, and the last slots are kept for what comes next.
         self.pace(&one.id, usual) * (1.0 + 0.2 * full) + far
     }
@@ -210,3 +233,11 @@
         worth.then_some(best)
     }
 }
+
+/// Tells whether an engine's memory holds a run beside those that are there. An engine whose memory
+/// runs out puts its newest run back in the midst of it, and reads it in again later.
+fn holds(engine: &Engine, want: &Want<'_>) -> bool {
+    let most = f64::from(want.memory) * CROWD;
+    let tokens = engine.tokens + u64::from(want.need);
+    want.memory == 0 || engine.mine == 0 || tokens as f64 <= most
+}
--- a/crates/place/tests/place.rs
+++ b/crates/place/tests/place.rs
@@ -39,6 +39,8 @@
         domain: "nord",
         kin: None,
         avoid: &[],
+        need: 0,
+        memory: 0,
     }
 }
 
@@ -62,7 +64,7 @@
     let mut placed = Vec::new();
 
     while let Some(one) = fleet.choose(&roster, &want(), 0) {
-        fleet.begin(&one.id);
+        fleet.begin(&one.id, 0);
         placed.push(one.id.to_string());
     }
 
@@ -233,3 +235,31 @@
     assert!(better(2));
     assert!(!better(18));
 }
+
+// Symptom: samples stand still in the midst of their text, the longest of a step most of all.
+// Sequence: a burst begins with the longest samples, and all go to the fastest engine; its memory
+//   holds three of them.
+// Cause: counting slots alone. An engine whose memory runs out puts its newest run back.
+#[test]
+fn long_samples_are_spread_over_the_memory_of_engines() {
+    let roster = roster(vec![engine("fast", 8, 1), engine("slow", 8, 1)]);
+    let mut fleet = Fleet::default();
+    fleet.event(&id("fast"), 50.0);
+    fleet.event(&id("slow"), 60.0);
+    let long = Want {
+        need: 13_000,
+        memory: 32_000,
+        ..want()
+    };
+    let mut placed = Vec::new();
+
+    while let Some(one) = fleet.choose(&roster, &long, 0) {
+        fleet.begin(&one.id, long.need);
+        placed.push(one.id.to_string());
+    }
+    let short = Want { need: 500, ..long };
+
+    placed.sort();
+    assert_eq!(placed, ["fast", "fast", "fast", "slow", "slow", "slow"]);
+    assert!(fleet.choose(&roster, &short, 0).is_some());
+}
--- a/crates/table/src/plan.rs
+++ b/crates/table/src/plan.rs
@@ -57,6 +57,8 @@
 pub struct Engine {
     /// Requests that an engine works on at the same time.
     pub slots: u32,
+    /// Tokens that an engine's memory holds; 0 when it is not known.
+    pub memory: u32,
     /// The models that every engine has, in the operator's order.
     pub models: Vec<Arc<str>>,
 }
