Read the platform once for all, and not at all in turns while it is away

Cause: one instance of each failure domain read the configuration and the list every 0.85 s, and every instance the entries of all others every 3 s.

Change: one instance reads for all; one of each other domain follows it, and the rest follow that one, with a little more patience each. A reader that the platform does not answer says so, and is not taken for gone. Entries of instances come with every third read. A call that failed through another instance as well is not sent round for a second. Entries are renewed every 1.2 s. The results of a step are gathered for 0.4 s, but the last sixth of them is written at once.

--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -8,6 +8,10 @@
 /// makes a third longer.
 const SEGMENT: usize = 512 << 10;
 
+/// The part of a step's samples, as its reciprocal, whose results are written without waiting for
+/// more: those that a trainer's step waits for are among them.
+const LAST: usize = 6;
+
 /// Results that are written together under one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Segment {
@@ -39,7 +43,7 @@
 /// ```
 /// use batch::{Entry, Ledger, Outcome, ledger::Next};
 ///
-/// let mut ledger = Ledger::new(2, 100);
+/// let mut ledger = Ledger::new(7, 100);
 /// let entry = Entry {
 ///     index: 1, id: "b".into(), outcome: Outcome::Whole, text: "x".into(), versions: vec![3],
 /// };
@@ -64,7 +68,7 @@
 
 impl Ledger {
     /// Makes the ledger of a step with `total` samples, which writes results together that come
-    /// within `gather` milliseconds.
+    /// within `gather` milliseconds, except for the last ones.
     pub fn new(total: u32, gather: Millis) -> Self {
         Self {
             gather,
@@ -115,8 +119,9 @@
             return Next::Idle;
         }
         let due = self.since + self.gather;
-        let whole = self.open() == 0;
-        if now < due && !whole {
+        // The trainer goes on with one of the last results; each of them is worth a write.
+        let last = self.open() * LAST <= self.ended.len();
+        if now < due && !last {
             return Next::Wait(due);
         }
         let segment = Segment {
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicI64;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -71,6 +72,10 @@
     /// Instances that get no steps from here until a time.
     shunned: Mutex<Map<Arc<str>, Millis>>,
     leaving: AtomicBool,
+    /// Whether the platform did not answer the last read for others.
+    blind: AtomicBool,
+    /// When the instances that have entered were last heard of.
+    met: AtomicU64,
     entry: AtomicI64,
 }
 
@@ -103,6 +108,8 @@
             hints: Shards::new(),
             shunned: Mutex::default(),
             leaving: AtomicBool::new(false),
+            blind: AtomicBool::new(false),
+            met: AtomicU64::new(0),
             entry: AtomicI64::new(0),
         })
     }
@@ -135,6 +142,27 @@
         self.shunned.lock().insert(instance.clone(), until);
     }
 
+    /// Notes whether the platform answers reads for others.
+    pub fn set_blind(&self, blind: bool) {
+        self.blind.store(blind, Ordering::Relaxed);
+    }
+
+    /// Tells whether the platform did not answer the last read for others.
+    pub fn is_blind(&self) -> bool {
+        self.blind.load(Ordering::Relaxed)
+    }
+
+    /// Notes the instances that have entered.
+    pub fn met(&self, members: Vec<Member>) {
+        *self.members.lock() = members;
+        self.met.store(self.clock.now(), Ordering::Relaxed);
+    }
+
+    /// When the instances that have entered were last heard of.
+    pub fn last_met(&self) -> Millis {
+        self.met.load(Ordering::Relaxed)
+    }
+
     /// Begins to leave: nothing new is taken on.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -25,12 +25,21 @@
 /// may be lost before that.
 const TTL: Millis = 3_000;
 
-/// Time between two renewals.
-const RENEW: Duration = Duration::from_millis(900);
+/// Time between two renewals: two of them fit into the time to live.
+const RENEW: Duration = Duration::from_millis(1_200);
 
-/// Time between two reads of all entries; an instance that is asked in vain costs one time limit.
+/// Time between two looks at whether all entries are to be read; an instance that is asked in vain
+/// costs one time limit.
 const FOLLOW: Duration = Duration::from_secs(3);
 
+/// First time between two looks; it doubles up to the one above. All instances may have started in
+/// the same moment, and whoever knows no other one reads everything for itself.
+const FIRST: Duration = Duration::from_millis(250);
+
+/// Age of what is known of other instances from which it is read, in milliseconds: whoever reads the
+/// configuration for others passes it on more often.
+const OLD: Millis = 4_500;
+
 /// Pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(250);
 
@@ -65,15 +74,34 @@
 
 /// Follows the entries of all instances.
 pub async fn follow(app: Arc<App>) {
+    let mut pause = FIRST;
     loop {
-        if let Ok(range) = app.plat.stale(INSTANCES).await {
-            let members = range.items.iter().filter_map(|item| read(&item.value));
-            *app.members.lock() = members.collect();
+        let now = app.clock.now();
+        if pause < FOLLOW || now >= app.last_met() + OLD {
+            match list(&app).await {
+                Ok(members) => app.met(members),
+                Err(error) => {
+                    let error = error.to_string();
+                    log::debug!(target: "member", error = error.as_str(); "instances not read");
+                }
+            }
         }
-        sleep(FOLLOW).await;
+        sleep(pause).await;
+        pause = (pause * 2).min(FOLLOW);
     }
 }
 
+/// Reads the entries of all instances.
+///
+/// # Errors
+///
+/// Returns [`PlatError`].
+pub async fn list(app: &App) -> Result<Vec<Member>, PlatError> {
+    let range = app.plat.stale(INSTANCES).await?;
+    let members = range.items.iter().filter_map(|item| read(&item.value));
+    Ok(members.collect())
+}
+
 /// Keeps the entry until the instance has left.
 pub async fn keep(app: Arc<App>) {
     let mut reach = Reach::new("own entry");
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -12,6 +12,8 @@
 use table::Plan;
 
 use crate::App;
+use crate::member;
+use crate::member::Member;
 use crate::peer;
 
 /// Time between two reads. A leaving upstream must get nothing new two seconds after the platform
@@ -22,9 +24,20 @@
 /// Shortest pause between two reads.
 const LEAST: Duration = Duration::from_millis(200);
 
-/// Time within which the reader of the failure domain has to have newer news, in milliseconds:
+/// Time within which the reader that an instance follows has to have newer news, in milliseconds:
 /// somewhat more than the time between two reads.
-const WAIT: Millis = 1_150;
+const WAIT: Millis = 1_050;
+
+/// Time that whoever follows a follower waits longer, in milliseconds: so that one that is gone is
+/// noticed first by those who follow it, and the others hear of it from them.
+const STEP: Millis = 250;
+
+/// Reads that a follower leaves out while its reader says that the platform does not answer; it may
+/// be the reader alone that is turned away.
+const BLIND: u32 = 3;
+
+/// Reads after which the entries of instances are read again.
+const MEMBERS: u64 = 3;
 
 /// Age beyond which a reader passes its news on no more: one that is cut off would keep others
 /// from asking for themselves.
@@ -80,6 +93,8 @@
     pub count: u64,
     /// When it was begun, on the reader's clock.
     pub at: Millis,
+    /// The instances that have entered, in some of the reads.
+    pub members: Option<Vec<Member>>,
 }
 
 /// What a follower has already.
@@ -94,35 +109,51 @@
 
 /// Follows the configuration and the list of upstreams.
 ///
-/// One instance of each failure domain reads the platform, the others follow it; whoever hears
-/// nothing from it in time reads for itself. Each read gives the whole state. A watch would cost
-/// less, but may be silent for many seconds after the platform has dropped its history, and a
-/// change of the configuration would come into force long after its bound.
+/// One instance reads the platform. One of each other failure domain follows it, and the rest of each
+/// domain follow that one. Whoever hears nothing in time reads for itself, so a domain that is cut
+/// off from the others loses a second. Each read gives the whole state. A watch would cost less, but
+/// may be silent for many seconds after the platform has dropped its history, and a change of the
+/// configuration would come into force long after its bound.
 pub async fn follow(app: Arc<App>) {
     let mut reach = Reach::new("configuration and upstreams");
     let mut have = Have::default();
+    let mut source = None;
     let mut shunned = 0;
+    let mut blind = 0;
     loop {
         let begun = app.clock.now();
+        let now = peer::source(&app);
+        if now != source {
+            // Each counts its own reads.
+            have.count = 0;
+            source = now;
+        }
         let told = match begun < shunned {
             true => peer::Heard::Reader,
-            false => peer::news(&app, have, WAIT).await,
+            false => hear(&app, source, have).await,
         };
-        let news = match told {
+        match told {
             peer::Heard::News(news) => {
                 have.count = news.count;
+                blind = 0;
+                pass_on(&app, &news);
                 take(&app, news, &mut have);
                 reach.back();
                 continue;
             }
+            peer::Heard::Blind if blind < BLIND => {
+                blind += 1;
+                app.set_blind(true);
+                continue;
+            }
+            peer::Heard::Blind => blind = 0,
             peer::Heard::Nothing => {
                 have.count = 0;
                 shunned = app.clock.now() + SHUN;
-                read(&app).await
             }
-            peer::Heard::Reader => read(&app).await,
-        };
-        match news {
+            peer::Heard::Reader => (),
+        }
+        match read(&app).await {
             Ok(news) => {
                 reach.back();
                 take(&app, news, &mut have);
@@ -134,17 +165,53 @@
     }
 }
 
+async fn hear(app: &App, source: Option<peer::Source>, have: Have) -> peer::Heard {
+    match source {
+        Some(peer::Source::Reader(addr)) => peer::news(app, addr, have, WAIT).await,
+        Some(peer::Source::Follower(addr)) => peer::news(app, addr, have, WAIT + STEP).await,
+        None => peer::Heard::Reader,
+    }
+}
+
+/// Offers a read of another instance to those who follow this one.
+fn pass_on(app: &App, news: &News) {
+    app.set_blind(false);
+    let held = app.news.borrow().clone();
+    app.news.send_replace(Arc::new(News {
+        items: news.items.clone(),
+        rev: news.rev,
+        // A follower hears of a configuration once; those who follow it may not have it yet.
+        plan: news.plan.clone().or_else(|| held.plan.clone()),
+        count: held.count + 1,
+        at: app.clock.now(),
+        members: news.members.clone(),
+    }));
+}
+
 async fn read(app: &App) -> Result<News, PlatError> {
     let places = app.dialect.places();
     let at = app.clock.now();
-    let (plan, range) = tokio::join!(app.plat.get(places.plan), app.plat.list(places.upstreams));
-    let range = range?;
+    let count = app.news.borrow().count + 1;
+    let read = async {
+        let (plan, range) =
+            tokio::join!(app.plat.get(places.plan), app.plat.list(places.upstreams));
+        Ok((plan?, range?))
+    };
+    let read = read.await;
+    app.set_blind(read.is_err());
+    let (plan, range) = read?;
+    let members = match count.is_multiple_of(MEMBERS) {
+        // Without them this read is as good.
+        true => member::list(app).await.ok(),
+        false => None,
+    };
     let news = News {
         items: range.items,
         rev: range.rev,
-        plan: plan?,
-        count: app.news.borrow().count + 1,
+        plan,
+        count,
         at,
+        members,
     };
     app.news.send_replace(Arc::new(news.clone()));
     Ok(news)
@@ -152,6 +219,9 @@
 
 /// Takes in a read.
 fn take(app: &App, news: News, have: &mut Have) {
+    if let Some(members) = news.members {
+        app.met(members);
+    }
     if let Some(plan) = news.plan.filter(|plan| plan.rev > have.plan) {
         have.plan = plan.rev;
         apply(app, &plan);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -31,9 +31,9 @@
 use crate::run::Draft;
 use crate::shelf::Page;
 
-/// Time for which results are gathered into one write: a write is a call that the platform counts,
-/// and a trainer reads about twice a second.
-const GATHER: Millis = 200;
+/// Time for which results are gathered into one write: a write is a call that the platform counts, and
+/// nobody waits for the first results of a step.
+const GATHER: Millis = 400;
 
 /// Time for which word from the platform that the step is ours is believed when a reader is told
 /// that there is no result yet.
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -42,6 +42,10 @@
 /// Time that a relayed call may take beyond its own wait: the platform's time limit and ours.
 const RELAY: Millis = 1_300;
 
+/// Time that an answer to a question for news may take beyond what it may wait for: what is new has
+/// to be in force within seconds, and one that is gone is noticed by this.
+const NEWS: Millis = 200;
+
 /// Time that an instance has to accept a step that is handed to it: the store may take half a second
 /// on a slow day, and the trainer waits.
 const HAND: Millis = 1_000;
@@ -88,6 +92,8 @@
     Owner(Option<Arc<str>>),
     Noted,
     News(Option<News>),
+    /// There is no newer read, since the platform does not answer.
+    Blind,
     Relay(Result<Answer, PlatError>),
 }
 
@@ -129,7 +135,10 @@
             hint::note(app, step, owner);
             Told::Noted
         }
-        Ask::News { have, wait } => Told::News(newer(app, have, wait).await),
+        Ask::News { have, wait } => match newer(app, have, wait).await {
+            None if app.is_blind() => Told::Blind,
+            news => Told::News(news),
+        },
         // Never through a third one: two that are turned away would ask each other forever.
         Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
     }
@@ -235,11 +244,13 @@
     }
 }
 
-/// What was heard from the reader of this failure domain.
+/// What was heard from whoever reads the platform.
 pub enum Heard {
     /// A newer read.
     News(News),
-    /// It had none in time.
+    /// The platform does not answer it.
+    Blind,
+    /// It had none in time, or did not answer.
     Nothing,
     /// This instance is the reader itself.
     Reader,
@@ -254,24 +265,65 @@
     others.map(|one| one.addr).collect()
 }
 
-/// Asks the reader of this failure domain for a read that is newer than what this instance has.
-pub async fn news(app: &App, have: Have, wait: Millis) -> Heard {
-    let Some(addr) = reader(&app.members.lock(), app) else {
-        return Heard::Reader;
-    };
-    match ask(app, addr, &Ask::News { have, wait }, wait + LIMIT).await {
+/// Asks another instance for a read that is newer than what this one has.
+pub async fn news(app: &App, addr: SocketAddr, have: Have, wait: Millis) -> Heard {
+    match ask(app, addr, &Ask::News { have, wait }, wait + NEWS).await {
         Some(Told::News(Some(news))) => Heard::News(news),
+        Some(Told::Blind) => Heard::Blind,
         _ => Heard::Nothing,
     }
 }
 
-/// The address of the reader of this failure domain, unless that is this instance.
-fn reader(members: &[Member], app: &App) -> Option<SocketAddr> {
-    let mine = members
-        .iter()
-        .filter(|one| one.reads && one.domain == app.settings.domain);
-    let reader = mine.min_by(|a, b| a.owner.instance.cmp(&b.owner.instance))?;
-    (reader.owner.instance != app.me.instance).then_some(reader.addr)
+/// Whom an instance follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The instance that reads the platform.
+    Reader(SocketAddr),
+    /// One that follows the reader.
+    Follower(SocketAddr),
+}
+
+/// Whom this instance follows; [`None`] when it reads the platform itself.
+pub fn source(app: &App) -> Option<Source> {
+    let members = app.members.lock();
+    pick(&members, &app.me.instance, &app.settings.domain)
+}
+
+/// Whom an instance follows: the first one by name of its failure domain, unless it is that one
+/// itself, which follows the first one of all.
+///
+/// # Examples
+///
+/// ```
+/// use node::member::Member;
+/// use node::peer::{Source, pick};
+///
+/// let member = |name: &str, domain: &str, port| Member {
+///     owner: batch::Owner { instance: name.into(), start: 1 },
+///     domain: domain.into(),
+///     addr: ([127, 0, 0, 1], port).into(),
+///     reads: true,
+///     power: 50,
+/// };
+/// let members = [member("n1", "nord", 1), member("s1", "syd", 2), member("s2", "syd", 3)];
+/// let addr = |port| ([127, 0, 0, 1], port).into();
+/// assert_eq!(pick(&members, "s2", "syd"), Some(Source::Follower(addr(2))));
+/// assert_eq!(pick(&members, "s1", "syd"), Some(Source::Reader(addr(1))));
+/// assert_eq!(pick(&members, "n1", "nord"), None);
+/// ```
+pub fn pick(members: &[Member], me: &str, domain: &str) -> Option<Source> {
+    let readers = || members.iter().filter(|one| one.reads);
+    let name = |one: &&Member| one.owner.instance.clone();
+    let near = readers().filter(|one| *one.domain == *domain);
+    let near = near.min_by_key(name)?;
+    let first = readers().min_by_key(|one| (one.domain.clone(), one.owner.instance.clone()))?;
+    let is_me = |one: &Member| *one.owner.instance == *me;
+    match (is_me(near), is_me(first)) {
+        (_, true) => None,
+        (true, false) => Some(Source::Reader(first.addr)),
+        (false, false) if near.addr == first.addr => Some(Source::Reader(first.addr)),
+        (false, false) => Some(Source::Follower(near.addr)),
+    }
 }
 
 /// Makes calls of the platform through another instance.
--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -45,6 +45,10 @@
 /// Time for which calls go through another instance first, once one of our own has failed.
 const DETOUR: Millis = 2_000;
 
+/// Time for which calls are not sent through others, once that has failed as well, in milliseconds: the
+/// platform is away for all then, and counts each call that it turns away.
+const ALONE: Millis = 1_000;
+
 /// Most bytes of an answer: a page of a range is about one megabyte before base64.
 const MOST: usize = 16 << 20;
 
@@ -59,6 +63,8 @@
     clock: Clock,
     /// Until when calls go through another instance first.
     detour: Arc<AtomicU64>,
+    /// Until when they do not.
+    alone: Arc<AtomicU64>,
 }
 
 impl fmt::Debug for Client {
@@ -85,6 +91,7 @@
             relay: Arc::default(),
             clock: Clock::default(),
             detour: Arc::default(),
+            alone: Arc::default(),
         }
     }
 
@@ -121,6 +128,9 @@
         // A write that may have taken effect is for the caller to settle, whoever sent it: after
         // it no later answer may say that nothing was done.
         let unsettled = |error: &PlatError| error.is_unclear() && matches!(call, Call::Txn(_));
+        if self.clock.now() < self.alone.load(Ordering::Relaxed) {
+            return self.direct(call).await;
+        }
         if self.clock.now() < self.detour.load(Ordering::Relaxed) {
             match relay.relay(call.clone()).await {
                 Err(error) if !unsettled(&error) => (),
@@ -137,7 +147,11 @@
             return Err(error);
         }
         match relay.relay(call.clone()).await {
-            Err(other) if !unsettled(&other) => Err(error),
+            Err(other) if !unsettled(&other) => {
+                let until = self.clock.now() + ALONE;
+                self.alone.store(until, Ordering::Relaxed);
+                Err(error)
+            }
             done => done,
         }
     }
