Go through another instance when the store says 429, and notice announced weights sooner

Change: a call that is turned away with any status goes through another instance. The leader reads the announced weights every 0.4 s as well, as they may have been a moment ago, which costs a tenth; its watch waits 2 s instead of 3. That the leader's record cannot be renewed is said once, not with each try.

--- a/crates/node/src/control/office.rs
+++ b/crates/node/src/control/office.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 
 use crate::App;
+use crate::news::Reach;
 
 /// The key of the record.
 const KEY: &str = "snipeway/leader";
@@ -47,6 +48,7 @@
 
     /// Renews the record until it belongs to somebody else.
     pub async fn keep(&self, app: &App) {
+        let mut reach = Reach::new("leader's record");
         loop {
             sleep(TICK).await;
             let now = app.clock.now();
@@ -58,16 +60,19 @@
             };
             let Some((rev, record)) = due else { continue };
             match write(app, rev, &record).await {
-                Ok(Done::At(rev)) => self.leader.lock().renewed(rev, now),
+                Ok(Done::At(rev)) => {
+                    self.leader.lock().renewed(rev, now);
+                    reach.back();
+                }
                 Ok(Done::Conflict) => match read(app).await {
                     // A renewal whose answer was lost; when it took effect is not known.
                     Ok(Some((record, rev))) if self.leader.lock().owns(&record) => {
                         self.leader.lock().renewed(rev, 0);
                     }
                     Ok(_) => return,
-                    Err(error) => tell(&error),
+                    Err(error) => reach.lost(&error),
                 },
-                Err(error) => tell(&error),
+                Err(error) => reach.lost(&error),
             }
         }
     }
@@ -78,16 +83,12 @@
         let rev = leader.rev();
         let record = leader.resign(app.clock.now());
         if let Err(error) = write(app, rev, &record).await {
-            tell(&error);
+            let error = error.to_string();
+            log::warn!(target: "control", error = error.as_str(); "others wait for this leader");
         }
     }
 }
 
-fn tell(error: &PlatError) {
-    let error = error.to_string();
-    log::info!(target: "control", error = error.as_str(); "leader's record not renewed");
-}
-
 /// Stands for leader until this instance is it.
 pub async fn stand(app: &App) -> Office {
     let addr = SocketAddr::new(app.settings.address, app.settings.peer);
@@ -96,6 +97,7 @@
         start: app.me.start,
     };
     let mut candidate = Candidate::new(me, app.settings.lease);
+    let mut reach = Reach::new("leader's record");
     loop {
         if let Next::Stand(rev, record) = look(app, &mut candidate).await {
             let sent = app.clock.now();
@@ -105,8 +107,8 @@
                     return Office { leader };
                 }
                 // Somebody else was first, or this write's answer was lost: the next read shows it.
-                Ok(Done::Conflict) => (),
-                Err(error) => tell(&error),
+                Ok(Done::Conflict) => reach.back(),
+                Err(error) => reach.lost(&error),
             }
         }
         sleep(LOOK).await;
--- a/crates/node/src/control/targets.rs
+++ b/crates/node/src/control/targets.rs
@@ -20,7 +20,12 @@
 
 /// Longest time that one watch waits, in milliseconds. A watch may hear nothing of a change, so
 /// the newest state is read after each that heard nothing.
-const WATCH: Millis = 3_000;
+const WATCH: Millis = 2_000;
+
+/// Time between two stale reads beside the watch. One whose connection has gone silent is noticed
+/// only when its time is over; nothing was loaded for four seconds meanwhile, on a day on which
+/// six versions were announced in that time.
+const GLANCE: Duration = Duration::from_millis(400);
 
 /// Pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(300);
@@ -57,13 +62,32 @@
 
 /// Follows what trainers announce.
 pub async fn follow(app: Arc<App>, targets: Targets) {
+    tokio::join!(listen(&app, &targets), glance(&app, &targets));
+}
+
+/// Reads now and then what may be some time old, which is cheap.
+async fn glance(app: &App, targets: &Targets) {
+    let prefix = app.dialect.places().weights;
+    loop {
+        sleep(GLANCE).await;
+        match app.plat.stale(prefix).await {
+            Ok(range) => range.items.iter().for_each(|item| note(app, targets, item)),
+            Err(error) => {
+                let error = error.to_string();
+                log::debug!(target: "control", error = error.as_str(); "no glance at weights");
+            }
+        }
+    }
+}
+
+async fn listen(app: &App, targets: &Targets) {
     let prefix = app.dialect.places().weights;
     let mut reach = Reach::new("announced weights");
     let mut rev = None;
     loop {
         let next = match rev {
-            None => read(&app, &targets, prefix).await,
-            Some(rev) => watch(&app, &targets, prefix, rev).await,
+            None => read(app, targets, prefix).await,
+            Some(rev) => watch(app, targets, prefix, rev).await,
         };
         rev = match next {
             Ok(next) => {
--- a/crates/plat/src/error.rs
+++ b/crates/plat/src/error.rs
@@ -36,11 +36,7 @@
 impl PlatError {
     /// Tells whether the platform did not serve this instance, and may serve others.
     pub fn is_away(&self) -> bool {
-        const BUSY: u16 = 503;
-        matches!(
-            self,
-            Self::Unreachable | Self::Silent | Self::TurnedAway(BUSY)
-        )
+        matches!(self, Self::Unreachable | Self::Silent | Self::TurnedAway(_))
     }
 
     /// Tells whether a write that ended so may have taken effect.
