Pass on what has changed of the list, and the configuration first

Change: node::board, pure: an instance numbers what changes in the list; a follower says which change it has and gets what is newer, or everything when it asks somebody else than before, has nothing, or is too far behind. The configuration is read first and passed on at once. Those who read for others are the strongest of their failure domain.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -24,9 +24,9 @@
 
 use crate::Dialect;
 use crate::Settings;
+use crate::board::Board;
 use crate::hint::Hint;
 use crate::member::Member;
-use crate::news::News;
 use crate::owner::Work;
 use crate::shelf::Shelf;
 
@@ -62,8 +62,10 @@
     pub members: Mutex<Vec<Member>>,
     /// Connections to other instances.
     pub peers: net::Client,
-    /// The newest read of the platform, for others that follow it.
-    pub news: watch::Sender<Arc<News>>,
+    /// What is known of the configuration and the list of upstreams, for others that follow.
+    pub board: Mutex<Board>,
+    /// The number of the board's last change.
+    pub news: watch::Sender<u64>,
     /// The steps that this instance runs.
     pub works: Shards<Arc<str>, Arc<Work>>,
     /// What this instance has read of the results of other steps.
@@ -103,6 +105,7 @@
             room: Notify::new(),
             members: Mutex::default(),
             peers: net::Client::idle(IDLE),
+            board: Mutex::default(),
             news: watch::Sender::default(),
             works: Shards::new(),
             shelves: Shards::new(),
@@ -156,6 +159,16 @@
         self.blind.load(Ordering::Relaxed)
     }
 
+    /// Changes what is known for others, and wakes those who wait for it.
+    pub fn post<R>(&self, change: impl FnOnce(&mut Board) -> R) -> R {
+        let mut board = self.board.lock();
+        let done = change(&mut board);
+        let count = board.count();
+        drop(board);
+        self.news.send_replace(count);
+        done
+    }
+
     /// Notes the instances that have entered.
     pub fn met(&self, members: Vec<Member>) {
         *self.members.lock() = members;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`control`] holds the lease on orders to engines and takes up steps whose owner is gone.
 
 pub mod app;
+pub mod board;
 pub mod control;
 pub mod dialect;
 pub mod events;
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -1,21 +1,21 @@
 //! Following the configuration and the list of upstreams.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::Map;
 use kernel::Millis;
 use plat::Item;
 use plat::PlatError;
-use serde::Deserialize;
-use serde::Serialize;
 use table::Belief;
+use table::Listed;
 use table::Plan;
 
 use crate::App;
+use crate::board::Have;
+use crate::board::News;
 use crate::member;
-use crate::member::Member;
 use crate::peer;
 use crate::peer::Heard;
 
@@ -82,34 +82,6 @@
     true
 }
 
-/// A read of the configuration and of the whole list of upstreams.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct News {
-    /// The entries of upstreams.
-    pub items: Vec<Item>,
-    /// The platform's revision.
-    pub rev: i64,
-    /// The configuration; absent when whoever asked has this one already.
-    pub plan: Option<Item>,
-    /// Which read of its reader it is, counted from 1.
-    pub count: u64,
-    /// When it was begun, on the reader's clock.
-    pub at: Millis,
-    /// The instances that have entered, in some of the reads.
-    pub members: Option<Vec<Member>>,
-}
-
-/// What a follower has already.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Have {
-    /// The last read that it has from the reader.
-    pub count: u64,
-    /// The revision of its configuration.
-    pub plan: i64,
-}
-
 /// Follows the configuration and the list of upstreams.
 ///
 /// One instance reads the platform. One of each other failure domain follows it, and the rest of each
@@ -125,8 +97,10 @@
         let begun = app.clock.now();
         match follower.hear(&app).await {
             Heard::News(news) => {
-                pass_on(&app, &news);
-                take(&app, news, &mut follower.plan);
+                app.set_blind(false);
+                let now = app.clock.now();
+                app.post(|board| board.merge(&news, now));
+                follower.take(&app, news);
                 reach.back();
                 continue;
             }
@@ -136,11 +110,8 @@
             }
             Heard::Blind | Heard::Nothing => (),
         }
-        match read(&app).await {
-            Ok(news) => {
-                reach.back();
-                take(&app, news, &mut follower.plan);
-            }
+        match read(&app, &mut follower).await {
+            Ok(()) => reach.back(),
             Err(error) => reach.lost(&error),
         }
         let used = Duration::from_millis(app.clock.now() - begun);
@@ -151,8 +122,14 @@
 /// What an instance that follows others has heard from them.
 #[derive(Default)]
 struct Follower {
-    /// The last read of each instance, as it counts them.
-    counts: Map<SocketAddr, u64>,
+    /// Whom it last heard of a change, and which, as that one counts them.
+    last: Option<(SocketAddr, u64)>,
+    /// The last change of its own board that it has taken in.
+    own: u64,
+    /// Reads of its own.
+    reads: u64,
+    /// The upstreams by their keys.
+    list: BTreeMap<String, Listed>,
     /// The revision of the configuration.
     plan: i64,
     /// Until when the first source is not asked.
@@ -200,20 +177,68 @@
     }
 
     async fn ask(&mut self, app: &App, addr: SocketAddr, wait: Millis) -> Heard {
+        // From somebody else everything is asked for: what has changed for one may not for another.
+        let last = self.last.filter(|(last, _)| *last == addr);
         let have = Have {
-            count: self.counts.get(&addr).copied().unwrap_or(0),
+            count: last.map_or(0, |(_, count)| count),
             plan: self.plan,
         };
         let heard = peer::news(app, addr, have, wait).await;
         match &heard {
-            Heard::News(news) => self.counts.insert(addr, news.count),
+            Heard::News(news) => self.last = Some((addr, news.count)),
             // It may have been started anew, and counts from one.
-            Heard::Nothing => self.counts.remove(&addr),
-            Heard::Blind => None,
-        };
+            Heard::Nothing => self.last = None,
+            Heard::Blind => (),
+        }
         heard
     }
 
+    /// Takes in what its own board has and it has not, after a read of its own.
+    fn catch_up(&mut self, app: &App) {
+        let have = Have {
+            count: self.own,
+            plan: self.plan,
+        };
+        let news = app.board.lock().since(have);
+        // What others tell next is told from the start: they may know less.
+        self.last = None;
+        self.take(app, news);
+    }
+
+    /// Takes in what is new.
+    fn take(&mut self, app: &App, news: News) {
+        if let Some(members) = news.members {
+            app.met(members);
+        }
+        if let Some(plan) = news.plan.filter(|plan| plan.rev > self.plan) {
+            self.plan = plan.rev;
+            apply(app, &plan);
+        }
+        self.own = app.board.lock().count();
+        if news.rev == 0 {
+            // The list has not been read yet.
+            return;
+        }
+        if news.whole {
+            self.list.clear();
+        }
+        for item in news.items {
+            match app.dialect.listed(&item.key, &item.value) {
+                Ok(one) => drop(self.list.insert(item.key, one)),
+                Err(error) => {
+                    self.list.remove(&item.key);
+                    let error = error.to_string();
+                    log::warn!(target: "news", key = item.key.as_str(),
+                        error = error.as_str(); "entry of an upstream not understood");
+                }
+            }
+        }
+        for key in &news.gone {
+            self.list.remove(key);
+        }
+        believe(app, self.list.values().cloned().collect(), news.rev);
+    }
+
     /// Tells whether to go on waiting while the platform answers nobody.
     fn waits(&mut self) -> bool {
         self.blind = (self.blind + 1) % BLIND;
@@ -221,70 +246,39 @@
     }
 }
 
-/// Offers a read of another instance to those who follow this one.
-fn pass_on(app: &App, news: &News) {
-    app.set_blind(false);
-    let held = app.news.borrow().clone();
-    app.news.send_replace(Arc::new(News {
-        items: news.items.clone(),
-        rev: news.rev,
-        // A follower hears of a configuration once; those who follow it may not have it yet.
-        plan: news.plan.clone().or_else(|| held.plan.clone()),
-        count: held.count + 1,
-        at: app.clock.now(),
-        members: news.members.clone(),
-    }));
+/// Reads the platform, the configuration first: it must not wait for a long list.
+async fn read(app: &App, follower: &mut Follower) -> Result<(), PlatError> {
+    let done = try_read(app, follower).await;
+    app.set_blind(done.is_err());
+    done
 }
 
-async fn read(app: &App) -> Result<News, PlatError> {
+async fn try_read(app: &App, follower: &mut Follower) -> Result<(), PlatError> {
     let places = app.dialect.places();
     let at = app.clock.now();
-    let count = app.news.borrow().count + 1;
-    let read = async {
-        let (plan, range) =
-            tokio::join!(app.plat.get(places.plan), app.plat.list(places.upstreams));
-        Ok((plan?, range?))
-    };
-    let read = read.await;
-    app.set_blind(read.is_err());
-    let (plan, range) = read?;
-    let members = match count.is_multiple_of(MEMBERS) {
-        // Without them this read is as good.
+    let plan = app.plat.get(places.plan).await?;
+    if app.post(|board| board.plan(plan)) {
+        follower.catch_up(app);
+    }
+    let range = app.plat.list(places.upstreams).await?;
+    follower.reads += 1;
+    // Without them this read is as good.
+    let members = match follower.reads.is_multiple_of(MEMBERS) {
         true => member::list(app).await.ok(),
         false => None,
     };
-    let news = News {
-        items: range.items,
-        rev: range.rev,
-        plan,
-        count,
-        at,
-        members,
-    };
-    app.news.send_replace(Arc::new(news.clone()));
-    Ok(news)
+    app.post(|board| {
+        board.read(range.items, range.rev, at);
+        if let Some(members) = members {
+            board.members(members);
+        }
+    });
+    follower.catch_up(app);
+    Ok(())
 }
 
-/// Takes in a read; `held` is the revision of the configuration.
-fn take(app: &App, news: News, held: &mut i64) {
-    if let Some(members) = news.members {
-        app.met(members);
-    }
-    if let Some(plan) = news.plan.filter(|plan| plan.rev > *held) {
-        *held = plan.rev;
-        apply(app, &plan);
-    }
-    let mut list = Vec::with_capacity(news.items.len());
-    for item in &news.items {
-        match app.dialect.listed(&item.key, &item.value) {
-            Ok(one) => list.push(one),
-            Err(error) => {
-                let error = error.to_string();
-                log::warn!(target: "news", key = item.key.as_str(), error = error.as_str();
-                    "entry of an upstream not understood");
-            }
-        }
-    }
+/// Takes in the list of upstreams.
+fn believe(app: &App, list: Vec<Listed>, rev: i64) {
     let now = app.clock.now();
     let beliefs = {
         let mut roster = app.roster.lock();
@@ -294,7 +288,7 @@
         beliefs
     };
     for belief in &beliefs {
-        tell(belief, news.rev);
+        tell(belief, rev);
     }
     metrics::gauge!(crate::meter::AGE).set(0.0);
     app.room.notify_waiters();
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -3,6 +3,7 @@
 //! Everything here spares the platform calls or gets round an outage that concerns one instance;
 //! nothing depends on an answer. Others are known from their entries at the platform.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Weak;
@@ -25,11 +26,11 @@
 use serde::Serialize;
 
 use crate::App;
+use crate::board::Have;
+use crate::board::News;
 use crate::hint;
 use crate::member::Member;
 use crate::news::FRESH;
-use crate::news::Have;
-use crate::news::News;
 use crate::shelf::Page;
 use crate::steps;
 use crate::steps::Accepted;
@@ -144,18 +145,19 @@
     }
 }
 
-/// Waits for a read of the platform that is newer than what a follower has.
+/// Waits for something that a follower does not have yet.
 async fn newer(app: &App, have: Have, wait: Millis) -> Option<News> {
-    let mut news = app.news.subscribe();
-    let newer = news.wait_for(|news| {
-        let fresh = app.clock.now() < news.at + FRESH;
-        news.count > have.count && fresh
+    let mut counts = app.news.subscribe();
+    let newer = counts.wait_for(|_| {
+        let board = app.board.lock();
+        // Told by its count alone, one that was started anew would never have anything new.
+        let other = board.count() != have.count;
+        other && board.is_fresh(app.clock.now(), FRESH)
     });
     let found = tokio::time::timeout(Duration::from_millis(wait), newer).await;
-    let found = found.ok()?.ok()?;
-    let mut news = News::clone(&found);
-    news.plan = news.plan.filter(|plan| plan.rev > have.plan);
-    Some(news)
+    // Neither over time nor dropped.
+    found.ok()?.ok()?;
+    Some(app.board.lock().since(have))
 }
 
 async fn ask(app: &App, addr: SocketAddr, ask: &Ask, limit: Millis) -> Option<Told> {
@@ -289,7 +291,7 @@
     pick(&members, &app.me.instance, &app.settings.domain)
 }
 
-/// Whom an instance follows. The first one of all reads the platform. The first one of each other
+/// Whom an instance follows, by processor and then by name. The first one of all reads the platform. The first one of each other
 /// failure domain follows it. The second one of a domain follows the first one there, and the rest
 /// follow both.
 ///
@@ -324,7 +326,11 @@
 /// ```
 pub fn pick(members: &[Member], me: &str, domain: &str) -> Sources {
     let mut readers: Vec<_> = members.iter().filter(|one| one.reads).collect();
-    readers.sort_by_key(|one| (one.domain.clone(), one.owner.instance.clone()));
+    // The strongest first: whoever reads for all has the whole list to read, page by page.
+    readers.sort_by_key(|one| {
+        let name = (one.domain.clone(), one.owner.instance.clone());
+        (Reverse(one.power), name)
+    });
     let Some(first) = readers.first() else {
         return Sources::default();
     };
