Divide accepting from reading steps, and name the bound on two orderers for what it is

The setting times.lease_ms says how soon two machines may both give orders and no longer how long a lease lives: it is turn_ms now. Words of the lease that is gone are replaced in comments.

--- a/crates/node/src/control/office.rs
+++ b/crates/node/src/control/office.rs
@@ -96,7 +96,7 @@
         machine: addr.to_string().into(),
         start: app.me.start,
     };
-    let mut candidate = Candidate::new(me, app.settings.lease);
+    let mut candidate = Candidate::new(me, app.settings.turn);
     let mut reach = Reach::new("leader's record");
     loop {
         if let Next::Stand(rev, record) = look(app, &mut candidate).await {
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -40,7 +40,7 @@
 /// Keys that one write removes: platforms take 32 entries.
 const TOGETHER: usize = 30;
 
-/// Looks after steps for as long as the lease is held.
+/// Looks after steps for as long as this instance leads.
 pub async fn run(app: Arc<App>, targets: Targets) {
     let mut looks = Looks::default();
     loop {
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -175,7 +175,7 @@
     pub passing: Passing,
     /// Who orders.
     pub holder: Arc<str>,
-    /// The holder's fencing number.
+    /// The fencing number of whoever orders.
     pub fence: i64,
     /// Orders that the engine must have accepted before, so that an order that is carried out late
     /// does nothing.
@@ -189,7 +189,7 @@
     Taken,
     /// The engine is carrying out another one, or has accepted others meanwhile.
     Conflict,
-    /// A holder with a higher fencing number has ordered before.
+    /// Somebody with a higher fencing number has ordered before.
     Fenced,
     /// The engine refuses it.
     Refused,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -83,7 +83,10 @@
         Err(_) => return ("cut", Refusal::Wrong.reply()),
     };
     match route.kind {
-        Kind::Rollout => ("submit", steps::submit(app, &head, &caller, &body).await),
+        Kind::Rollout => (
+            "submit",
+            steps::accept::submit(app, &head, &caller, &body).await,
+        ),
         Kind::Idempotent => (
             "call",
             forward::call(app, &route, &head, &caller, body).await,
--- a/crates/node/src/hand.rs
+++ b/crates/node/src/hand.rs
@@ -15,8 +15,8 @@
 use crate::App;
 use crate::member::Member;
 use crate::peer;
-use crate::steps::Accepted;
-use crate::steps::Submission;
+use crate::steps::accept::Accepted;
+use crate::steps::accept::Submission;
 
 /// Part of the most processor that an instance has to have to take steps of others.
 const STRONG: f64 = 0.9;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`front`] takes requests in: [`forward`] passes calls on, [`steps`] answers for steps.
 //! - [`owner`] runs the samples of a step that this instance owns, one by one in [`mod@run`].
 //! - [`news`] follows the configuration and the list of upstreams.
-//! - [`control`] holds the lease on orders to engines and takes up steps whose owner is gone.
+//! - [`control`] is the leader that orders loads and takes up steps whose owner is gone.
 
 pub mod app;
 pub mod board;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -32,9 +32,9 @@
 use crate::member::Member;
 use crate::news::FRESH;
 use crate::shelf::Page;
-use crate::steps;
-use crate::steps::Accepted;
-use crate::steps::Submission;
+use crate::steps::accept;
+use crate::steps::accept::Accepted;
+use crate::steps::accept::Submission;
 
 /// Time that an answer may take beyond what it may wait for: milliseconds within a region, and a
 /// busy instance has a part of one core.
@@ -126,7 +126,7 @@
             Some(work) => Told::Page(work.page(app, from, wait).await),
             None => Told::Page(None),
         },
-        Ask::Submit(submission) => Told::Submit(steps::take_over(app, submission).await),
+        Ask::Submit(submission) => Told::Submit(accept::handed(app, submission).await),
         Ask::Body { step, sample } => {
             let work = app.works.get(&step);
             Told::Body(work.map(|work| work.body(&sample)))
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -58,8 +58,8 @@
     pub platform: SocketAddr,
     /// Time that a stop may take before the process is killed, in milliseconds.
     pub grace: Millis,
-    /// Time within which two holders must not both order, in milliseconds.
-    pub lease: Millis,
+    /// Time within which two machines must not both give orders, in milliseconds.
+    pub turn: Millis,
     /// Shortest lease that the platform grants, in milliseconds.
     pub shortest: Millis,
     /// Time for which the results of a step can be read, counted from its opening.
@@ -102,7 +102,7 @@
 
     let mut times = doc.take("times");
     let grace = times.or("grace_s", "seconds", 8.0);
-    let lease = times.or("lease_ms", "milliseconds", 3_000);
+    let turn = times.or("turn_ms", "milliseconds", 3_000);
     let keep = times.or("keep_s", "seconds", 120.0);
     doc.put(times);
 
@@ -133,7 +133,7 @@
         cores,
         platform: platform.unwrap_or((unset, 0).into()),
         grace: millis(grace),
-        lease,
+        turn,
         shortest,
         keep: millis(keep),
         part: part.clamp(0.0, 1.0),
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -1,5 +1,7 @@
 //! What callers ask of steps: submit one, read its results and bodies, end it.
 
+pub mod accept;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,294 +9,33 @@
 use batch::Spec;
 use batch::keys;
 use batch::record;
-use bytes::Bytes;
 use http::StatusCode;
-use http::request::Parts;
 use kernel::Millis;
 use net::Reply;
 use net::body;
-use plat::Done;
 use plat::Guard;
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
-use serde::Deserialize;
-use serde::Serialize;
-use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::App;
-use crate::dialect::Caller;
-use crate::dialect::Submitted;
-use crate::hand;
 use crate::hint;
-use crate::meter;
-use crate::owner;
 use crate::peer;
 use crate::refuse::Refusal;
 use crate::shelf::Page;
 use crate::shelf::Shelf;
 
-/// Longest time that a caller waits for a step to be accepted, unless it says less.
+/// Longest time that a caller waits for a write, unless it says less.
 const ACCEPT: Duration = Duration::from_millis(4_000);
 
-/// Time for which a step that the platform turns away is tried again before the caller is turned
-/// away too: a busy platform takes calls again within moments.
-const PATIENCE: Millis = 1_000;
-
-/// Time for which a write with an unclear outcome is repeated. A write may take effect seconds
-/// after it was sent, and a step that was accepted so has to be run.
-const SETTLE: Millis = 20_000;
-
 /// Pause between two tries of a write.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Bytes of samples that one write holds beside the head; more is written before it.
-const TOGETHER: usize = 4 << 20;
-
 /// Longest time that a read waits for a result, in milliseconds.
 const LONGEST: Millis = 1_000;
 
-/// Time kept back for the way of the answer to the caller, in milliseconds.
-const WAY: Millis = 20;
-
-/// Steps beyond which an instance takes none from others: each holds its samples in memory, and
-/// each running sample takes processor.
-const MOST: usize = 12;
-
-/// What came of submitting a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum Accepted {
-    /// It is kept.
-    Kept,
-    /// Nothing was written and nothing will be.
-    Refused,
-    /// It is no proper step.
-    Wrong,
-    /// Whether it is kept was not known in time.
-    Unclear,
-}
-
-impl Accepted {
-    fn reply(self) -> Reply {
-        match self {
-            Self::Kept => body::reply(StatusCode::ACCEPTED, "application/json", "{}"),
-            Self::Refused => Refusal::Unrun.reply(),
-            Self::Wrong => Refusal::Wrong.reply(),
-            Self::Unclear => Refusal::Late.reply(),
-        }
-    }
-}
-
-/// A step as a caller submits it, not yet looked into.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Submission {
-    /// Its name.
-    pub id: Arc<str>,
-    /// The host under which it was submitted.
-    pub host: Arc<str>,
-    /// The path under which it was submitted.
-    pub path: Arc<str>,
-    /// Time that the caller waits for the answer, in milliseconds, if it says so.
-    pub left: Option<Millis>,
-    /// The body of the request.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
-}
-
-/// Accepts a step, here or at the instance that takes the steps of its route.
-pub async fn submit(app: &Arc<App>, head: &Parts, caller: &Caller, bytes: &Bytes) -> Reply {
-    if app.is_leaving() {
-        return Refusal::Unrun.reply();
-    }
-    if !keys::is_name(&caller.id) {
-        return Refusal::Wrong.reply();
-    }
-    let submission = Submission {
-        id: caller.id.clone(),
-        host: caller.host.clone(),
-        path: head.uri.path().into(),
-        left: caller.deadline,
-        body: bytes.to_vec(),
-    };
-    if app.works.get(&submission.id).is_some() {
-        return Accepted::Kept.reply();
-    }
-    match hand::over(app, &submission).await {
-        Some(accepted) => accepted.reply(),
-        None => take(app, submission).await.reply(),
-    }
-}
-
-/// Accepts a step that another instance hands over; [`None`] when that one had better take it.
-pub async fn take_over(app: &Arc<App>, submission: Submission) -> Option<Accepted> {
-    if app.is_leaving() || app.works.len() >= MOST || !keys::is_name(&submission.id) {
-        return None;
-    }
-    Some(take(app, submission).await)
-}
-
-/// Accepts a step here.
-///
-/// The step is at the platform before the caller hears that it is accepted. A refusal that
-/// promises that nothing runs is given only while no write was sent that may yet take effect.
-async fn take(app: &Arc<App>, submission: Submission) -> Accepted {
-    let id = submission.id.clone();
-    let submitted = match app.dialect.submitted(&submission.body) {
-        Ok(submitted) => submitted,
-        Err(error) => {
-            let why = error.to_string();
-            log::info!(target: "steps", id = &*id, why = why.as_str(); "improper step");
-            return Accepted::Wrong;
-        }
-    };
-    if app.works.get(&id).is_some() {
-        return Accepted::Kept;
-    }
-    if !serves(app, &submission, &submitted.model) {
-        // Not for good: the configuration here may be a second behind one that has the model.
-        log::info!(target: "steps", id = &*id, model = &*submitted.model; "unknown model");
-        return Accepted::Refused;
-    }
-    let (sender, receiver) = oneshot::channel();
-    let record = make_head(app, &submission, &submitted);
-    let spec = Spec {
-        samples: submitted.samples,
-    };
-    // Goes on when the caller leaves: whether the step was kept must become known.
-    let task = accept(app.clone(), id, record, spec);
-    tokio::spawn(async move {
-        let _ = sender.send(task.await);
-    });
-    let wait = submission.left.map(|left| left.saturating_sub(WAY));
-    let wait = wait.map_or(ACCEPT, Duration::from_millis).min(ACCEPT);
-    match timeout(wait, receiver).await {
-        Ok(Ok(accepted)) => accepted,
-        Ok(Err(_)) | Err(_) => Accepted::Unclear,
-    }
-}
-
-/// Tells whether an engine of the step's route may have the model.
-fn serves(app: &App, submission: &Submission, model: &str) -> bool {
-    let plan = app.plan.load();
-    let Some(plan) = plan.as_ref() else {
-        return false;
-    };
-    let Some(route) = plan.find(&submission.host, &submission.path) else {
-        return false;
-    };
-    route.shares.iter().any(|share| {
-        let service = plan.service(&share.service);
-        let engine = service.and_then(|service| service.engine.as_ref());
-        engine.is_none_or(|engine| engine.models.iter().any(|name| &**name == model))
-    })
-}
-
-fn make_head(app: &App, submission: &Submission, submitted: &Submitted) -> Head {
-    let samples = submitted.samples.iter();
-    Head {
-        owner: app.me.clone(),
-        opened: app.clock.wall(),
-        host: submission.host.clone(),
-        path: submission.path.clone(),
-        model: submitted.model.clone(),
-        least: submitted.least,
-        wanted: submitted.wanted,
-        total: submitted.samples.len() as u32,
-        work: samples.map(|one| u64::from(one.expected.max(1))).sum(),
-    }
-}
-
-/// Writes the step until it is known whether it is kept.
-async fn accept(app: Arc<App>, id: Arc<str>, head: Head, spec: Spec) -> Accepted {
-    let begun = app.clock.now();
-    let mut unclear = false;
-    loop {
-        let tried = write_step(&app, &id, &head, &spec).await;
-        let age = app.clock.now() - begun;
-        match tried {
-            Ok(Done::At(rev)) => {
-                log::info!(target: "steps", id = &*id, samples = head.total, work = head.work, least = head.least,
-                    model = &*head.model, revision = rev, took_ms = age; "step accepted");
-                metrics::counter!(meter::STEPS, "outcome" => "accepted").increment(1);
-                owner::begin(&app, &id, head, spec, rev);
-                return Accepted::Kept;
-            }
-            Ok(Done::Conflict) => match app.plat.get(&keys::head(&id)).await {
-                Ok(Some(item)) => return known(&app, &id, &item, head, spec),
-                // Expired between the two calls: nothing of it can run.
-                Ok(None) if !unclear => return Accepted::Refused,
-                Ok(None) | Err(_) => (),
-            },
-            Err(error) if error.is_unclear() => unclear = true,
-            Err(error) if !unclear && age > PATIENCE => {
-                let why = error.to_string();
-                log::warn!(target: "steps", id = &*id, why = why.as_str(), took_ms = age;
-                    "step refused");
-                metrics::counter!(meter::STEPS, "outcome" => "refused").increment(1);
-                return Accepted::Refused;
-            }
-            Err(_) => (),
-        }
-        if age > SETTLE {
-            log::warn!(target: "steps", id = &*id, took_ms = age; "step unclear");
-            return Accepted::Unclear;
-        }
-        sleep(PAUSE).await;
-    }
-}
-
-/// A head is there already: either an earlier try of our own took effect, or the step was
-/// submitted elsewhere before.
-fn known(app: &Arc<App>, id: &Arc<str>, item: &plat::Item, head: Head, spec: Spec) -> Accepted {
-    let kept: Result<Head, _> = record::decode(&item.value);
-    match kept {
-        Ok(kept) if kept.owner == app.me && app.works.get(id).is_none() => {
-            log::info!(target: "steps", id = &**id, revision = item.rev;
-                "step accepted by a write whose answer was lost");
-            owner::begin(app, id, head, spec, item.rev);
-        }
-        Ok(_) => log::info!(target: "steps", id = &**id; "step known already"),
-        Err(error) => {
-            let why = error.to_string();
-            log::error!(target: "steps", id = &**id, why = why.as_str(); "head not understood");
-        }
-    }
-    Accepted::Kept
-}
-
-async fn write_step(app: &App, id: &str, head: &Head, spec: &Spec) -> Result<Done, PlatError> {
-    let parts = spec.parts().map_err(|_| PlatError::Garbled)?;
-    let value = record::encode(head).map_err(|_| PlatError::Garbled)?;
-    let mut puts: Vec<_> = parts
-        .into_iter()
-        .enumerate()
-        .map(|(at, part)| Put::new(keys::part(id, at), part))
-        .collect();
-    let bytes: usize = puts.iter().map(|put| put.value.len()).sum();
-    if bytes > TOGETHER {
-        // The head comes last, so that a step with a head is whole.
-        for put in std::mem::take(&mut puts) {
-            let txn = Txn {
-                puts: vec![put],
-                ..Txn::default()
-            };
-            app.plat.txn(&txn).await?;
-        }
-    }
-    let key = keys::head(id);
-    puts.push(Put::new(key.clone(), value));
-    let txn = Txn {
-        guards: vec![Guard::Absent(key)],
-        puts,
-        deletes: Vec::new(),
-    };
-    app.plat.txn(&txn).await
-}
-
 /// Answers with the results of a step from a position on.
 pub async fn read(app: &Arc<App>, step: &Arc<str>, from: usize, wait: Millis) -> Reply {
     if !keys::is_name(step) {
--- a/crates/weight/src/swap.rs
+++ b/crates/weight/src/swap.rs
@@ -17,7 +17,7 @@
 use crate::Aim;
 use crate::Version;
 
-/// One engine as the holder sees it.
+/// One engine as the leader sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
     /// Which start of which engine.
@@ -110,7 +110,7 @@
             .count()
     }
 
-    /// The model of an engine that has advanced most, so that a new holder goes on as the one
+    /// The model of an engine that has advanced most, so that a new leader goes on as the one
     /// before it; among equals, the one that has the fewest engines.
     fn fewest(&self, engine: &Seen) -> Option<Arc<str>> {
         let models = engine.models.iter();
