Say that there is no result only after a look at the newest state

Reading the code for every way to say so found two. A reader that cannot reach the owner waits with a watch, and answered "nothing yet" when the watch heard nothing; watches may be deaf. And an owner asks now and then whether its step has ended; the answer counted as word that the step is still its own, also after it had been replaced.

Change: a wait that found nothing is followed by a read of the newest state. Only the step's head says whose it is.

--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -73,6 +73,7 @@
     looks: JoinSet<()>,
     looked: Millis,
     told: Millis,
+    checked: Millis,
     failures: Map<u32, u32>,
     kin: Map<Arc<str>, Arc<str>>,
 }
@@ -108,6 +109,7 @@
             looks: JoinSet::new(),
             looked: 0,
             told: 0,
+            checked: 0,
             failures: Map::default(),
             kin: Map::default(),
         }
@@ -377,20 +379,20 @@
         }
     }
 
-    /// Asks the platform whether the step has ended when nothing was heard for a while.
+    /// Asks the platform whether the step has ended when nothing was heard for a while. That it has
+    /// not says nothing of whose it is: an owner that was replaced meanwhile hears the same.
     fn check(&mut self) {
         let now = self.app.clock.now();
-        if now < self.work.confirmed() + CHECK || !self.checks.is_empty() {
+        let heard = self.checked.max(self.work.confirmed());
+        if now < heard + CHECK || !self.checks.is_empty() {
             return;
         }
+        self.checked = now;
         let (app, work) = (self.app.clone(), self.work.clone());
         self.checks.spawn(async move {
             let ended = app.plat.get(&keys::end(&work.step)).await;
             match ended {
-                Ok(found) => {
-                    work.confirm(now);
-                    Some(found.is_some())
-                }
+                Ok(found) => Some(found.is_some()),
                 Err(_) => {
                     sleep(AGAIN).await;
                     None
--- a/crates/node/src/shelf.rs
+++ b/crates/node/src/shelf.rs
@@ -74,9 +74,12 @@
         read.used = app.clock.now();
         let whole = read.entries.len() == self.total as usize;
         if read.entries.len() <= from && !whole {
-            match read.rev > 0 && wait > 0 {
-                true => self.wait(plat, &mut read, wait).await?,
-                false => self.fetch(plat, &mut read).await?,
+            if read.rev > 0 && wait > 0 {
+                self.wait(plat, &mut read, wait).await?;
+            }
+            // A watch may hear nothing of a result that is there, and that others have read.
+            if read.entries.len() <= from {
+                self.fetch(plat, &mut read).await?;
             }
         }
         let entries = read.entries.get(from..).unwrap_or_default().to_vec();
@@ -109,13 +112,9 @@
     async fn wait(&self, plat: &Client, read: &mut Results, wait: Millis) -> Result<(), PlatError> {
         let prefix = keys::segments(&self.step);
         let Ok((changes, rev)) = plat.poll(&prefix, read.rev, wait).await else {
-            return self.fetch(plat, read).await;
-        };
-        if changes.is_empty() {
-            // It may have missed one; the next read asks for the newest state.
-            read.rev = 0;
+            // What follows reads the newest state.
             return Ok(());
-        }
+        };
         for change in &changes {
             if let Change::Put(item) = change {
                 self.add(read, item)?;
