Score samples that bring a request for it

Change: node::score asks once a text is whole, through the route of that request, in free places of plain services alone; batch::score decides what follows from an answer: the scorer's own failures end a sample as often as the route allows, at once, anything else is asked again with pauses. A run gives its engine up first. A text left over whole by an earlier step is scored without an engine.

--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -46,6 +46,7 @@
 /// let mut ledger = Ledger::new(7, 100);
 /// let entry = Entry {
 ///     index: 1, id: "b".into(), outcome: Outcome::Whole, text: "x".into(), versions: vec![3],
+///     score: None,
 /// };
 /// assert!(ledger.finish(entry.clone(), 0));
 /// assert!(!ledger.finish(entry, 0));
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,10 +7,12 @@
 //!
 //! - [`record`] has what is kept at the platform, and under which keys.
 //! - [`ledger`] has what the owner knows of its step.
+//! - [`score`] says what follows from an answer of a scorer.
 
 pub mod keys;
 pub mod ledger;
 pub mod record;
+pub mod score;
 
 pub use ledger::Ledger;
 pub use ledger::Segment;
@@ -20,4 +22,5 @@
 pub use record::Owner;
 pub use record::RecordError;
 pub use record::Sample;
+pub use record::Scoring;
 pub use record::Spec;
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -79,6 +79,26 @@
     pub expected: u32,
     /// Tokens of its prompt; 0 when nobody has said.
     pub prompt: u32,
+    /// The request that scores it, if it has one.
+    #[serde(default)]
+    pub scoring: Option<Scoring>,
+}
+
+/// A request that scores a sample once its text is whole.
+///
+/// It goes through the route of its own host and path, like a call that may be repeated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Scoring {
+    /// The name of the request.
+    pub id: Arc<str>,
+    /// Its host.
+    pub host: Arc<str>,
+    /// Its path.
+    pub path: Arc<str>,
+    /// Its body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
 }
 
 impl Sample {
@@ -147,6 +167,9 @@
     pub text: Arc<str>,
     /// The versions of the weights that generated it.
     pub versions: Vec<u64>,
+    /// The signature of the scorer's answer, for a sample that brings a request for it.
+    #[serde(default)]
+    pub score: Option<Arc<str>>,
 }
 
 /// Encodes a record.
--- /dev/null
+++ b/crates/batch/src/score.rs
@@ -0,0 +1,102 @@
+//! What follows from a scorer's answer.
+//!
+//! Load pattern: the samples of a step become whole over seconds, dozens of them within one, and each
+//! wants a score of a plain service whose places callers use as well. A few requests fail always, and
+//! for seconds no upstream of the service may be there, so that many samples wait at the same time.
+
+use std::sync::Arc;
+
+use kernel::Millis;
+
+/// Pause after the first answer that says nothing of the sample: about the time in which a place of a
+/// plain service becomes free.
+const SHORTEST: Millis = 25;
+
+/// Longest pause between two tries. With all upstreams of a service gone for seconds, the samples that
+/// wait look for a free place this often, which costs no message while there is none.
+const LONGEST: Millis = 400;
+
+/// Doublings after which the pause is the longest.
+const DOUBLINGS: u32 = 4;
+
+/// What came of asking for a score once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A whole success, with its signature.
+    Scored(Arc<str>),
+    /// The scorer itself says that it failed at this sample.
+    Failed,
+    /// Anything else: cut, late, garbled or unsigned answers, other failures, no upstream with a free
+    /// place. It says nothing of the sample.
+    Nothing,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// The sample has this score.
+    Score(Arc<str>),
+    /// The sample cannot be scored and has failed.
+    Fail,
+    /// Ask again after this pause.
+    Again(Millis),
+}
+
+/// The tries to get the score of one sample.
+///
+/// Only the scorer's own failures count against a sample, and they follow each other at once: a sample
+/// that can never be scored must not hold its group up. Everything else is tried again until the step
+/// gives the sample up, with growing pauses.
+///
+/// # Examples
+///
+/// ```
+/// use batch::score::{Answer, Next, Tries};
+///
+/// let mut tries = Tries::new(2);
+/// assert_eq!(tries.next(Answer::Nothing), Next::Again(25));
+/// assert_eq!(tries.next(Answer::Nothing), Next::Again(50));
+/// assert_eq!(tries.next(Answer::Failed), Next::Again(0));
+/// assert_eq!(tries.next(Answer::Failed), Next::Fail);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Tries {
+    most: u32,
+    failures: u32,
+    pauses: u32,
+}
+
+impl Tries {
+    /// Makes the tries of a sample that has failed after `most` failures of the scorer.
+    pub fn new(most: u32) -> Self {
+        Self {
+            most: most.max(1),
+            failures: 0,
+            pauses: 0,
+        }
+    }
+
+    /// Says what follows from an answer.
+    pub fn next(&mut self, answer: Answer) -> Next {
+        match answer {
+            Answer::Scored(signature) => Next::Score(signature),
+            Answer::Failed => self.fail(),
+            Answer::Nothing => self.pause(),
+        }
+    }
+
+    fn fail(&mut self) -> Next {
+        self.failures += 1;
+        self.pauses = 0;
+        match self.failures < self.most {
+            true => Next::Again(0),
+            false => Next::Fail,
+        }
+    }
+
+    fn pause(&mut self) -> Next {
+        let pause = SHORTEST << self.pauses.min(DOUBLINGS);
+        self.pauses += 1;
+        Next::Again(pause.min(LONGEST))
+    }
+}
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -15,6 +15,7 @@
         outcome: Outcome::Whole,
         text: text.into(),
         versions: vec![1],
+        score: None,
     }
 }
 
@@ -76,6 +77,7 @@
         body: vec![at as u8; 300 << 10],
         expected: 7,
         prompt: 3,
+        scoring: None,
     };
     let spec = Spec {
         samples: (0..4).map(sample).collect(),
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -8,6 +8,7 @@
 
 use batch::Entry;
 use batch::Sample;
+use batch::Scoring;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
@@ -119,8 +120,8 @@
     pub unrun: bool,
     /// Whether it is not the upstream that was meant, or not the version of weights.
     pub other: bool,
-    /// Whether it is signed by an upstream's application.
-    pub signed: bool,
+    /// The signature of an upstream's application, if it bears one.
+    pub signature: Option<Arc<str>>,
     /// Its load.
     pub load: Option<Load>,
     /// The version of the weights that generate the answer.
@@ -257,6 +258,13 @@
         last: u64,
     ) -> Result<Request<Full<Bytes>>, DialectError>;
 
+    /// The head of the request for a sample's score.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`] when the sample's own parts make no request.
+    fn scoring(&self, scoring: &Scoring) -> Result<Parts, DialectError>;
+
     /// Reads the head of an upstream's answer.
     fn said(&self, status: StatusCode, head: &HeaderMap) -> Said;
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -46,7 +46,7 @@
 /// What came of one attempt.
 enum Came {
     /// A whole answer of the upstream's application.
-    Answer(Response<Bytes>),
+    Answer(Response<Bytes>, Arc<str>),
     /// The upstream has not run the call and never will.
     Unrun,
     /// Whether it ran is not known.
@@ -63,13 +63,59 @@
 ) -> Reply {
     let sent = Arc::new(Sent::new(app, head, caller, body, route.timeout));
     let left = Duration::from_millis(sent.left());
-    let mut tries = Tries::new(sent, route);
+    let mut tries = Tries::new(sent, route, Manner::Caller);
+    let passed = match timeout(left, tries.answer()).await {
+        Ok(passed) => passed,
+        Err(_) => tries.late(),
+    };
+    match passed {
+        Passed::Answer { answer, .. } => back(app, answer),
+        Passed::Refused(refusal) => refusal.reply(),
+    }
+}
+
+/// Asks a scorer for the score of a sample, once: within `limit`, and no longer than the request
+/// has time.
+pub(crate) async fn score(sent: Arc<Sent>, route: &Route, limit: Duration) -> Passed {
+    let left = Duration::from_millis(sent.left()).min(limit);
+    let mut tries = Tries::new(sent, route, Manner::Scorer);
     match timeout(left, tries.answer()).await {
-        Ok(reply) => reply,
+        Ok(passed) => passed,
         Err(_) => tries.late(),
     }
 }
 
+fn back(app: &App, answer: Response<Bytes>) -> Reply {
+    let (head, bytes) = answer.into_parts();
+    let mut reply = Response::new(net::body::full(bytes));
+    *reply.status_mut() = head.status;
+    *reply.headers_mut() = app.dialect.back(&head.headers);
+    reply
+}
+
+/// What came of passing a request on.
+pub(crate) enum Passed {
+    /// A whole answer of the upstream's application, with its signature.
+    Answer {
+        /// The answer.
+        answer: Response<Bytes>,
+        /// The signature.
+        signature: Arc<str>,
+    },
+    /// There is none.
+    Refused(Refusal),
+}
+
+/// How a request is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Manner {
+    /// A caller waits for the answer: it may wait inside an upstream.
+    Caller,
+    /// A sample waits for its score: it takes free places alone. The samples of a step become whole by
+    /// the dozen; if they queued inside upstreams, a caller's request would wait behind them.
+    Scorer,
+}
+
 /// The attempts of one call.
 struct Tries<'a> {
     sent: Arc<Sent>,
@@ -77,28 +123,31 @@
     service: Option<Arc<str>>,
     used: Vec<Arc<str>>,
     running: JoinSet<Came>,
+    manner: Manner,
     /// Whether it may have run somewhere.
     unclear: bool,
 }
 
 impl<'a> Tries<'a> {
-    fn new(sent: Arc<Sent>, route: &'a Route) -> Self {
+    fn new(sent: Arc<Sent>, route: &'a Route, manner: Manner) -> Self {
         Self {
             sent,
             route,
             service: Plan::draw(route, rand::random()).cloned(),
             used: Vec::new(),
             running: JoinSet::new(),
+            manner,
             unclear: false,
         }
     }
 
     fn may_repeat(&self) -> bool {
-        self.route.kind == Kind::Idempotent
+        self.manner == Manner::Scorer || self.route.kind == Kind::Idempotent
     }
 
-    async fn answer(&mut self) -> Reply {
-        if !self.begin(true) {
+    async fn answer(&mut self) -> Passed {
+        let queue = self.manner == Manner::Caller;
+        if !self.begin(queue) {
             return self.give_up("no upstream has room");
         }
         loop {
@@ -111,14 +160,14 @@
             };
             // A panicked attempt leaves open whether it was sent.
             match came.unwrap_or(Came::Unknown) {
-                Came::Answer(answer) => return self.pass(answer),
+                Came::Answer(answer, signature) => return Passed::Answer { answer, signature },
                 Came::Unrun => (),
                 Came::Unknown => self.unclear = true,
             }
             if self.unclear && !self.may_repeat() {
                 return self.give_up("outcome unknown");
             }
-            if !self.begin(true) && self.running.is_empty() {
+            if !self.begin(queue) && self.running.is_empty() {
                 return self.give_up("no upstream left");
             }
         }
@@ -139,9 +188,11 @@
             return false;
         }
         let service = self.service.as_deref();
-        let Some(one) = service.and_then(|name| self.sent.choose(name, &self.used, queue)) else {
+        let place = service.and_then(|name| self.sent.choose(name, &self.used, queue));
+        let Some(place) = place else {
             return false;
         };
+        let one = &place.one;
         self.used.push(one.id.clone());
         let left = self.sent.left();
         let part = match self.may_repeat() && self.used.len() < self.attempts() {
@@ -152,26 +203,18 @@
             attempt = self.used.len(), left_ms = left; "sent");
         let sent = self.sent.clone();
         self.running
-            .spawn(async move { attempt(&sent, one, part).await });
+            .spawn(async move { attempt(&sent, place, part).await });
         true
     }
 
-    fn pass(&self, answer: Response<Bytes>) -> Reply {
-        let (head, bytes) = answer.into_parts();
-        let mut reply = Response::new(net::body::full(bytes));
-        *reply.status_mut() = head.status;
-        *reply.headers_mut() = self.sent.app.dialect.back(&head.headers);
-        reply
-    }
-
     /// Answers when the time is over. A call that is still at an upstream may have run there.
-    fn late(&self) -> Reply {
+    fn late(&self) -> Passed {
         let sent = self.unclear || !self.running.is_empty();
         let refusal = if sent { Refusal::Late } else { Refusal::Unrun };
         self.refuse(refusal, "time is over")
     }
 
-    fn give_up(&self, why: &str) -> Reply {
+    fn give_up(&self, why: &str) -> Passed {
         let sent = self.unclear || !self.running.is_empty();
         let refusal = if sent {
             Refusal::Unknown
@@ -181,26 +224,30 @@
         self.refuse(refusal, why)
     }
 
-    fn refuse(&self, refusal: Refusal, why: &str) -> Reply {
-        let age = self.sent.app.roster.lock().age(self.sent.app.clock.now());
-        log::info!(target: "forward", id = &*self.sent.id, why, attempts = self.used.len(),
-            outcome = refusal.name(), list_age_ms = age.unwrap_or(0); "given up");
-        refusal.reply()
+    fn refuse(&self, refusal: Refusal, why: &str) -> Passed {
+        // A sample that finds no free place looks again within moments, and writes a line when it has
+        // its score or is given up.
+        if self.manner == Manner::Caller || !self.used.is_empty() {
+            let age = self.sent.app.roster.lock().age(self.sent.app.clock.now());
+            log::info!(target: "forward", id = &*self.sent.id, why, attempts = self.used.len(),
+                outcome = refusal.name(), list_age_ms = age.unwrap_or(0); "given up");
+        }
+        Passed::Refused(refusal)
     }
 }
 
-async fn attempt(sent: &Sent, one: Arc<Listed>, part: Millis) -> Came {
-    let _place = Place::take(&sent.app, &one);
-    let Some(request) = sent.request(&one, None) else {
+async fn attempt(sent: &Sent, place: Place, part: Millis) -> Came {
+    let one = &place.one;
+    let Some(request) = sent.request(one, None) else {
         return Came::Unrun;
     };
     let begun = sent.app.clock.now();
     let limit = Duration::from_millis(part);
     let answer = sent.app.http.fetch(request, limit, ANSWER).await;
     let took = sent.app.clock.now() - begun;
-    let came = judge(sent, &one, answer, took);
+    let came = judge(sent, one, answer, took);
     let outcome = match &came {
-        Came::Answer(_) => "answered",
+        Came::Answer(..) => "answered",
         Came::Unrun => "unrun",
         Came::Unknown => "unknown",
     };
@@ -237,13 +284,15 @@
         plain.busy(&one.id, now + FULL);
         return Came::Unrun;
     }
-    if said.id.as_deref() != Some(&*sent.id) || !said.signed {
-        plain.failed(&one.id, now);
-        let status = answer.status().as_u16();
-        log::warn!(target: "forward", id = &*sent.id, upstream = &*one.id, status,
-            answers = said.id.as_deref().unwrap_or("nothing"); "answer of something else");
-        return Came::Unknown;
+    if let (Some(id), Some(signature)) = (&said.id, said.signature)
+        && **id == *sent.id
+    {
+        plain.event(&one.id, took as f64);
+        return Came::Answer(answer, signature);
     }
-    plain.event(&one.id, took as f64);
-    Came::Answer(answer)
+    plain.failed(&one.id, now);
+    let status = answer.status().as_u16();
+    log::warn!(target: "forward", id = &*sent.id, upstream = &*one.id, status,
+        answers = said.id.as_deref().unwrap_or("nothing"); "answer of something else");
+    Came::Unknown
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peer;
 pub mod refuse;
 pub mod run;
+mod score;
 mod sent;
 pub mod settings;
 pub mod shelf;
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -19,6 +19,9 @@
 /// Samples that ended, by outcome.
 pub const SAMPLES: &str = "snipeway_samples_total";
 
+/// Requests for the score of a sample, by outcome.
+pub const SCORES: &str = "snipeway_scores_total";
+
 /// Steps, by what became of them here.
 pub const STEPS: &str = "snipeway_steps_total";
 
@@ -53,6 +56,7 @@
     );
     metrics::describe_counter!(ATTEMPTS, "attempts at upstreams by outcome");
     metrics::describe_counter!(SAMPLES, "samples that ended by outcome");
+    metrics::describe_counter!(SCORES, "requests for the score of a sample by outcome");
     metrics::describe_counter!(STEPS, "steps by what became of them here");
     metrics::describe_counter!(ORDERS, "orders to engines by result");
     metrics::describe_gauge!(PLATFORM, "calls of the platform by kind");
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -208,7 +208,7 @@
         taken
     }
 
-    fn entry(&self, index: u32, outcome: Outcome, draft: Draft) -> Entry {
+    fn entry(&self, index: u32, outcome: Outcome, draft: Draft, score: Option<Arc<str>>) -> Entry {
         let id = self.spec.samples[index as usize].id.clone();
         Entry {
             index,
@@ -216,6 +216,7 @@
             outcome,
             text: draft.text.into(),
             versions: draft.versions,
+            score,
         }
     }
 }
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -29,6 +29,7 @@
 use crate::run::Draft;
 use crate::run::Ended;
 use crate::run::Run;
+use crate::score;
 
 /// Longest pause between two looks at what can be done.
 const TICK: Duration = Duration::from_millis(50);
@@ -46,6 +47,10 @@
 /// Engines that are asked in one such look: those of one model of four on today's largest site.
 const LOOKED: usize = 12;
 
+/// Time after a step's begin for which its samples' scores are asked for when its route is not known any
+/// more, in milliseconds: no trainer waits longer for a step.
+const TTL: Millis = 15_000;
+
 /// Time between two lines that say for what samples wait.
 const TELL: Millis = 1_000;
 
@@ -56,6 +61,12 @@
     engine: Arc<Listed>,
 }
 
+/// What asking for a sample's score came to.
+struct Scored {
+    index: u32,
+    score: Option<Arc<str>>,
+}
+
 /// A sample that has to run.
 struct Todo {
     job: Job,
@@ -68,6 +79,7 @@
     work: &'a Arc<Work>,
     todo: VecDeque<Todo>,
     runs: JoinSet<Ran>,
+    scores: JoinSet<Scored>,
     writes: JoinSet<Written>,
     checks: JoinSet<Option<bool>>,
     looks: JoinSet<()>,
@@ -92,18 +104,22 @@
                     carried: last > 0,
                 }
             })
-            .filter(|job| !ledger.has_ended(job.index))
-            .collect();
+            .filter(|job| !ledger.has_ended(job.index));
+        // An earlier step may have left over texts that are whole already.
+        let (texts, jobs): (Vec<_>, _) =
+            jobs.partition(|job| work.drafts[job.index as usize].lock().whole);
+        drop(ledger);
         let jobs = place::order(jobs, work.head.wanted);
         let todo = jobs.into_iter().map(|job| Todo {
             job,
             avoid: Vec::new(),
         });
-        Self {
+        let mut drive = Self {
             app,
             work,
             todo: todo.collect(),
             runs: JoinSet::new(),
+            scores: JoinSet::new(),
             writes: JoinSet::new(),
             checks: JoinSet::new(),
             looks: JoinSet::new(),
@@ -112,7 +128,11 @@
             checked: 0,
             failures: Map::default(),
             kin: Map::default(),
+        };
+        for text in texts {
+            drive.score(text.index);
         }
+        drive
     }
 
     /// Runs the step until it is whole, has ended or belongs to somebody else. Dropping the runs
@@ -129,6 +149,7 @@
             self.check();
             tokio::select! {
                 Some(Ok(ran)) = self.runs.join_next() => self.take(ran),
+                Some(Ok(scored)) = self.scores.join_next() => self.scored(scored),
                 Some(Ok(written)) = self.writes.join_next() => self.note(written).await,
                 Some(Ok(ended)) = self.checks.join_next() => {
                     if ended == Some(true) {
@@ -147,6 +168,8 @@
     /// them or they have ended. Groups that were left over come again within a second or two, and
     /// what is made meanwhile need not be made again.
     pub(super) async fn leave(&mut self) {
+        // A score is of no use to a step that has ended, and no request of it may run after that.
+        self.scores.abort_all();
         while !self.work.handed.load(Ordering::Relaxed) {
             tokio::select! {
                 ran = self.runs.join_next() => if ran.is_none() { return },
@@ -286,18 +309,15 @@
         } = ran;
         let draft = &self.work.drafts[index as usize];
         match ended {
-            Ended::Whole => {
-                let draft = draft.lock().clone();
-                return self.finish(index, Outcome::Whole, draft);
-            }
-            Ended::Hopeless => return self.finish(index, Outcome::Failed, Draft::default()),
+            Ended::Whole => return self.score(index),
+            Ended::Hopeless => return self.fail(index),
             Ended::Failed => {
                 let failures = self.failures.entry(index).or_default();
                 *failures += 1;
                 let route = self.work.route(self.app);
                 let most = route.map_or(1, |route| route.attempts.max(1));
                 if *failures >= most {
-                    return self.finish(index, Outcome::Failed, Draft::default());
+                    return self.fail(index);
                 }
             }
             Ended::Broken(why) if why.starts_with("version") => {
@@ -322,13 +342,48 @@
         self.todo.push_front(Todo { job, avoid });
     }
 
-    fn finish(&mut self, index: u32, outcome: Outcome, draft: Draft) {
+    /// Has a sample whose text is whole scored, or finishes it when it needs no score.
+    fn score(&mut self, index: u32) {
+        if self.work.spec.samples[index as usize].scoring.is_none() {
+            return self.finish(index, None);
+        }
+        let route = self.work.route(self.app);
+        let most = route.as_ref().map_or(1, |route| route.attempts);
+        let ttl = route.map_or(TTL, |route| route.ttl);
+        let (app, work) = (self.app.clone(), self.work.clone());
+        let until = work.opened + ttl;
+        self.scores.spawn(async move {
+            let score = match &work.spec.samples[index as usize].scoring {
+                Some(scoring) => score::score(&app, scoring, most, until).await,
+                None => None,
+            };
+            Scored { index, score }
+        });
+    }
+
+    fn scored(&mut self, scored: Scored) {
+        match scored.score {
+            Some(score) => self.finish(scored.index, Some(score)),
+            None => self.fail(scored.index),
+        }
+    }
+
+    fn finish(&mut self, index: u32, score: Option<Arc<str>>) {
+        let draft = self.work.drafts[index as usize].lock().clone();
+        self.enter(index, Outcome::Whole, draft, score);
+    }
+
+    fn fail(&mut self, index: u32) {
+        self.enter(index, Outcome::Failed, Draft::default(), None);
+    }
+
+    fn enter(&mut self, index: u32, outcome: Outcome, draft: Draft, score: Option<Arc<str>>) {
         let word = match outcome {
             Outcome::Whole => "whole",
             Outcome::Failed => "failed",
         };
         metrics::counter!(meter::SAMPLES, "outcome" => word).increment(1);
-        let entry = self.work.entry(index, outcome, draft);
+        let entry = self.work.entry(index, outcome, draft, score);
         self.work.ledger.lock().finish(entry, self.app.clock.now());
     }
 
@@ -337,7 +392,7 @@
         log::warn!(target: "owner", id = &*self.work.step, why, samples = self.todo.len();
             "samples given up");
         for todo in std::mem::take(&mut self.todo) {
-            self.finish(todo.job.index, Outcome::Failed, Draft::default());
+            self.fail(todo.job.index);
         }
     }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -47,6 +47,9 @@
     pub text: String,
     /// The versions of the weights that made them, in their order.
     pub versions: Vec<u64>,
+    /// Whether the text is whole.
+    #[serde(default)]
+    pub whole: bool,
 }
 
 impl Draft {
@@ -143,6 +146,7 @@
         };
         let ended = self.attempt(sample, draft, &place).await;
         if ended == Ended::Whole {
+            draft.lock().whole = true;
             let events = draft.lock().last;
             self.app.fleet.lock().whole(sample.expected, events);
         }
@@ -209,7 +213,7 @@
                 return Ended::Unrun;
             }
         }
-        if said.id.as_deref() != Some(&*sample.id) || !said.signed {
+        if said.id.as_deref() != Some(&*sample.id) || said.signature.is_none() {
             return Ended::Broken("answer of something else");
         }
         match answer.status() {
--- /dev/null
+++ b/crates/node/src/score.rs
@@ -0,0 +1,99 @@
+//! Asking for the score of a sample whose text is whole.
+//!
+//! What follows from an answer is decided by [`batch::score`]; nothing of an engine is held meanwhile.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use batch::Scoring;
+use batch::score::Answer;
+use batch::score::Next;
+use batch::score::Tries;
+use bytes::Bytes;
+use http::StatusCode;
+use http::request::Parts;
+use kernel::Millis;
+use table::Route;
+use tokio::time::sleep;
+
+use crate::App;
+use crate::forward;
+use crate::forward::Passed;
+use crate::meter;
+use crate::sent::Sent;
+
+/// Time after which one try, with its second upstream, is given up: ten times the latency that callers
+/// of plain services aim at. Upstreams that have gone silent would else hold a sample for as long as
+/// its step lasts.
+const LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Asks until there is a score, the scorer has failed too often, or the time is over; [`None`] when
+/// the sample cannot be scored. `most` failures are allowed where the route of the request allows no
+/// more.
+pub(crate) async fn score(
+    app: &Arc<App>,
+    scoring: &Scoring,
+    most: u32,
+    until: Millis,
+) -> Option<Arc<str>> {
+    let begun = app.clock.now();
+    let head = match app.dialect.scoring(scoring) {
+        Ok(head) => head,
+        Err(error) => {
+            let why = error.to_string();
+            log::warn!(target: "score", id = &*scoring.id, why = why.as_str(); "no request");
+            return None;
+        }
+    };
+    let body = Bytes::from(scoring.body.clone());
+    let mut tries: Option<Tries> = None;
+    let mut asked = 0;
+    let score = loop {
+        if app.clock.now() >= until {
+            break None;
+        }
+        let mut answer = Answer::Nothing;
+        if let Some(route) = route(app, scoring) {
+            // The route that is in force when the first try is sent says how often it may fail.
+            tries.get_or_insert_with(|| Tries::new(route.attempts.max(most)));
+            answer = ask(app, scoring, &route, head.clone(), body.clone(), until).await;
+        }
+        asked += 1;
+        let tries = tries.get_or_insert_with(|| Tries::new(most));
+        match tries.next(answer) {
+            Next::Score(score) => break Some(score),
+            Next::Fail => break None,
+            Next::Again(pause) => sleep(Duration::from_millis(pause)).await,
+        }
+    };
+    let outcome = if score.is_some() { "scored" } else { "failed" };
+    metrics::counter!(meter::SCORES, "outcome" => outcome).increment(1);
+    log::info!(target: "score", id = &*scoring.id, tries = asked, outcome,
+        took_ms = app.clock.now() - begun; "score ended");
+    score
+}
+
+fn route(app: &App, scoring: &Scoring) -> Option<Arc<Route>> {
+    let plan = app.plan.load();
+    plan.as_ref()?.find(&scoring.host, &scoring.path).cloned()
+}
+
+async fn ask(
+    app: &Arc<App>,
+    scoring: &Scoring,
+    route: &Route,
+    head: Parts,
+    body: Bytes,
+    until: Millis,
+) -> Answer {
+    let sent = Sent::own(app, head, scoring.id.clone(), body, until);
+    match forward::score(Arc::new(sent), route, LIMIT).await {
+        Passed::Answer { answer, signature } if answer.status().is_success() => {
+            Answer::Scored(signature)
+        }
+        Passed::Answer { answer, .. } if answer.status() == StatusCode::INTERNAL_SERVER_ERROR => {
+            Answer::Failed
+        }
+        Passed::Answer { .. } | Passed::Refused(_) => Answer::Nothing,
+    }
+}
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -53,6 +53,23 @@
         }
     }
 
+    /// Takes in a request of our own, which has time until then.
+    pub(crate) fn own(
+        app: &Arc<App>,
+        head: Parts,
+        id: Arc<str>,
+        body: Bytes,
+        until: Millis,
+    ) -> Self {
+        Self {
+            app: app.clone(),
+            head,
+            body,
+            id,
+            until,
+        }
+    }
+
     /// Time that an upstream may still use.
     pub(crate) fn left(&self) -> Millis {
         self.until.saturating_sub(self.app.clock.now() + WAY)
@@ -75,14 +92,12 @@
         Some(request)
     }
 
-    /// Chooses an upstream of a service that was not used yet; `queue` tells whether the request
-    /// may wait inside it.
-    pub(crate) fn choose(
-        &self,
-        service: &str,
-        used: &[Arc<str>],
-        queue: bool,
-    ) -> Option<Arc<Listed>> {
+    /// Takes a place at an upstream of a service that was not used yet; `queue` tells whether the
+    /// request may wait inside it.
+    ///
+    /// The place is taken before anybody else chooses. Dozens of requests that begin at the same time
+    /// would else all see the same places free, and wait inside one upstream.
+    pub(crate) fn choose(&self, service: &str, used: &[Arc<str>], queue: bool) -> Option<Place> {
         let app = &self.app;
         let roster = app.roster.lock();
         let slots = roster.of(service).map(|one| one.slots).max().unwrap_or(0);
@@ -97,24 +112,19 @@
             taken: 0,
             memory: Memory::default(),
         };
-        app.plain.lock().choose(&roster, &want, app.clock.now())
+        let mut plain = app.plain.lock();
+        let one = plain.choose(&roster, &want, app.clock.now())?;
+        plain.begin(&one.id, 0);
+        let app = app.clone();
+        Some(Place { app, one })
     }
 }
 
 /// Counts a request at an upstream for as long as it lives, also when the caller leaves.
 pub(crate) struct Place {
     app: Arc<App>,
-    one: Arc<Listed>,
-}
-
-impl Place {
-    pub(crate) fn take(app: &Arc<App>, one: &Arc<Listed>) -> Self {
-        app.plain.lock().begin(&one.id, 0);
-        Self {
-            app: app.clone(),
-            one: one.clone(),
-        }
-    }
+    /// The upstream.
+    pub(crate) one: Arc<Listed>,
 }
 
 impl Drop for Place {
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -14,7 +14,6 @@
 use hyper::body::Incoming;
 use net::Reply;
 use net::body::Sender;
-use table::Listed;
 use table::Plan;
 use table::Route;
 use tokio::time::timeout;
@@ -73,7 +72,7 @@
 }
 
 impl Stream {
-    fn choose(&self) -> Option<Arc<Listed>> {
+    fn choose(&self) -> Option<Place> {
         let service = Plan::draw(&self.route, rand::random())?;
         self.sent.choose(service, &self.used, false)
     }
@@ -83,9 +82,9 @@
         let resumable = self.route.resumable;
         let mut unclear = false;
         while self.used.len() < self.route.attempts.max(1) as usize {
-            let Some(one) = self.choose() else { break };
-            self.used.push(one.id.clone());
-            match self.attempt(one, last).await {
+            let Some(place) = self.choose() else { break };
+            self.used.push(place.one.id.clone());
+            match self.attempt(place, last).await {
                 Came::Unrun => (),
                 Came::Unknown if resumable => unclear = true,
                 came => return came,
@@ -97,9 +96,9 @@
         }
     }
 
-    async fn attempt(&self, one: Arc<Listed>, last: Option<&str>) -> Came {
-        let place = Place::take(&self.sent.app, &one);
-        let Some(request) = self.sent.request(&one, last) else {
+    async fn attempt(&self, place: Place, last: Option<&str>) -> Came {
+        let one = &place.one;
+        let Some(request) = self.sent.request(one, last) else {
             return Came::Unrun;
         };
         let left = self.sent.left();
@@ -133,7 +132,7 @@
         if said.unrun || said.other {
             return Came::Unrun;
         }
-        match said.id.as_deref() == Some(&*self.sent.id) && said.signed {
+        match said.id.as_deref() == Some(&*self.sent.id) && said.signature.is_some() {
             true => Came::Stream(Box::new(answer), place),
             false => Came::Unknown,
         }
