End no lease that was never had

Ruled out: the removal of old records (no line, and no step was old enough), another store behind the port (its revisions went on).

--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -165,8 +165,16 @@
 }
 
 /// Takes the entry away, so that others take up at once what this instance leaves behind.
+///
+/// An instance that is told to leave before it could enter has no lease, and must end none: number 0
+/// stands for what has no lease, and a store that takes it at its word loses every step.
 pub async fn leave(app: &App) {
-    if let Err(error) = app.plat.revoke(app.entry()).await {
+    let lease = app.entry();
+    if lease == 0 {
+        log::info!(target: "member", "leaves without having entered");
+        return;
+    }
+    if let Err(error) = app.plat.revoke(lease).await {
         let error = error.to_string();
         log::warn!(target: "member", error = error.as_str(); "own entry left to lapse");
     }
