Keep what long samples have gained with the results

Change: batch::draft. A segment of results takes along what samples of 24 events or more have gained since the one before, at most once each 0.8 s when no results come; whoever takes the step over joins the pieces and goes on behind the last. Nothing is kept by instances: what must last is at the platform. Each event is written once. A segment may be empty.

--- a/crates/batch/src/keys.rs
+++ b/crates/batch/src/keys.rs
@@ -53,3 +53,13 @@
 pub fn segment(step: &str, seq: u32) -> String {
     format!("snipeway/result/{step}/{seq:06}")
 }
+
+/// The prefix of what is kept of samples that are not whole yet.
+pub fn drafts(step: &str) -> String {
+    format!("snipeway/draft/{step}/")
+}
+
+/// The key of what is kept of such samples with one segment.
+pub fn draft(step: &str, seq: u32) -> String {
+    format!("snipeway/draft/{step}/{seq:06}")
+}
--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -3,6 +3,7 @@
 use kernel::Millis;
 
 use crate::Entry;
+use crate::Piece;
 
 /// Most bytes of text in one segment: platforms take values of up to a megabyte, which base64
 /// makes a third longer.
@@ -12,13 +13,20 @@
 /// more: those that a trainer's step waits for are among them.
 const LAST: usize = 6;
 
+/// Time between two writes of what samples have gained when no results come, in milliseconds. It is what
+/// a kill costs the longest samples of a step at most, beside the time until somebody goes on with it;
+/// a write a second for the few seconds of a step in which only long samples run.
+const KEEP: Millis = 800;
+
 /// Results that are written together under one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Segment {
     /// Its number, counted from 0 without gaps.
     pub seq: u32,
-    /// Its results, in the order of their positions.
+    /// Its results, in the order of their positions; there may be none.
     pub entries: Vec<Entry>,
+    /// What samples that are not whole have gained since the segment before.
+    pub pieces: Vec<Piece>,
 }
 
 /// What the owner does next.
@@ -50,9 +58,9 @@
 /// };
 /// assert!(ledger.finish(entry.clone(), 0));
 /// assert!(!ledger.finish(entry, 0));
-/// assert_eq!(ledger.next(50), Next::Wait(100));
-/// let Next::Write(segment) = ledger.next(100) else { panic!() };
-/// assert_eq!(ledger.next(200), Next::Write(segment));
+/// assert_eq!(ledger.next(50, Vec::new), Next::Wait(100));
+/// let Next::Write(segment) = ledger.next(100, Vec::new) else { panic!() };
+/// assert_eq!(ledger.next(200, Vec::new), Next::Write(segment));
 /// ledger.written();
 /// assert_eq!(ledger.listed().len(), 1);
 /// ```
@@ -65,6 +73,8 @@
     since: Millis,
     segment: Option<Segment>,
     seq: u32,
+    /// When the last segment was made.
+    made: Millis,
 }
 
 impl Ledger {
@@ -79,6 +89,7 @@
             since: 0,
             segment: None,
             seq: 0,
+            made: 0,
         }
     }
 
@@ -111,29 +122,38 @@
         true
     }
 
-    /// Says what to do.
-    pub fn next(&mut self, now: Millis) -> Next {
+    /// Says what to do; `gained` tells what samples that are not whole have gained, and is asked when
+    /// a segment is made.
+    pub fn next(&mut self, now: Millis, gained: impl FnOnce() -> Vec<Piece>) -> Next {
         if let Some(segment) = &self.segment {
             return Next::Write(segment.clone());
         }
-        if self.waiting.is_empty() {
-            return Next::Idle;
-        }
         let due = self.since + self.gather;
         // The trainer goes on with one of the last results; each of them is worth a write.
-        let last = self.open() * LAST <= self.ended.len();
-        if now < due && !last {
-            return Next::Wait(due);
+        let last = self.unended() * LAST <= self.ended.len();
+        let listed = !self.waiting.is_empty() && (now >= due || last);
+        let idle = match self.waiting.is_empty() {
+            true => Next::Idle,
+            false => Next::Wait(due),
+        };
+        if !listed && now < self.made + KEEP {
+            return idle;
+        }
+        self.made = now;
+        let pieces = gained();
+        if !listed && pieces.is_empty() {
+            return idle;
         }
         let segment = Segment {
             seq: self.seq,
             entries: self.cut(),
+            pieces,
         };
         self.segment = Some(segment.clone());
         Next::Write(segment)
     }
 
-    /// Takes as many results as fit into one segment, at least one.
+    /// Takes as many results as fit into one segment, at least one if there is one.
     fn cut(&mut self) -> Vec<Entry> {
         let mut bytes = 0;
         let fits = self.waiting.iter().take_while(|entry| {
@@ -158,6 +178,12 @@
         &self.listed
     }
 
+    /// Tells whether a segment was offered that may or may not be at the platform by now. Others may
+    /// have read its results there.
+    pub fn is_open(&self) -> bool {
+        self.segment.is_some()
+    }
+
     /// Segments in which the listed results stand.
     pub fn segments(&self) -> u32 {
         self.seq
@@ -169,7 +195,7 @@
     }
 
     /// Samples that have not ended.
-    pub fn open(&self) -> usize {
+    pub fn unended(&self) -> usize {
         self.ended.iter().filter(|ended| !**ended).count()
     }
 
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -6,14 +6,18 @@
 //! instances that both believe they own a step cannot both list results.
 //!
 //! - [`record`] has what is kept at the platform, and under which keys.
+//! - [`draft`] has what samples have so far.
 //! - [`ledger`] has what the owner knows of its step.
 //! - [`score`] says what follows from an answer of a scorer.
 
+pub mod draft;
 pub mod keys;
 pub mod ledger;
 pub mod record;
 pub mod score;
 
+pub use draft::Draft;
+pub use draft::Piece;
 pub use ledger::Ledger;
 pub use ledger::Segment;
 pub use record::Entry;
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -1,10 +1,13 @@
 //! Positions of results never change, whatever happens to writes and owners.
 
+use batch::Draft;
 use batch::Entry;
 use batch::Ledger;
 use batch::Outcome;
+use batch::Piece;
 use batch::Sample;
 use batch::Spec;
+use batch::draft::Kept;
 use batch::ledger::Next;
 use proptest::prelude::*;
 
@@ -20,7 +23,7 @@
 }
 
 fn writes(ledger: &mut Ledger, now: u64) -> Option<batch::Segment> {
-    match ledger.next(now) {
+    match ledger.next(now, Vec::new) {
         Next::Write(segment) => Some(segment),
         Next::Wait(_) | Next::Idle => None,
     }
@@ -45,7 +48,7 @@
 fn nothing_is_listed_before_it_is_written() {
     let mut ledger = Ledger::new(1, 0);
     ledger.finish(entry(0, "a"), 0);
-    ledger.next(1);
+    ledger.next(1, Vec::new);
     assert!(ledger.listed().is_empty());
 
     ledger.written();
@@ -150,3 +153,80 @@
         }
     }
 }
+
+fn grown(events: u64) -> Draft {
+    let mut draft = Draft::default();
+    for number in 1..=events {
+        assert!(draft.add(number, &format!("{number}"), 1));
+    }
+    draft
+}
+
+// Symptom: the longest samples of every open step begin anew after all processes were killed, and their
+// trainers give the steps up.
+// Sequence: the owner writes what a sample has gained some times, and is killed.
+// Cause: the pieces that the platform has make the text up to the last of them.
+#[test]
+fn a_sample_comes_back_from_its_pieces() {
+    let mut kept = Kept::default();
+    let mut pieces = Vec::new();
+    for events in [10, 30, 33, 41, 90] {
+        pieces.extend(kept.pieces([(4, &grown(events))].into_iter()));
+    }
+
+    let mut draft = Draft::default();
+    for piece in pieces.clone() {
+        draft.join(piece);
+    }
+
+    assert_eq!(draft, grown(90));
+    // Ten are too few, and three more are not worth a write.
+    let lasts: Vec<_> = pieces.iter().map(|piece| piece.last).collect();
+    assert_eq!(lasts, [30, 41, 90]);
+}
+
+// Symptom: a text has another run's events in its midst.
+// Sequence: a sample of one version begins anew under another one after some of it was written.
+// Cause: a piece that begins with the first event replaces what there was; one that goes on behind an
+// event that is not the last is left out.
+#[test]
+fn a_sample_that_began_anew_is_not_joined_to_what_it_was() {
+    let mut kept = Kept::default();
+    let first = kept.pieces([(0, &grown(40))].into_iter());
+    kept.forget(0);
+    let mut other = grown(30);
+    other.versions = vec![2];
+    let second = kept.pieces([(0, &other)].into_iter());
+    let stray = Piece {
+        from: 77,
+        ..first[0].clone()
+    };
+
+    let mut draft = Draft::default();
+    for piece in first.into_iter().chain(second).chain([stray]) {
+        draft.join(piece);
+    }
+
+    assert_eq!(draft, other);
+}
+
+// Load: a step in whose last seconds only long samples run, and no results come.
+#[test]
+fn what_long_samples_have_gained_is_written_without_results() {
+    let mut ledger = Ledger::new(3, 400);
+    let mut kept = Kept::default();
+    let mut written = Vec::new();
+    for now in (1_000..5_000).step_by(50) {
+        let draft = grown(now / 40);
+        let next = ledger.next(now, || kept.pieces([(0, &draft)].into_iter()));
+        if let Next::Write(segment) = next {
+            ledger.written();
+            written.push((now, segment.entries.len(), segment.pieces.len()));
+        }
+    }
+
+    // One each 0.8 s, without results.
+    assert_eq!(written.len(), 5, "{written:?}");
+    assert!(written.iter().all(|one| (one.1, one.2) == (0, 1)));
+    assert_eq!(ledger.segments(), 5);
+}
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -6,6 +6,7 @@
 
 use batch::Entry;
 use batch::Head;
+use batch::Piece;
 use batch::Spec;
 use batch::keys;
 use batch::record;
@@ -243,18 +244,30 @@
         .map(|item| record::decode(&item.value))
         .collect();
     let segments = segments.map_err(|_| PlatError::Garbled)?;
-    log::info!(target: "control", id = &**step, from = &*from.instance, revision = rev,
-        segments = segments.len(); "step taken over");
+    let pieces = kept(app, step).await?;
+    log::info!(target: "control", id = &**step, owner = &*from.instance, revision = rev,
+        segments = segments.len(), pieces = pieces.len(); "step taken over");
     metrics::counter!(crate::meter::STEPS, "outcome" => "taken over").increment(1);
-    owner::resume(app, step, head, spec, rev, segments);
+    owner::resume(app, step, head, spec, rev, segments, pieces);
     Ok(())
 }
 
+/// What the owner before has kept of samples that are not whole, in the order in which they gained it.
+async fn kept(app: &App, step: &str) -> Result<Vec<Piece>, PlatError> {
+    let kept = app.plat.list(&keys::drafts(step)).await?;
+    let mut all = Vec::new();
+    for item in &kept.items {
+        let pieces: Vec<Piece> = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
+        all.extend(pieces);
+    }
+    Ok(all)
+}
+
 /// Removes the records of a step that nobody may read any more; the head goes last, so that an
 /// interrupted removal goes on later.
 async fn sweep(app: &App, step: &str, head: &Item) -> Result<(), PlatError> {
     let mut gone = vec![keys::end(step)];
-    for prefix in [keys::spec(step), keys::segments(step)] {
+    for prefix in [keys::spec(step), keys::segments(step), keys::drafts(step)] {
         let range = app.plat.list(&prefix).await?;
         gone.extend(range.items.into_iter().map(|item| item.key));
     }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -9,12 +9,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use batch::Draft;
 use batch::Entry;
 use batch::Head;
 use batch::Ledger;
 use batch::Outcome;
+use batch::Piece;
 use batch::Sample;
 use batch::Spec;
+use batch::draft::Kept;
 use batch::keys;
 use kernel::Map;
 use kernel::Millis;
@@ -28,7 +31,6 @@
 use self::drive::Drive;
 use crate::App;
 use crate::hint;
-use crate::run::Draft;
 use crate::shelf::Page;
 
 /// Time for which results are gathered into one write: a write is a call that the platform counts, and
@@ -54,6 +56,8 @@
     spec: Arc<Spec>,
     /// What each sample has so far, by its place in the step.
     drafts: Vec<Mutex<Draft>>,
+    /// How far the platform has them.
+    kept: Mutex<Kept>,
     /// When the step was opened, on this instance's clock.
     opened: Millis,
     ledger: Mutex<Ledger>,
@@ -72,6 +76,7 @@
         let drafts = spec.samples.iter().map(|_| Mutex::default());
         Self {
             drafts: drafts.collect(),
+            kept: Mutex::default(),
             step: step.clone(),
             head,
             rev,
@@ -200,14 +205,26 @@
             let Some(draft) = left.remove(&sample.print()) else {
                 continue;
             };
-            if !ledger.has_ended(index as u32) {
-                *self.drafts[index].lock() = draft;
+            let mut have = self.drafts[index].lock();
+            if !ledger.has_ended(index as u32) && draft.last > have.last {
+                *have = draft;
+                self.kept.lock().forget(index as u32);
                 taken += 1;
             }
         }
         taken
     }
 
+    /// What some samples have gained since the platform was told of them.
+    fn gained(&self, open: &[u32]) -> Vec<Piece> {
+        let drafts: Vec<_> = open
+            .iter()
+            .map(|index| (*index, self.drafts[*index as usize].lock()))
+            .collect();
+        let drafts = drafts.iter().map(|(index, draft)| (*index, &**draft));
+        self.kept.lock().pieces(drafts)
+    }
+
     fn entry(&self, index: u32, outcome: Outcome, draft: Draft, score: Option<Arc<str>>) -> Entry {
         let id = self.spec.samples[index as usize].id.clone();
         Entry {
@@ -227,7 +244,8 @@
     start(app, work);
 }
 
-/// Goes on with a step whose owner is gone, from the results that are listed.
+/// Goes on with a step whose owner is gone, from the results that are listed and from what is kept of
+/// samples that are not whole.
 pub fn resume(
     app: &Arc<App>,
     step: &Arc<str>,
@@ -235,6 +253,7 @@
     spec: Spec,
     rev: i64,
     segments: Vec<Vec<Entry>>,
+    pieces: Vec<Piece>,
 ) {
     let age = app.clock.wall().saturating_sub(head.opened);
     let opened = app.clock.now().saturating_sub(age.saturating_sub(SKEW));
@@ -246,6 +265,14 @@
         }
         work.listed.send_replace(ledger.listed().len());
     }
+    for piece in pieces {
+        if let Some(draft) = work.drafts.get(piece.index as usize) {
+            let index = piece.index;
+            let mut draft = draft.lock();
+            draft.join(piece);
+            work.kept.lock().note(index, &draft);
+        }
+    }
     start(app, work);
 }
 
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use batch::Draft;
 use batch::Outcome;
 use batch::keys;
 use batch::ledger::Next;
@@ -26,7 +27,6 @@
 use crate::App;
 use crate::control;
 use crate::meter;
-use crate::run::Draft;
 use crate::run::Ended;
 use crate::run::Run;
 use crate::score;
@@ -324,6 +324,7 @@
                 let single = self.work.route(self.app).is_some_and(|route| route.single);
                 if single {
                     *draft.lock() = Draft::default();
+                    self.work.kept.lock().forget(index);
                 }
             }
             Ended::Unrun | Ended::Moved | Ended::Broken(_) => (),
@@ -405,7 +406,11 @@
         if !self.writes.is_empty() {
             return false;
         }
-        if let Next::Write(segment) = ledger.next(self.app.clock.now()) {
+        let open: Vec<_> = (0..self.work.head.total)
+            .filter(|index| !ledger.has_ended(*index))
+            .collect();
+        let gained = || self.work.gained(&open);
+        if let Next::Write(segment) = ledger.next(self.app.clock.now(), gained) {
             let (app, work) = (self.app.clone(), self.work.clone());
             self.writes
                 .spawn(async move { write_segment(&app, &work, &segment).await });
--- a/crates/node/src/owner/write.rs
+++ b/crates/node/src/owner/write.rs
@@ -33,13 +33,21 @@
     };
     let key = keys::segment(&work.step, segment.seq);
     let end = keys::end(&work.step);
+    let mut puts = vec![Put::new(key.clone(), value.clone())];
+    if !segment.pieces.is_empty() {
+        let Ok(pieces) = record::encode(&segment.pieces) else {
+            // Texts and numbers always have an encoding.
+            return Written::Unclear;
+        };
+        puts.push(Put::new(keys::draft(&work.step, segment.seq), pieces));
+    }
     let txn = Txn {
         guards: vec![
             Guard::At(keys::head(&work.step), work.rev),
             Guard::Absent(key.clone()),
             Guard::Absent(end.clone()),
         ],
-        puts: vec![Put::new(key.clone(), value.clone())],
+        puts,
         deletes: Vec::new(),
     };
     match app.plat.txn(&txn).await {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use batch::Draft;
 use batch::Sample;
 use http::Response;
 use http::StatusCode;
@@ -12,13 +13,10 @@
 use kernel::Millis;
 use parking_lot::Mutex;
 use place::Want;
-use serde::Deserialize;
-use serde::Serialize;
 use table::Listed;
 use tokio::time::timeout;
 
 use crate::App;
-use crate::dialect::Event;
 use crate::events::Events;
 use crate::events::Next;
 
@@ -37,39 +35,6 @@
 /// Events after which a run asks whether it had better move.
 const LOOK: u64 = 4;
 
-/// What a sample has so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct Draft {
-    /// The last event.
-    pub last: u64,
-    /// The data of the events, separated by line feeds.
-    pub text: String,
-    /// The versions of the weights that made them, in their order.
-    pub versions: Vec<u64>,
-    /// Whether the text is whole.
-    #[serde(default)]
-    pub whole: bool,
-}
-
-impl Draft {
-    /// Adds an event that came under a version; tells whether it is the next one.
-    fn add(&mut self, event: &Event, version: u64) -> bool {
-        if event.number != self.last + 1 {
-            return false;
-        }
-        if self.last > 0 {
-            self.text.push('\n');
-        }
-        self.text.push_str(&event.data);
-        if !self.versions.contains(&version) {
-            self.versions.push(version);
-        }
-        self.last = event.number;
-        true
-    }
-}
-
 /// How a run ended.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -270,7 +235,7 @@
                     return Ended::Broken("version changed");
                 }
             }
-            if !draft.lock().add(&event, version) {
+            if !draft.lock().add(event.number, &event.data, version) {
                 return Ended::Broken("event out of turn");
             }
             let now = self.app.clock.now();
