Say that there is nothing only when no write is under way

The owner was cut off from the store and wrote through another instance; a write took effect whose answer was lost, and the owner, whose head was still its own, said that there is no result. Traced by reading; the test brings the sequence about. Change: an owner whose segment is offered and not known to be written is not sure; the reader asks the platform.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -145,7 +145,8 @@
 
     /// Tells whether nobody else can have listed results that are not known here.
     async fn is_sure(&self, app: &App) -> bool {
-        if self.is_lost() {
+        // A write that is under way may be at the platform, where others have read it already.
+        if self.is_lost() || self.ledger.lock().is_open() {
             return false;
         }
         let now = app.clock.now();
