Write results at once only when the trainer can go on with them

A trainer can go on only when so many groups are whole, and reads twice a second. Change: batch::groups counts whole groups; a result is written at once when its group is whole and as many as the trainer waits for are, and with others within 400 ms otherwise.

--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -3,16 +3,13 @@
 use kernel::Millis;
 
 use crate::Entry;
+use crate::Groups;
 use crate::Piece;
 
 /// Most bytes of text in one segment: platforms take values of up to a megabyte, which base64
 /// makes a third longer.
 const SEGMENT: usize = 512 << 10;
 
-/// The part of a step's samples, as its reciprocal, whose results are written without waiting for
-/// more: those that a trainer's step waits for are among them.
-const LAST: usize = 6;
-
 /// Time between two writes of what samples have gained when no results come, in milliseconds. It is what
 /// a kill costs the longest samples of a step at most, beside the time until somebody goes on with it;
 /// a write a second for the few seconds of a step in which only long samples run.
@@ -51,7 +48,8 @@
 /// ```
 /// use batch::{Entry, Ledger, Outcome, ledger::Next};
 ///
-/// let mut ledger = Ledger::new(7, 100);
+/// let names: Vec<_> = (0..7).map(|_| "a".into()).collect();
+/// let mut ledger = Ledger::new(batch::Groups::new(names.iter(), 1), 100);
 /// let entry = Entry {
 ///     index: 1, id: "b".into(), outcome: Outcome::Whole, text: "x".into(), versions: vec![3],
 ///     score: None,
@@ -67,10 +65,13 @@
 #[derive(Debug)]
 pub struct Ledger {
     gather: Millis,
+    groups: Groups,
     ended: Vec<bool>,
     listed: Vec<Entry>,
     waiting: Vec<Entry>,
     since: Millis,
+    /// Whether the trainer can go on with one of those that wait.
+    urgent: bool,
     segment: Option<Segment>,
     seq: u32,
     /// When the last segment was made.
@@ -78,15 +79,17 @@
 }
 
 impl Ledger {
-    /// Makes the ledger of a step with `total` samples, which writes results together that come
-    /// within `gather` milliseconds, except for the last ones.
-    pub fn new(total: u32, gather: Millis) -> Self {
+    /// Makes the ledger of a step, which writes results together that come within `gather`
+    /// milliseconds, except for those with which the trainer can go on.
+    pub fn new(groups: Groups, gather: Millis) -> Self {
         Self {
             gather,
-            ended: vec![false; total as usize],
+            ended: vec![false; groups.samples()],
+            groups,
             listed: Vec::new(),
             waiting: Vec::new(),
             since: 0,
+            urgent: false,
             segment: None,
             seq: 0,
             made: 0,
@@ -96,7 +99,9 @@
     /// Takes in a segment that an owner before has written; they come in order.
     pub fn restore(&mut self, entries: Vec<Entry>) {
         for entry in &entries {
-            self.mark(entry.index);
+            if self.mark(entry.index) {
+                self.groups.end(entry.index);
+            }
         }
         self.listed.extend(entries);
         self.seq += 1;
@@ -118,6 +123,7 @@
         if self.waiting.is_empty() {
             self.since = now;
         }
+        self.urgent |= self.groups.end(entry.index);
         self.waiting.push(entry);
         true
     }
@@ -129,9 +135,7 @@
             return Next::Write(segment.clone());
         }
         let due = self.since + self.gather;
-        // The trainer goes on with one of the last results; each of them is worth a write.
-        let last = self.unended() * LAST <= self.ended.len();
-        let listed = !self.waiting.is_empty() && (now >= due || last);
+        let listed = !self.waiting.is_empty() && (now >= due || self.urgent);
         let idle = match self.waiting.is_empty() {
             true => Next::Idle,
             false => Next::Wait(due),
@@ -162,6 +166,8 @@
             first || bytes <= SEGMENT
         });
         let count = fits.count();
+        // What is left waits no longer than it has.
+        self.urgent &= count < self.waiting.len();
         self.waiting.drain(..count).collect()
     }
 
@@ -194,11 +200,6 @@
         self.ended.get(index as usize).copied().unwrap_or(true)
     }
 
-    /// Samples that have not ended.
-    pub fn unended(&self) -> usize {
-        self.ended.iter().filter(|ended| !**ended).count()
-    }
-
     /// Tells whether every sample has ended and is listed.
     pub fn is_done(&self) -> bool {
         self.listed.len() == self.ended.len()
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,10 +7,12 @@
 //!
 //! - [`record`] has what is kept at the platform, and under which keys.
 //! - [`draft`] has what samples have so far.
+//! - [`groups`] says when a step's trainer can go on.
 //! - [`ledger`] has what the owner knows of its step.
 //! - [`score`] says what follows from an answer of a scorer.
 
 pub mod draft;
+pub mod groups;
 pub mod keys;
 pub mod ledger;
 pub mod record;
@@ -18,6 +20,7 @@
 
 pub use draft::Draft;
 pub use draft::Piece;
+pub use groups::Groups;
 pub use ledger::Ledger;
 pub use ledger::Segment;
 pub use record::Entry;
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -2,6 +2,7 @@
 
 use batch::Draft;
 use batch::Entry;
+use batch::Groups;
 use batch::Ledger;
 use batch::Outcome;
 use batch::Piece;
@@ -22,6 +23,12 @@
     }
 }
 
+/// A ledger whose samples are a group each, all of which are waited for.
+fn alone(total: u32, gather: u64) -> Ledger {
+    let names: Vec<_> = (0..total).map(|at| format!("g{at}").into()).collect();
+    Ledger::new(Groups::new(names.iter(), total), gather)
+}
+
 fn writes(ledger: &mut Ledger, now: u64) -> Option<batch::Segment> {
     match ledger.next(now, Vec::new) {
         Next::Write(segment) => Some(segment),
@@ -34,7 +41,7 @@
 // Cause: the repeated write must have the same content.
 #[test]
 fn an_unclear_segment_is_offered_again_unchanged() {
-    let mut ledger = Ledger::new(3, 0);
+    let mut ledger = alone(3, 0);
     ledger.finish(entry(0, "a"), 0);
     let first = writes(&mut ledger, 1);
 
@@ -46,7 +53,7 @@
 
 #[test]
 fn nothing_is_listed_before_it_is_written() {
-    let mut ledger = Ledger::new(1, 0);
+    let mut ledger = alone(1, 0);
     ledger.finish(entry(0, "a"), 0);
     ledger.next(1, Vec::new);
     assert!(ledger.listed().is_empty());
@@ -59,7 +66,7 @@
 
 #[test]
 fn a_segment_stays_below_what_the_platform_takes() {
-    let mut ledger = Ledger::new(3, 0);
+    let mut ledger = alone(3, 0);
     let text = "x".repeat(400 << 10);
     for index in 0..3 {
         ledger.finish(entry(index, &text), 0);
@@ -118,7 +125,7 @@
     #[test]
     fn positions_never_change(steps in proptest::collection::vec(step(), 1..60)) {
         let mut kept: Vec<Vec<Entry>> = Vec::new();
-        let mut ledger = Ledger::new(6, 0);
+        let mut ledger = alone(6, 0);
         let mut seen: Vec<Entry> = Vec::new();
         for (now, step) in steps.into_iter().enumerate() {
             let now = now as u64;
@@ -136,7 +143,7 @@
                     }
                 }
                 Step::Crash => {
-                    ledger = Ledger::new(6, 0);
+                    ledger = alone(6, 0);
                     for entries in &kept {
                         ledger.restore(entries.clone());
                     }
@@ -213,7 +220,7 @@
 // Load: a step in whose last seconds only long samples run, and no results come.
 #[test]
 fn what_long_samples_have_gained_is_written_without_results() {
-    let mut ledger = Ledger::new(3, 400);
+    let mut ledger = alone(3, 400);
     let mut kept = Kept::default();
     let mut written = Vec::new();
     for now in (1_000..5_000).step_by(50) {
@@ -230,3 +237,24 @@
     assert!(written.iter().all(|one| (one.1, one.2) == (0, 1)));
     assert_eq!(ledger.segments(), 5);
 }
+
+// Load: a step of 20 groups of 4, of which 18 are waited for; a result comes each 50 ms, the groups side
+// by side, so that most of them become whole with the last results.
+#[test]
+fn results_with_which_nobody_can_go_on_are_written_together() {
+    let names: Vec<_> = (0..80).map(|at| format!("g{}", at % 20).into()).collect();
+    let mut ledger = Ledger::new(Groups::new(names.iter(), 18), 400);
+    let mut written = Vec::new();
+    for index in 0..80 {
+        let now = 1_000 + u64::from(index) * 50;
+        ledger.finish(entry(index, "a"), now);
+        if writes(&mut ledger, now).is_some() {
+            ledger.written();
+            written.push(index);
+        }
+    }
+
+    // One each 0.4 s, and then the 18th group and each behind it at once.
+    assert!(written.len() <= 13, "{written:?}");
+    assert_eq!(written[written.len() - 3..], [77, 78, 79]);
+}
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -11,6 +11,7 @@
 
 use batch::Draft;
 use batch::Entry;
+use batch::Groups;
 use batch::Head;
 use batch::Ledger;
 use batch::Outcome;
@@ -72,7 +73,8 @@
 
 impl Work {
     fn new(app: &App, step: &Arc<str>, head: Head, spec: Spec, rev: i64, opened: Millis) -> Self {
-        let ledger = Ledger::new(head.total, GATHER);
+        let groups = spec.samples.iter().map(|sample| &sample.group);
+        let ledger = Ledger::new(Groups::new(groups, head.wanted), GATHER);
         let drafts = spec.samples.iter().map(|_| Mutex::default());
         Self {
             drafts: drafts.collect(),
