Pass results on as their owner writes them

An entry that a trainer reads at read the owner's answer whole, decoded it and wrote it anew: some times the megabyte that an answer may have. Change: the owner writes the answer as it goes to the caller, and the entry passes the bytes on as they come. A body that breaks ends the caller's connection without its proper end, as before.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -15,6 +15,7 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use http_body_util::StreamBody;
+use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
 /// The answer to a call.
@@ -58,6 +59,12 @@
     Body::new(body.map_err(|never| match never {}))
 }
 
+/// Passes a body on as it comes, without holding more of it than a connection does. One that breaks
+/// ends the connection to the receiver without its proper end.
+pub fn pass(body: Incoming) -> Body {
+    Body::new(body.map_err(io::Error::other))
+}
+
 /// The sending end of a body that is made while it is sent.
 ///
 /// An error ends the connection without the body's proper end, so that the receiver sees that it
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -13,9 +13,11 @@
 use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
+use http::header::CONTENT_TYPE;
 use http_body_util::Full;
 use kernel::Millis;
 use net::Reply;
+use net::SendError;
 use plat::Answer;
 use plat::Call;
 use plat::PlatError;
@@ -31,7 +33,6 @@
 use crate::hint;
 use crate::member::Member;
 use crate::news::FRESH;
-use crate::shelf::Page;
 use crate::steps::accept;
 use crate::steps::accept::Accepted;
 use crate::steps::accept::Submission;
@@ -85,7 +86,6 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 enum Told {
-    Page(Option<Page>),
     /// Nothing when the asking one had better take the step.
     Submit(Option<Accepted>),
     /// Nothing when the step is not run here; inside, nothing when it has no such sample.
@@ -105,6 +105,7 @@
         Err(error) => return improper(&error),
     };
     let told = match record::decode(&body) {
+        Ok(Ask::Page { step, from, wait }) => return tell_page(app, &step, from, wait).await,
         Ok(ask) => tell(app, ask).await,
         Err(error) => return improper(&error),
     };
@@ -120,12 +121,23 @@
     net::body::reply(StatusCode::BAD_REQUEST, "text/plain", error)
 }
 
+/// Answers with results as they go to the caller, or with nothing when this instance is not sure of
+/// them.
+async fn tell_page(app: &Arc<App>, step: &Arc<str>, from: usize, wait: Millis) -> Reply {
+    let page = match app.works.get(step) {
+        Some(work) => work.page(app, from, wait).await,
+        None => None,
+    };
+    match page {
+        Some(page) => page.reply(app, from),
+        None => net::body::reply(StatusCode::NO_CONTENT, "text/plain", Vec::new()),
+    }
+}
+
 async fn tell(app: &Arc<App>, ask: Ask) -> Told {
     match ask {
-        Ask::Page { step, from, wait } => match app.works.get(&step) {
-            Some(work) => Told::Page(work.page(app, from, wait).await),
-            None => Told::Page(None),
-        },
+        // Answered with the results themselves.
+        Ask::Page { .. } => Told::Noted,
         Ask::Submit(submission) => Told::Submit(accept::handed(app, submission).await),
         Ask::Body { step, sample } => {
             let work = app.works.get(&step);
@@ -160,40 +172,64 @@
     Some(app.board.lock().since(have))
 }
 
-async fn ask(app: &App, addr: SocketAddr, ask: &Ask, limit: Millis) -> Option<Told> {
+fn question(addr: SocketAddr, ask: &Ask) -> Option<Request<Full<Bytes>>> {
     let body = record::encode(ask).ok()?;
-    let request = Request::post(net::client::uri(addr, "/peer"))
+    Request::post(net::client::uri(addr, "/peer"))
         .body(Full::new(Bytes::from(body)))
-        .ok()?;
+        .ok()
+}
+
+fn silent(addr: SocketAddr, error: &SendError) {
+    let (error, addr) = (error.to_string(), addr.to_string());
+    log::debug!(target: "peer", address = addr.as_str(), error = error.as_str();
+        "no answer from a peer");
+}
+
+async fn ask(app: &App, addr: SocketAddr, ask: &Ask, limit: Millis) -> Option<Told> {
+    let request = question(addr, ask)?;
     let limit = Duration::from_millis(limit);
     match app.peers.fetch(request, limit, MOST).await {
         Ok(answer) => record::decode(answer.body()).ok(),
         Err(error) => {
-            let (error, addr) = (error.to_string(), addr.to_string());
-            log::debug!(target: "peer", address = addr.as_str(), error = error.as_str();
-                "no answer from a peer");
+            silent(addr, &error);
             None
         }
     }
 }
 
 /// Asks the owner of a step for results; [`None`] when it does not answer or is not sure.
+///
+/// They are passed on as they come. Read whole, decoded and written anew they took some times the
+/// megabyte that an answer may have, at each of dozens of instances that callers read at.
 pub async fn page(
     app: &App,
     owner: &str,
     step: &Arc<str>,
     from: usize,
     wait: Millis,
-) -> Option<Page> {
+) -> Option<Reply> {
     let addr = address(app, owner)?;
-    let question = Ask::Page {
+    let ask = Ask::Page {
         step: step.clone(),
         from,
         wait,
     };
-    match ask(app, addr, &question, wait + LIMIT).await? {
-        Told::Page(page) => page,
-        _ => None,
+    let request = question(addr, &ask)?;
+    let limit = Duration::from_millis(wait + LIMIT);
+    match app.peers.send(request, limit).await {
+        Ok(answer) if answer.status() == StatusCode::OK => {
+            let kind = answer.headers().get(CONTENT_TYPE).cloned();
+            let mut reply = Reply::new(net::body::pass(answer.into_body()));
+            reply
+                .headers_mut()
+                .extend(kind.map(|kind| (CONTENT_TYPE, kind)));
+            Some(reply)
+        }
+        Ok(_) => None,
+        Err(error) => {
+            silent(addr, &error);
+            None
+        }
     }
 }
 
--- a/crates/node/src/shelf.rs
+++ b/crates/node/src/shelf.rs
@@ -9,13 +9,14 @@
 use batch::Head;
 use batch::keys;
 use batch::record;
+use http::StatusCode;
 use kernel::Millis;
+use net::Reply;
+use net::body;
 use plat::Change;
 use plat::Client;
 use plat::Item;
 use plat::PlatError;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::sync::Mutex;
 
 use crate::App;
@@ -38,7 +39,6 @@
 
 /// Results from a position on.
 #[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
 pub struct Page {
     /// Samples of the step.
     pub total: u32,
@@ -48,6 +48,14 @@
     pub entries: Vec<Entry>,
 }
 
+impl Page {
+    /// The answer to a caller, who asked for results from a position on.
+    pub(crate) fn reply(&self, app: &App, from: usize) -> Reply {
+        let bytes = app.dialect.page(self.total, from, &self.entries);
+        body::reply(StatusCode::OK, "application/json", bytes)
+    }
+}
+
 impl Shelf {
     /// Makes a shelf for a step whose head was read.
     pub fn new(step: Arc<str>, head: &Head) -> Self {
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -24,7 +24,6 @@
 use crate::hint;
 use crate::peer;
 use crate::refuse::Refusal;
-use crate::shelf::Page;
 use crate::shelf::Shelf;
 
 /// Longest time that a caller waits for a write, unless it says less.
@@ -45,14 +44,10 @@
     if let Some(work) = app.works.get(step)
         && let Some(page) = work.page(app, from, wait).await
     {
-        let bytes = app.dialect.page(page.total, from, &page.entries);
-        return body::reply(StatusCode::OK, "application/json", bytes);
+        return page.reply(app, from);
     }
     match read_elsewhere(app, step, from, wait).await {
-        Ok(Some(page)) => {
-            let bytes = app.dialect.page(page.total, from, &page.entries);
-            body::reply(StatusCode::OK, "application/json", bytes)
-        }
+        Ok(Some(reply)) => reply,
         Ok(None) => Refusal::Missing.reply(),
         Err(error) => unsure(step, &error),
     }
@@ -71,7 +66,7 @@
     step: &Arc<str>,
     from: usize,
     wait: Millis,
-) -> Result<Option<Page>, PlatError> {
+) -> Result<Option<Reply>, PlatError> {
     let hint = hint::owner(app, step).await;
     if let Some(owner) = &hint {
         if let Some(page) = peer::page(app, owner, step, from, wait).await {
@@ -90,7 +85,7 @@
         return Ok(Some(page));
     }
     let page = shelf.page(app, from, wait).await?;
-    Ok(Some(page))
+    Ok(Some(page.reply(app, from)))
 }
 
 async fn find_shelf(app: &App, step: &Arc<str>) -> Result<Option<Arc<Shelf>>, PlatError> {
