Go through the instance that helped last, or through up to three

A call went through one other instance at random; when that one was turned away as well, the owner took the store for away and asked nobody for a second. Change: the one that helped last is asked first, and up to three in all. One that was turned away itself a moment ago says so without a call, so an outage for all costs no more calls than before.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -1,5 +1,6 @@
 //! What all parts of an instance share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicI64;
@@ -74,6 +75,8 @@
     pub hints: Shards<Arc<str>, Hint>,
     /// Instances that get no steps from here until a time.
     shunned: Mutex<Map<Arc<str>, Millis>>,
+    /// The instance that last made a call of the platform for this one.
+    helper: Mutex<Option<SocketAddr>>,
     leaving: AtomicBool,
     /// Whether the platform did not answer the last read for others.
     blind: AtomicBool,
@@ -111,6 +114,7 @@
             shelves: Shards::new(),
             hints: Shards::new(),
             shunned: Mutex::default(),
+            helper: Mutex::default(),
             leaving: AtomicBool::new(false),
             blind: AtomicBool::new(false),
             met: AtomicU64::new(0),
@@ -149,6 +153,16 @@
         self.shunned.lock().insert(instance.clone(), until);
     }
 
+    /// The instance that last made a call of the platform for this one.
+    pub fn helper(&self) -> Option<SocketAddr> {
+        *self.helper.lock()
+    }
+
+    /// Notes the instance that made a call of the platform for this one, if there is one.
+    pub fn set_helper(&self, helper: Option<SocketAddr>) {
+        *self.helper.lock() = helper;
+    }
+
     /// Notes whether the platform answers reads for others.
     pub fn set_blind(&self, blind: bool) {
         self.blind.store(blind, Ordering::Relaxed);
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -23,7 +23,7 @@
 use plat::PlatError;
 use plat::Relay;
 use plat::relay::Relayed;
-use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -55,6 +55,9 @@
 /// Time that the keeper of a step's hint has to answer; the platform answers within milliseconds too.
 const HINT: Millis = 120;
 
+/// Others through which a call is tried: a third of all instances may be turned away at the same time.
+const HELPERS: usize = 3;
+
 /// Most bytes of a question or an answer.
 const MOST: usize = 16 << 20;
 
@@ -152,6 +155,7 @@
             None if app.is_blind() => Told::Blind,
             news => Told::News(news),
         },
+        Ask::Relay(_) if app.plat.is_turned_away() => Told::Relay(Err(PlatError::Unreachable)),
         // Never through a third one: two that are turned away would ask each other forever.
         Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
     }
@@ -407,17 +411,41 @@
     }
 }
 
+/// Makes a call through the instance that helped last, or through others in turn. With a third of all
+/// instances turned away, one that asked a single other at random could write nothing for a second
+/// whenever it met one of them.
 async fn through(app: &App, call: Call) -> Result<Answer, PlatError> {
-    let others = others(app);
-    let other = others.choose(&mut rand::rng());
-    let addr = *other.ok_or(PlatError::Unreachable)?;
     let wait = match &call {
         Call::Poll { wait, .. } => *wait,
         _ => 0,
     };
-    match ask(app, addr, &Ask::Relay(call), wait + RELAY).await {
-        Some(Told::Relay(answer)) => answer,
-        // Nobody knows whether the other one has sent it.
-        _ => Err(PlatError::Silent),
+    let mut failed = PlatError::Unreachable;
+    for addr in helpers(app) {
+        match ask(app, addr, &Ask::Relay(call.clone()), wait + RELAY).await {
+            Some(Told::Relay(Err(error))) if error.is_away() && !error.is_unclear() => {
+                failed = error;
+            }
+            Some(Told::Relay(answer)) => {
+                app.set_helper(Some(addr));
+                return answer;
+            }
+            // Nobody knows whether the other one has sent it.
+            _ => {
+                app.set_helper(None);
+                return Err(PlatError::Silent);
+            }
+        }
     }
+    app.set_helper(None);
+    Err(failed)
+}
+
+/// The instances through which a call is tried, the one that helped last first.
+fn helpers(app: &App) -> Vec<SocketAddr> {
+    let mut others = others(app);
+    others.shuffle(&mut rand::rng());
+    let last = app.helper();
+    others.sort_by_key(|addr| Some(*addr) != last);
+    others.truncate(HELPERS);
+    others
 }
--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -156,6 +156,12 @@
         }
     }
 
+    /// Tells whether the platform did not serve this instance a moment ago. Others need not ask it to
+    /// make calls for them: during an outage each would cost a call that is turned away as well.
+    pub fn is_turned_away(&self) -> bool {
+        self.clock.now() < self.detour.load(Ordering::Relaxed)
+    }
+
     /// Makes a call without anybody's help.
     ///
     /// # Errors
