--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,6 +1,8 @@
 //! Running the samples of a step that this instance owns, and listing their results.
 
+mod checks;
 mod drive;
+mod looks;
 mod write;
 
 use std::sync::Arc;
@@ -42,6 +44,9 @@
 /// that there is no result yet.
 const FRESH: Millis = 600;
 
+/// Pause after a call of the platform whose outcome is not known.
+const AGAIN: Duration = Duration::from_millis(150);
+
 /// Time for which an ended step stays in memory for readers that are late.
 const LINGER: Duration = Duration::from_secs(3);
 
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -1,6 +1,5 @@
 //! The loop that runs the samples of a step.
 
-use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -8,24 +7,24 @@
 
 use batch::Draft;
 use batch::Outcome;
-use batch::keys;
 use batch::ledger::Next;
 use kernel::Map;
 use kernel::Millis;
 use place::Job;
 use place::Want;
-use rand::seq::SliceRandom;
 use table::Listed;
 use table::Plan;
 use table::Route;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use super::AGAIN;
 use super::Work;
+use super::checks::Checks;
+use super::looks::Looks;
 use super::write::Written;
 use super::write::write_segment;
 use crate::App;
-use crate::control;
 use crate::meter;
 use crate::run::Ended;
 use crate::run::Run;
@@ -34,26 +33,10 @@
 /// Longest pause between two looks at what can be done.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Pause after a write whose outcome is not known.
-const AGAIN: Duration = Duration::from_millis(150);
-
-/// Time without word from the platform after which it is asked whether the step has ended. A
-/// sample must not begin more than three seconds after the end.
-const CHECK: Millis = 900;
-
-/// Time between two looks at engines whose version is too old.
-const LOOK: Millis = 250;
-
-/// Engines that are asked in one such look: those of one model of four on today's largest site.
-const LOOKED: usize = 12;
-
 /// Time after a step's begin for which its samples' scores are asked for when its route is not known any
 /// more, in milliseconds: no trainer waits longer for a step.
 const TTL: Millis = 15_000;
 
-/// Time between two lines that say for what samples wait.
-const TELL: Millis = 1_000;
-
 /// What a run came to.
 struct Ran {
     index: u32,
@@ -81,11 +64,8 @@
     runs: JoinSet<Ran>,
     scores: JoinSet<Scored>,
     writes: JoinSet<Written>,
-    checks: JoinSet<Option<bool>>,
-    looks: JoinSet<()>,
-    looked: Millis,
-    told: Millis,
-    checked: Millis,
+    checks: Checks,
+    looks: Looks,
     failures: Map<u32, u32>,
     kin: Map<Arc<str>, Arc<str>>,
 }
@@ -121,11 +101,8 @@
             runs: JoinSet::new(),
             scores: JoinSet::new(),
             writes: JoinSet::new(),
-            checks: JoinSet::new(),
-            looks: JoinSet::new(),
-            looked: 0,
-            told: 0,
-            checked: 0,
+            checks: Checks::default(),
+            looks: Looks::default(),
             failures: Map::default(),
             kin: Map::default(),
         };
@@ -146,17 +123,13 @@
             if self.write() {
                 return;
             }
-            self.check();
+            self.checks.begin(self.app, self.work);
             tokio::select! {
                 Some(Ok(ran)) = self.runs.join_next() => self.take(ran),
                 Some(Ok(scored)) = self.scores.join_next() => self.scored(scored),
                 Some(Ok(written)) = self.writes.join_next() => self.note(written).await,
-                Some(Ok(ended)) = self.checks.join_next() => {
-                    if ended == Some(true) {
-                        self.work.end();
-                    }
-                }
-                Some(_) = self.looks.join_next() => (),
+                Some(ended) = self.checks.ended() => if ended { self.work.end() },
+                Some(()) = self.looks.ended() => (),
                 () = self.work.bell.notified() => (),
                 () = self.app.room.notified() => (),
                 () = sleep(TICK) => (),
@@ -199,7 +172,8 @@
                 Some((service, engine)) => self.begin(&route, service, engine, todo),
                 None => {
                     self.todo.push_front(todo);
-                    self.look(&route);
+                    self.looks
+                        .begin(self.app, self.work, &route, self.todo.len());
                     return;
                 }
             }
@@ -259,46 +233,6 @@
         });
     }
 
-    /// Asks engines whose version is too old whether they have a newer one by now.
-    fn look(&mut self, route: &Route) {
-        let now = self.app.clock.now();
-        if now < self.looked + LOOK || !self.looks.is_empty() {
-            return;
-        }
-        self.looked = now;
-        let (model, least) = (&self.work.head.model, self.work.head.least);
-        let roster = self.app.roster.lock();
-        let fleet = self.app.fleet.lock();
-        let mine = |one: &&Arc<Listed>| {
-            route
-                .shares
-                .iter()
-                .any(|share| share.service == one.service)
-        };
-        let mut old: Vec<_> = roster
-            .all()
-            .filter(mine)
-            .filter_map(|one| Some((fleet.version(one, model)?, one)))
-            .filter(|(version, _)| *version < least)
-            .collect();
-        if now >= self.told + TELL {
-            self.told = now;
-            let engines = roster.all().filter(mine).count();
-            log::info!(target: "owner", id = &*self.work.step, samples = self.todo.len(),
-                engines, old = old.len(), least; "samples wait for engines");
-        }
-        // Those that are least behind belong to the model and are about to have the version.
-        old.shuffle(&mut rand::rng());
-        old.sort_by_key(|(version, _)| Reverse(*version));
-        for (_, one) in old.into_iter().take(LOOKED) {
-            let (app, one) = (self.app.clone(), one.clone());
-            self.looks.spawn(async move {
-                // An engine that does not tell is asked again with a later look.
-                let _ = control::state(&app, &one).await;
-            });
-        }
-    }
-
     /// Takes in how a run ended.
     fn take(&mut self, ran: Ran) {
         let Ran {
@@ -437,26 +371,4 @@
             }
         }
     }
-
-    /// Asks the platform whether the step has ended when nothing was heard for a while. That it has
-    /// not says nothing of whose it is: an owner that was replaced meanwhile hears the same.
-    fn check(&mut self) {
-        let now = self.app.clock.now();
-        let heard = self.checked.max(self.work.confirmed());
-        if now < heard + CHECK || !self.checks.is_empty() {
-            return;
-        }
-        self.checked = now;
-        let (app, work) = (self.app.clone(), self.work.clone());
-        self.checks.spawn(async move {
-            let ended = app.plat.get(&keys::end(&work.step)).await;
-            match ended {
-                Ok(found) => Some(found.is_some()),
-                Err(_) => {
-                    sleep(AGAIN).await;
-                    None
-                }
-            }
-        });
-    }
 }
