Look through open samples only when a segment is made

Cause: the loop of a step listed its open samples at each event, for a question that is asked once in some hundred milliseconds. Change: the ledger passes on which samples have ended when it asks. No behaviour changes.

--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -56,9 +56,9 @@
 /// };
 /// assert!(ledger.finish(entry.clone(), 0));
 /// assert!(!ledger.finish(entry, 0));
-/// assert_eq!(ledger.next(50, Vec::new), Next::Wait(100));
-/// let Next::Write(segment) = ledger.next(100, Vec::new) else { panic!() };
-/// assert_eq!(ledger.next(200, Vec::new), Next::Write(segment));
+/// assert_eq!(ledger.next(50, |_| Vec::new()), Next::Wait(100));
+/// let Next::Write(segment) = ledger.next(100, |_| Vec::new()) else { panic!() };
+/// assert_eq!(ledger.next(200, |_| Vec::new()), Next::Write(segment));
 /// ledger.written();
 /// assert_eq!(ledger.listed().len(), 1);
 /// ```
@@ -128,9 +128,9 @@
         true
     }
 
-    /// Says what to do; `gained` tells what samples that are not whole have gained, and is asked when
-    /// a segment is made.
-    pub fn next(&mut self, now: Millis, gained: impl FnOnce() -> Vec<Piece>) -> Next {
+    /// Says what to do; `gained` is told which samples have ended, and tells what the others have
+    /// gained, when a segment is made.
+    pub fn next(&mut self, now: Millis, gained: impl FnOnce(&[bool]) -> Vec<Piece>) -> Next {
         if let Some(segment) = &self.segment {
             return Next::Write(segment.clone());
         }
@@ -144,7 +144,7 @@
             return idle;
         }
         self.made = now;
-        let pieces = gained();
+        let pieces = gained(&self.ended);
         if !listed && pieces.is_empty() {
             return idle;
         }
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -30,7 +30,7 @@
 }
 
 fn writes(ledger: &mut Ledger, now: u64) -> Option<batch::Segment> {
-    match ledger.next(now, Vec::new) {
+    match ledger.next(now, |_| Vec::new()) {
         Next::Write(segment) => Some(segment),
         Next::Wait(_) | Next::Idle => None,
     }
@@ -55,7 +55,7 @@
 fn nothing_is_listed_before_it_is_written() {
     let mut ledger = alone(1, 0);
     ledger.finish(entry(0, "a"), 0);
-    ledger.next(1, Vec::new);
+    ledger.next(1, |_| Vec::new());
     assert!(ledger.listed().is_empty());
 
     ledger.written();
@@ -225,7 +225,7 @@
     let mut written = Vec::new();
     for now in (1_000..5_000).step_by(50) {
         let draft = grown(now / 40);
-        let next = ledger.next(now, || kept.pieces([(0, &draft)].into_iter()));
+        let next = ledger.next(now, |_| kept.pieces([(0, &draft)].into_iter()));
         if let Next::Write(segment) = next {
             ledger.written();
             written.push((now, segment.entries.len(), segment.pieces.len()));
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -223,11 +223,12 @@
         taken
     }
 
-    /// What some samples have gained since the platform was told of them.
-    fn gained(&self, open: &[u32]) -> Vec<Piece> {
+    /// What samples that have not ended have gained since the platform was told of them.
+    fn gained(&self, ended: &[bool]) -> Vec<Piece> {
+        let drafts = self.drafts.iter().zip(ended).enumerate();
+        let open = drafts.filter(|(_, (_, ended))| !**ended);
         let drafts: Vec<_> = open
-            .iter()
-            .map(|index| (*index, self.drafts[*index as usize].lock()))
+            .map(|(index, (draft, _))| (index as u32, draft.lock()))
             .collect();
         let drafts = drafts.iter().map(|(index, draft)| (*index, &**draft));
         self.kept.lock().pieces(drafts)
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -339,10 +339,7 @@
         if !self.writes.is_empty() {
             return false;
         }
-        let open: Vec<_> = (0..self.work.head.total)
-            .filter(|index| !ledger.has_ended(*index))
-            .collect();
-        let gained = || self.work.gained(&open);
+        let gained = |ended: &[bool]| self.work.gained(ended);
         if let Next::Write(segment) = ledger.next(self.app.clock.now(), gained) {
             let (app, work) = (self.app.clone(), self.work.clone());
             self.writes
