Divide what instances ask one another from whom they follow and who helps them

Change: sources.rs says whom an instance follows, through.rs makes calls through others; peer.rs keeps the questions. No behaviour changes.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,9 +29,11 @@
 mod sent;
 pub mod settings;
 pub mod shelf;
+pub mod sources;
 pub mod start;
 pub mod steps;
 pub mod stream;
+mod through;
 
 pub use app::App;
 pub use dialect::Dialect;
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -18,6 +18,7 @@
 use crate::member;
 use crate::peer;
 use crate::peer::Heard;
+use crate::sources;
 
 /// Time between two reads. A leaving upstream must get nothing new two seconds after the platform
 /// knows, and a configuration must be in force by then; a read of this pace that fails once still
@@ -141,7 +142,7 @@
 impl Follower {
     /// Hears from the sources in turn.
     async fn hear(&mut self, app: &App) -> Heard {
-        let sources = peer::sources(app);
+        let sources = sources::sources(app);
         let Some(main) = sources.main else {
             return Heard::Nothing;
         };
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -3,10 +3,8 @@
 //! Everything here spares the platform calls or gets round an outage that concerns one instance;
 //! nothing depends on an answer. Others are known from their entries at the platform.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Weak;
 use std::time::Duration;
 
 use batch::record;
@@ -21,9 +19,6 @@
 use plat::Answer;
 use plat::Call;
 use plat::PlatError;
-use plat::Relay;
-use plat::relay::Relayed;
-use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -31,7 +26,6 @@
 use crate::board::Have;
 use crate::board::News;
 use crate::hint;
-use crate::member::Member;
 use crate::news::FRESH;
 use crate::steps::accept;
 use crate::steps::accept::Accepted;
@@ -41,9 +35,6 @@
 /// busy instance has a part of one core.
 const LIMIT: Millis = 350;
 
-/// Time that a relayed call may take beyond its own wait: the platform's time limit and ours.
-const RELAY: Millis = 1_300;
-
 /// Time that an answer to a question for news may take beyond what it may wait for: what is new has
 /// to be in force within seconds, and one that is gone is noticed by this.
 const NEWS: Millis = 200;
@@ -55,9 +46,6 @@
 /// Time that the keeper of a step's hint has to answer; the platform answers within milliseconds too.
 const HINT: Millis = 120;
 
-/// Others through which a call is tried: a third of all instances may be turned away at the same time.
-const HELPERS: usize = 3;
-
 /// Most bytes of a question or an answer.
 const MOST: usize = 16 << 20;
 
@@ -296,15 +284,6 @@
     Nothing,
 }
 
-/// The addresses of all other instances.
-fn others(app: &App) -> Vec<SocketAddr> {
-    let members = app.members.lock();
-    let others = members
-        .iter()
-        .filter(|one| one.owner.instance != app.me.instance);
-    others.map(|one| one.addr).collect()
-}
-
 /// Asks another instance for a read that is newer than what this one has.
 pub async fn news(app: &App, addr: SocketAddr, have: Have, wait: Millis) -> Heard {
     match ask(app, addr, &Ask::News { have, wait }, wait + NEWS).await {
@@ -314,138 +293,15 @@
     }
 }
 
-/// Whom an instance follows.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Sources {
-    /// Whom it asks first; [`None`] when it reads the platform itself.
-    pub main: Option<SocketAddr>,
-    /// Whom it asks then; without one it reads the platform itself.
-    pub spare: Option<SocketAddr>,
-    /// Whether the first one follows somebody else.
-    pub far: bool,
-}
-
-/// Whom this instance follows.
-pub fn sources(app: &App) -> Sources {
-    let members = app.members.lock();
-    pick(&members, &app.me.instance, &app.settings.domain)
-}
-
-/// Whom an instance follows, by processor and then by name. The first one of all reads the platform. The first one of each other
-/// failure domain follows it. The second one of a domain follows the first one there, and the rest
-/// follow both.
-///
-/// # Examples
-///
-/// ```
-/// use node::member::Member;
-/// use node::peer::pick;
-///
-/// let member = |name: &str, domain: &str, port| Member {
-///     owner: batch::Owner { instance: name.into(), start: 1 },
-///     domain: domain.into(),
-///     addr: ([127, 0, 0, 1], port).into(),
-///     reads: true,
-///     power: 50,
-/// };
-/// let members = [
-///     member("n1", "nord", 1),
-///     member("s1", "syd", 2),
-///     member("s2", "syd", 3),
-///     member("s3", "syd", 4),
-/// ];
-/// let addr = |port| Some(([127, 0, 0, 1], port).into());
-/// let sources = |name, domain| {
-///     let sources = pick(&members, name, domain);
-///     (sources.main, sources.spare, sources.far)
-/// };
-/// assert_eq!(sources("n1", "nord"), (None, None, false));
-/// assert_eq!(sources("s1", "syd"), (addr(1), None, false));
-/// assert_eq!(sources("s2", "syd"), (addr(2), None, true));
-/// assert_eq!(sources("s3", "syd"), (addr(2), addr(3), true));
-/// ```
-pub fn pick(members: &[Member], me: &str, domain: &str) -> Sources {
-    let mut readers: Vec<_> = members.iter().filter(|one| one.reads).collect();
-    // The strongest first: whoever reads for all has the whole list to read, page by page.
-    readers.sort_by_key(|one| {
-        let name = (one.domain.clone(), one.owner.instance.clone());
-        (Reverse(one.power), name)
-    });
-    let Some(first) = readers.first() else {
-        return Sources::default();
-    };
-    let mut near = readers.iter().filter(|one| *one.domain == *domain);
-    let (head, deputy) = (near.next(), near.next());
-    let is_me = |one: &&&Member| *one.owner.instance == *me;
-    let Some(head) = head else {
-        // Nobody else of this domain is known: it follows the first one of all.
-        return Sources {
-            main: Some(first.addr),
-            ..Sources::default()
-        };
-    };
-    if is_me(&head) {
-        let main = (first.addr != head.addr).then_some(first.addr);
-        return Sources {
-            main,
-            ..Sources::default()
-        };
-    }
-    Sources {
-        main: Some(head.addr),
-        spare: deputy.filter(|one| !is_me(one)).map(|one| one.addr),
-        far: head.addr != first.addr,
-    }
-}
-
-/// Makes calls of the platform through another instance.
-pub struct Through(pub Weak<App>);
-
-impl Relay for Through {
-    fn relay(&self, call: Call) -> Relayed {
-        let app = self.0.clone();
-        Box::pin(async move {
-            let app = app.upgrade().ok_or(PlatError::Unreachable)?;
-            through(&app, call).await
-        })
-    }
-}
-
-/// Makes a call through the instance that helped last, or through others in turn. With a third of all
-/// instances turned away, one that asked a single other at random could write nothing for a second
-/// whenever it met one of them.
-async fn through(app: &App, call: Call) -> Result<Answer, PlatError> {
-    let wait = match &call {
-        Call::Poll { wait, .. } => *wait,
-        _ => 0,
-    };
-    let mut failed = PlatError::Unreachable;
-    for addr in helpers(app) {
-        match ask(app, addr, &Ask::Relay(call.clone()), wait + RELAY).await {
-            Some(Told::Relay(Err(error))) if error.is_away() && !error.is_unclear() => {
-                failed = error;
-            }
-            Some(Told::Relay(answer)) => {
-                app.set_helper(Some(addr));
-                return answer;
-            }
-            // Nobody knows whether the other one has sent it.
-            _ => {
-                app.set_helper(None);
-                return Err(PlatError::Silent);
-            }
-        }
+/// Has another instance make a call of the platform; [`None`] when nobody knows whether it has.
+pub async fn relay(
+    app: &App,
+    to: SocketAddr,
+    call: Call,
+    limit: Millis,
+) -> Option<Result<Answer, PlatError>> {
+    match ask(app, to, &Ask::Relay(call), limit).await? {
+        Told::Relay(answer) => Some(answer),
+        _ => None,
     }
-    app.set_helper(None);
-    Err(failed)
-}
-
-/// The instances through which a call is tried, the one that helped last first.
-fn helpers(app: &App) -> Vec<SocketAddr> {
-    let mut others = others(app);
-    others.shuffle(&mut rand::rng());
-    let last = app.helper();
-    others.sort_by_key(|addr| Some(*addr) != last);
-    others.truncate(HELPERS);
-    others
 }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -36,6 +36,7 @@
 use crate::refuse::Refusal;
 use crate::settings;
 use crate::settings::Role;
+use crate::through::Through;
 
 /// Time for which a leaving instance goes on accepting: callers' balancers look once a second and
 /// send nothing more after two looks.
@@ -118,8 +119,7 @@
         }
         let front = Glue::new(&app, front::answer);
         let front = callers.map(|callers| serve(callers, front, &drain));
-        app.plat
-            .relay(Arc::new(peer::Through(Arc::downgrade(&app))));
+        app.plat.relay(Arc::new(Through(Arc::downgrade(&app))));
         tokio::spawn(member::keep(app.clone()));
         tokio::spawn(member::follow(app.clone()));
         match app.settings.role {
--- /dev/null
+++ b/crates/node/src/through.rs
@@ -0,0 +1,80 @@
+//! Calls of the platform that other instances make for one that it turns away.
+
+use std::net::SocketAddr;
+use std::sync::Weak;
+
+use kernel::Millis;
+use plat::Answer;
+use plat::Call;
+use plat::PlatError;
+use plat::Relay;
+use plat::relay::Relayed;
+use rand::seq::SliceRandom;
+
+use crate::App;
+use crate::peer;
+
+/// Time that a relayed call may take beyond its own wait: the platform's time limit and ours.
+const RELAY: Millis = 1_300;
+
+/// Others through which a call is tried: a third of all instances may be turned away at the same time.
+const HELPERS: usize = 3;
+
+/// Makes calls of the platform through another instance.
+pub(crate) struct Through(pub(crate) Weak<App>);
+
+impl Relay for Through {
+    fn relay(&self, call: Call) -> Relayed {
+        let app = self.0.clone();
+        Box::pin(async move {
+            let app = app.upgrade().ok_or(PlatError::Unreachable)?;
+            through(&app, call).await
+        })
+    }
+}
+
+/// Makes a call through the instance that helped last, or through others in turn. With a third of all
+/// instances turned away, one that asked a single other at random could write nothing for a second
+/// whenever it met one of them.
+async fn through(app: &App, call: Call) -> Result<Answer, PlatError> {
+    let wait = match &call {
+        Call::Poll { wait, .. } => *wait,
+        _ => 0,
+    };
+    let mut failed = PlatError::Unreachable;
+    for addr in helpers(app) {
+        match peer::relay(app, addr, call.clone(), wait + RELAY).await {
+            Some(Err(error)) if error.is_away() && !error.is_unclear() => failed = error,
+            Some(answer) => {
+                app.set_helper(Some(addr));
+                return answer;
+            }
+            // Nobody knows whether the other one has sent it.
+            None => {
+                app.set_helper(None);
+                return Err(PlatError::Silent);
+            }
+        }
+    }
+    app.set_helper(None);
+    Err(failed)
+}
+
+/// The instances through which a call is tried, the one that helped last first.
+fn helpers(app: &App) -> Vec<SocketAddr> {
+    let mut others = others(app);
+    others.shuffle(&mut rand::rng());
+    let last = app.helper();
+    others.sort_by_key(|addr| Some(*addr) != last);
+    others.truncate(HELPERS);
+    others
+}
+
+/// The addresses of all other instances.
+fn others(app: &App) -> Vec<SocketAddr> {
+    let members = app.members.lock();
+    let others = members
+        .iter()
+        .filter(|one| one.owner.instance != app.me.instance);
+    others.map(|one| one.addr).collect()
+}
