Read large steps page by page, and find a position without what is before it

Cause: a step of 688 samples is some 9 MB at the platform. An instance that does not run it read all of it before it gave the first result; on a link of 60 Mbit/s and a tenth of a core that takes longer than any reader waits, and a reader comes to another instance each time, which began anew. Ruled out: records removed early, heads not found (no line of either). Change: a segment's results stand under the position of the first of them, so that any position is found with one or two calls; results are read page by page and the first page with one for the reader answers it; what is read stays when the reader leaves, two answers at most. A sample's body is looked for part by part, and each part can be decoded alone. Segments without results write none. Steps that are open while an instance is replaced by this version cannot be read by it.

--- a/crates/batch/src/keys.rs
+++ b/crates/batch/src/keys.rs
@@ -49,9 +49,24 @@
     format!("snipeway/result/{step}/")
 }
 
-/// The key of one segment of a step's results.
-pub fn segment(step: &str, seq: u32) -> String {
-    format!("snipeway/result/{step}/{seq:06}")
+/// The key of the segment of a step's results that begins at a position, so that a reader finds the
+/// results from any position on without those before it.
+pub fn segment(step: &str, first: u32) -> String {
+    format!("snipeway/result/{step}/{first:06}")
+}
+
+/// The position at which the segment of a step's results begins that has a key.
+///
+/// # Examples
+///
+/// ```
+/// use batch::keys;
+///
+/// assert_eq!(keys::first("job", &keys::segment("job", 41)), Some(41));
+/// assert_eq!(keys::first("job", &keys::head("job")), None);
+/// ```
+pub fn first(step: &str, key: &str) -> Option<u32> {
+    key.strip_prefix(&segments(step))?.parse().ok()
 }
 
 /// The prefix of what is kept of samples that are not whole yet.
@@ -63,3 +78,8 @@
 pub fn draft(step: &str, seq: u32) -> String {
     format!("snipeway/draft/{step}/{seq:06}")
 }
+
+/// The number of the segment with which something was kept that has a key.
+pub fn number(step: &str, key: &str) -> Option<u32> {
+    key.strip_prefix(&drafts(step))?.parse().ok()
+}
--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -18,8 +18,10 @@
 /// Results that are written together under one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Segment {
-    /// Its number, counted from 0 without gaps.
+    /// Its number among the segments of its step; what is kept of samples stands under it.
     pub seq: u32,
+    /// The position of its first result; its results stand under it.
+    pub first: u32,
     /// Its results, in the order of their positions; there may be none.
     pub entries: Vec<Entry>,
     /// What samples that are not whole have gained since the segment before.
@@ -41,7 +43,7 @@
 ///
 /// A position is given by the write that lists it, so it never changes. A segment whose write may
 /// or may not have taken effect is offered again unchanged until it is known to be there: other
-/// content under the same number would let two readers see different results at one position.
+/// content under the same position would let two readers see different results there.
 ///
 /// # Examples
 ///
@@ -104,7 +106,11 @@
             }
         }
         self.listed.extend(entries);
-        self.seq += 1;
+    }
+
+    /// Goes on with a number for the next segment that no earlier owner has used.
+    pub fn number(&mut self, seq: u32) {
+        self.seq = seq;
     }
 
     /// Marks a sample as ended; tells whether it was not before.
@@ -150,6 +156,7 @@
         }
         let segment = Segment {
             seq: self.seq,
+            first: self.listed.len() as u32,
             entries: self.cut(),
             pieces,
         };
@@ -190,11 +197,6 @@
         self.segment.is_some()
     }
 
-    /// Segments in which the listed results stand.
-    pub fn segments(&self) -> u32 {
-        self.seq
-    }
-
     /// Tells whether a sample has ended.
     pub fn has_ended(&self, index: u32) -> bool {
         self.ended.get(index as usize).copied().unwrap_or(true)
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`draft`] has what samples have so far.
 //! - [`groups`] says when a step's trainer can go on.
 //! - [`ledger`] has what the owner knows of its step.
+//! - [`window`] has what is read of a step's results elsewhere.
 //! - [`score`] says what follows from an answer of a scorer.
 
 pub mod draft;
@@ -17,6 +18,7 @@
 pub mod ledger;
 pub mod record;
 pub mod score;
+pub mod window;
 
 pub use draft::Draft;
 pub use draft::Piece;
@@ -31,3 +33,4 @@
 pub use record::Sample;
 pub use record::Scoring;
 pub use record::Spec;
+pub use window::Window;
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -10,9 +10,12 @@
 use serde::Serialize;
 
 /// Bytes of one part of a step's samples: platforms take values of up to a megabyte, which base64
-/// makes a third longer.
+/// makes a third longer, and whoever looks for one sample has one part at a time in memory.
 const PART: usize = 512 << 10;
 
+/// Bytes of a part beside its samples, at most.
+const FRAME: usize = 64;
+
 /// A record cannot be written or read.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -23,6 +26,9 @@
     /// It cannot be decoded.
     #[error("could not decode a record")]
     Decode(#[from] rmp_serde::decode::Error),
+    /// Parts of it are missing.
+    #[error("parts of a record are missing")]
+    Missing,
 }
 
 /// One start of an instance.
@@ -121,6 +127,68 @@
     pub samples: Vec<Sample>,
 }
 
+/// One value of the platform with some of a step's samples.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Part {
+    /// The place of its first sample in the step.
+    first: u32,
+    /// Whether the next part goes on with the bytes of this one, since they do not fit into one value.
+    more: bool,
+    #[serde(with = "serde_bytes")]
+    bytes: Vec<u8>,
+}
+
+/// Puts a step's samples together from their parts, which come in order.
+///
+/// Each part can be read alone, so that whoever looks for one sample keeps no more than that one.
+///
+/// # Examples
+///
+/// ```
+/// use batch::{Sample, Spec, record::Parts};
+///
+/// let sample = |id: &str| Sample {
+///     id: id.into(), group: "g".into(), path: "/a".into(), headers: Vec::new(), body: vec![1],
+///     expected: 1, prompt: 1, scoring: None,
+/// };
+/// let spec = Spec { samples: vec![sample("a"), sample("b")] };
+/// let mut parts = Parts::default();
+/// let mut found = Vec::new();
+/// for value in spec.parts()? {
+///     found.extend(parts.add(&value)?);
+/// }
+/// assert_eq!(found, spec.samples);
+/// # Ok::<(), batch::RecordError>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct Parts {
+    next: u32,
+    bytes: Vec<u8>,
+}
+
+impl Parts {
+    /// Takes in the next part; gives the samples that are whole with it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RecordError`], also when a part before it is missing.
+    pub fn add(&mut self, value: &[u8]) -> Result<Vec<Sample>, RecordError> {
+        let part: Part = decode(value)?;
+        if part.first != self.next {
+            return Err(RecordError::Missing);
+        }
+        self.bytes.extend_from_slice(&part.bytes);
+        if part.more {
+            return Ok(Vec::new());
+        }
+        let bytes = std::mem::take(&mut self.bytes);
+        let samples: Vec<Sample> = decode(&bytes)?;
+        self.next += samples.len() as u32;
+        Ok(samples)
+    }
+}
+
 impl Spec {
     /// Encodes the samples in parts that fit into one value of the platform each.
     ///
@@ -128,18 +196,56 @@
     ///
     /// Returns [`RecordError`].
     pub fn parts(&self) -> Result<Vec<Vec<u8>>, RecordError> {
-        let bytes = encode(self)?;
-        Ok(bytes.chunks(PART).map(<[u8]>::to_vec).collect())
+        let mut parts = Vec::new();
+        let mut first = 0;
+        while first < self.samples.len() {
+            let (count, bytes) = self.some(first)?;
+            let mut chunks = bytes.chunks(PART).peekable();
+            while let Some(chunk) = chunks.next() {
+                parts.push(encode(&Part {
+                    first: first as u32,
+                    more: chunks.peek().is_some(),
+                    bytes: chunk.to_vec(),
+                })?);
+            }
+            first += count;
+        }
+        Ok(parts)
+    }
+
+    /// Encodes as many samples from one on as fit into a part, at least one; gives their number too.
+    fn some(&self, first: usize) -> Result<(usize, Vec<u8>), RecordError> {
+        let rest = &self.samples[first..];
+        let mut bytes = 0;
+        let mut count = 0;
+        for sample in rest {
+            bytes += encode(sample)?.len();
+            if count > 0 && bytes > PART - FRAME {
+                break;
+            }
+            count += 1;
+        }
+        Ok((count, encode(&&rest[..count])?))
     }
 
-    /// Decodes the samples from their parts.
+    /// Decodes a step's `total` samples from their parts.
     ///
     /// # Errors
     ///
     /// Returns [`RecordError`], also when a part is missing.
-    pub fn join<'a>(parts: impl Iterator<Item = &'a [u8]>) -> Result<Self, RecordError> {
-        let bytes: Vec<u8> = parts.flatten().copied().collect();
-        decode(&bytes)
+    pub fn join<'a>(
+        values: impl Iterator<Item = &'a [u8]>,
+        total: u32,
+    ) -> Result<Self, RecordError> {
+        let mut parts = Parts::default();
+        let mut samples = Vec::new();
+        for value in values {
+            samples.extend(parts.add(value)?);
+        }
+        match samples.len() == total as usize {
+            true => Ok(Self { samples }),
+            false => Err(RecordError::Missing),
+        }
     }
 }
 
--- a/crates/batch/tests/ledger.rs
+++ b/crates/batch/tests/ledger.rs
@@ -1,5 +1,7 @@
 //! Positions of results never change, whatever happens to writes and owners.
 
+use std::collections::BTreeMap;
+
 use batch::Draft;
 use batch::Entry;
 use batch::Groups;
@@ -96,9 +98,38 @@
     let parts = spec.parts().unwrap();
 
     assert!(parts.len() > 1 && parts.iter().all(|part| part.len() <= 512 << 10));
-    let back = Spec::join(parts.iter().map(Vec::as_slice)).unwrap();
-    assert_eq!(back, spec);
-    assert!(Spec::join(parts[1..].iter().map(Vec::as_slice)).is_err());
+    let join = |parts: &[Vec<u8>]| Spec::join(parts.iter().map(Vec::as_slice), 4);
+    assert_eq!(join(&parts).unwrap(), spec);
+    assert!(join(&parts[1..]).is_err());
+    assert!(join(&parts[..parts.len() - 1]).is_err());
+}
+
+#[test]
+fn a_sample_that_is_larger_than_a_part_comes_back_from_several() {
+    let sample = |id: &str, bytes: usize| Sample {
+        id: id.into(),
+        group: "g".into(),
+        path: "/a".into(),
+        headers: Vec::new(),
+        body: vec![7; bytes],
+        expected: 1,
+        prompt: 1,
+        scoring: None,
+    };
+    let spec = Spec {
+        samples: vec![
+            sample("a", 9),
+            sample("b", 1_300 << 10),
+            sample("c", 400 << 10),
+        ],
+    };
+
+    let parts = spec.parts().unwrap();
+
+    let join = |parts: &[Vec<u8>]| Spec::join(parts.iter().map(Vec::as_slice), 3);
+    assert!(parts.len() >= 4, "{}", parts.len());
+    assert_eq!(join(&parts).unwrap(), spec);
+    assert!(join(&parts[..2]).is_err());
 }
 
 #[derive(Clone, Debug)]
@@ -124,7 +155,7 @@
     /// reader has seen at a position stays there.
     #[test]
     fn positions_never_change(steps in proptest::collection::vec(step(), 1..60)) {
-        let mut kept: Vec<Vec<Entry>> = Vec::new();
+        let mut kept: BTreeMap<u32, Vec<Entry>> = BTreeMap::new();
         let mut ledger = alone(6, 0);
         let mut seen: Vec<Entry> = Vec::new();
         for (now, step) in steps.into_iter().enumerate() {
@@ -133,10 +164,9 @@
                 Step::Finish(index) => drop(ledger.finish(entry(index, &now.to_string()), now)),
                 Step::Write | Step::Lose => {
                     if let Some(segment) = writes(&mut ledger, now) {
-                        if kept.len() == segment.seq as usize {
-                            kept.push(segment.entries.clone());
-                        }
-                        prop_assert_eq!(&kept[segment.seq as usize], &segment.entries);
+                        let there = kept.entry(segment.first);
+                        let there = there.or_insert_with(|| segment.entries.clone());
+                        prop_assert_eq!(&*there, &segment.entries);
                         if matches!(step, Step::Write) {
                             ledger.written();
                         }
@@ -144,12 +174,12 @@
                 }
                 Step::Crash => {
                     ledger = alone(6, 0);
-                    for entries in &kept {
+                    for entries in kept.values() {
                         ledger.restore(entries.clone());
                     }
                 }
             }
-            let all: Vec<_> = kept.iter().flatten().cloned().collect();
+            let all: Vec<_> = kept.values().flatten().cloned().collect();
             prop_assert_eq!(&all[..seen.len()], &seen[..]);
             prop_assert!(all.starts_with(ledger.listed()));
             let mut indexes: Vec<_> = all.iter().map(|entry| entry.index).collect();
@@ -235,7 +265,6 @@
     // One each 0.8 s, without results.
     assert_eq!(written.len(), 5, "{written:?}");
     assert!(written.iter().all(|one| (one.1, one.2) == (0, 1)));
-    assert_eq!(ledger.segments(), 5);
 }
 
 // Load: a step of 20 groups of 4, of which 18 are waited for; a result comes each 50 ms, the groups side
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -235,7 +235,7 @@
     };
     // From here on the owner before can list nothing more, so what is read now is all there is.
     let parts = app.plat.list(&keys::spec(step)).await?;
-    let spec = Spec::join(parts.items.iter().map(|item| &*item.value));
+    let spec = Spec::join(parts.items.iter().map(|item| &*item.value), head.total);
     let spec = spec.map_err(|_| PlatError::Garbled)?;
     let listed = app.plat.list(&keys::segments(step)).await?;
     let segments: Result<Vec<Vec<Entry>>, _> = listed
@@ -244,23 +244,31 @@
         .map(|item| record::decode(&item.value))
         .collect();
     let segments = segments.map_err(|_| PlatError::Garbled)?;
-    let pieces = kept(app, step).await?;
+    let (pieces, seq) = kept(app, step).await?;
     log::info!(target: "control", id = &**step, owner = &*from.instance, revision = rev,
         segments = segments.len(), pieces = pieces.len(); "step taken over");
     metrics::counter!(crate::meter::STEPS, "outcome" => "taken over").increment(1);
-    owner::resume(app, step, head, spec, rev, segments, pieces);
+    let left = owner::Left {
+        segments,
+        pieces,
+        seq,
+    };
+    owner::resume(app, step, head, spec, rev, left);
     Ok(())
 }
 
-/// What the owner before has kept of samples that are not whole, in the order in which they gained it.
-async fn kept(app: &App, step: &str) -> Result<Vec<Piece>, PlatError> {
+/// What the owner before has kept of samples that are not whole, in the order in which they gained it, and
+/// a number for the next segment.
+async fn kept(app: &App, step: &str) -> Result<(Vec<Piece>, u32), PlatError> {
     let kept = app.plat.list(&keys::drafts(step)).await?;
     let mut all = Vec::new();
+    let mut seq = 0;
     for item in &kept.items {
         let pieces: Vec<Piece> = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
         all.extend(pieces);
+        seq = keys::number(step, &item.key).map_or(seq, |last| last + 1);
     }
-    Ok(all)
+    Ok((all, seq))
 }
 
 /// Removes the records of a step that nobody may read any more; the head goes last, so that an
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -142,7 +142,6 @@
             let ledger = self.ledger.lock();
             Page {
                 total: self.head.total,
-                segments: ledger.segments(),
                 entries: ledger.listed().get(from..).unwrap_or_default().to_vec(),
             }
         };
@@ -253,6 +252,16 @@
     start(app, work);
 }
 
+/// What the owner before has left of a step at the platform.
+pub struct Left {
+    /// The results that are listed.
+    pub segments: Vec<Vec<Entry>>,
+    /// What is kept of samples that are not whole.
+    pub pieces: Vec<Piece>,
+    /// A number for the next segment.
+    pub seq: u32,
+}
+
 /// Goes on with a step whose owner is gone, from the results that are listed and from what is kept of
 /// samples that are not whole.
 pub fn resume(
@@ -261,20 +270,20 @@
     head: Head,
     spec: Spec,
     rev: i64,
-    segments: Vec<Vec<Entry>>,
-    pieces: Vec<Piece>,
+    left: Left,
 ) {
     let age = app.clock.wall().saturating_sub(head.opened);
     let opened = app.clock.now().saturating_sub(age.saturating_sub(SKEW));
     let work = Work::new(app, step, head, spec, rev, opened);
     {
         let mut ledger = work.ledger.lock();
-        for segment in segments {
+        for segment in left.segments {
             ledger.restore(segment);
         }
+        ledger.number(left.seq);
         work.listed.send_replace(ledger.listed().len());
     }
-    for piece in pieces {
+    for piece in left.pieces {
         if let Some(draft) = work.drafts.get(piece.index as usize) {
             let index = piece.index;
             let mut draft = draft.lock();
--- a/crates/node/src/owner/write.rs
+++ b/crates/node/src/owner/write.rs
@@ -1,5 +1,6 @@
 //! Writing a segment of results under the conditions that make it safe.
 
+use batch::RecordError;
 use batch::Segment;
 use batch::keys;
 use batch::record;
@@ -27,32 +28,28 @@
 
 pub(super) async fn write_segment(app: &App, work: &Work, segment: &Segment) -> Written {
     let sent = app.clock.now();
-    let Ok(value) = record::encode(&segment.entries) else {
+    let Ok(puts) = puts(&work.step, segment) else {
         // Texts and numbers always have an encoding.
         return Written::Unclear;
     };
-    let key = keys::segment(&work.step, segment.seq);
+    // All are written together, so any of them tells of the others.
+    let Some(first) = puts.first().cloned() else {
+        return Written::Kept(sent);
+    };
     let end = keys::end(&work.step);
-    let mut puts = vec![Put::new(key.clone(), value.clone())];
-    if !segment.pieces.is_empty() {
-        let Ok(pieces) = record::encode(&segment.pieces) else {
-            // Texts and numbers always have an encoding.
-            return Written::Unclear;
-        };
-        puts.push(Put::new(keys::draft(&work.step, segment.seq), pieces));
-    }
+    let mut guards = vec![
+        Guard::At(keys::head(&work.step), work.rev),
+        Guard::Absent(end.clone()),
+    ];
+    guards.extend(puts.iter().map(|put| Guard::Absent(put.key.clone())));
     let txn = Txn {
-        guards: vec![
-            Guard::At(keys::head(&work.step), work.rev),
-            Guard::Absent(key.clone()),
-            Guard::Absent(end.clone()),
-        ],
+        guards,
         puts,
         deletes: Vec::new(),
     };
     match app.plat.txn(&txn).await {
         Ok(Done::At(_)) => Written::Kept(sent),
-        Ok(Done::Conflict) => settle(app, work, &key, &end, &value).await,
+        Ok(Done::Conflict) => settle(app, work, &first, &end).await,
         Err(error) => {
             let why = error.to_string();
             log::warn!(target: "owner", id = &*work.step, segment = segment.seq,
@@ -62,13 +59,27 @@
     }
 }
 
+/// What is written of a segment: its results, if there are any, and what samples have gained.
+fn puts(step: &str, segment: &Segment) -> Result<Vec<Put>, RecordError> {
+    let mut puts = Vec::new();
+    if !segment.entries.is_empty() {
+        let value = record::encode(&segment.entries)?;
+        puts.push(Put::new(keys::segment(step, segment.first), value));
+    }
+    if !segment.pieces.is_empty() {
+        let value = record::encode(&segment.pieces)?;
+        puts.push(Put::new(keys::draft(step, segment.seq), value));
+    }
+    Ok(puts)
+}
+
 /// Finds out why a segment could not be written: an earlier try of the same write took effect, the
 /// step has ended, or it was taken over.
-async fn settle(app: &App, work: &Work, key: &str, end: &str, value: &[u8]) -> Written {
+async fn settle(app: &App, work: &Work, put: &Put, end: &str) -> Written {
     let sent = app.clock.now();
     let found: Result<_, PlatError> = async {
         let head = app.plat.get(&keys::head(&work.step)).await?;
-        let there = app.plat.get(key).await?;
+        let there = app.plat.get(&put.key).await?;
         let ended = app.plat.get(end).await?;
         Ok((head, there, ended))
     }
@@ -80,7 +91,7 @@
         return Written::Lost;
     }
     match there {
-        Some(item) if item.value == value => Written::Kept(sent),
+        Some(item) if item.value == put.value => Written::Kept(sent),
         Some(_) => Written::Lost,
         None if ended.is_some() => Written::Ended,
         None => Written::Unclear,
--- a/crates/node/src/shelf.rs
+++ b/crates/node/src/shelf.rs
@@ -2,11 +2,15 @@
 //!
 //! Results at the platform never change, so whatever was read once is right for good. Only "there
 //! is no result yet" can be out of date, and is said after a look at the newest state alone.
+//!
+//! Results are read page by page, and a reader is answered with the first page that has one for it. What
+//! was read stays when the reader leaves meanwhile, so that the next one goes on there.
 
 use std::sync::Arc;
 
 use batch::Entry;
 use batch::Head;
+use batch::Window;
 use batch::keys;
 use batch::record;
 use http::StatusCode;
@@ -17,10 +21,16 @@
 use plat::Client;
 use plat::Item;
 use plat::PlatError;
+use plat::Range;
 use tokio::sync::Mutex;
 
 use crate::App;
 
+/// Positions before the one that is asked for at which reading begins, in turn, before it begins with the
+/// first result. A reader mostly asks for the position at which a segment begins; another one is within the
+/// segment of some dozen results that begins a little before it.
+const BACK: [usize; 2] = [0, 64];
+
 /// What an instance has read of a step's results.
 #[derive(Debug)]
 pub struct Shelf {
@@ -31,8 +41,8 @@
 
 #[derive(Debug, Default)]
 struct Results {
-    entries: Vec<Entry>,
-    segments: u32,
+    window: Window,
+    /// The platform's revision at the last read.
     rev: i64,
     used: Millis,
 }
@@ -42,8 +52,6 @@
 pub struct Page {
     /// Samples of the step.
     pub total: u32,
-    /// Segments that the results up to the end of the page stand in.
-    pub segments: u32,
     /// The results.
     pub entries: Vec<Entry>,
 }
@@ -71,7 +79,7 @@
         self.read.lock().await.used
     }
 
-    /// Reads the results from a position on, and waits up to `wait` milliseconds for the first.
+    /// Reads results from a position on, and waits up to `wait` milliseconds for the first.
     ///
     /// # Errors
     ///
@@ -80,37 +88,61 @@
         let plat = &app.plat;
         let mut read = self.read.lock().await;
         read.used = app.clock.now();
-        let whole = read.entries.len() == self.total as usize;
-        if read.entries.len() <= from && !whole {
-            if read.rev > 0 && wait > 0 {
+        if from < self.total as usize && read.window.since(from).is_none_or(<[_]>::is_empty) {
+            if !read.window.reaches(from) {
+                self.seek(plat, &mut read, from).await?;
+            } else if read.rev > 0 && wait > 0 {
                 self.wait(plat, &mut read, wait).await?;
             }
             // A watch may hear nothing of a result that is there, and that others have read.
-            if read.entries.len() <= from {
-                self.fetch(plat, &mut read).await?;
-            }
+            self.reach(plat, &mut read, from).await?;
         }
-        let entries = read.entries.get(from..).unwrap_or_default().to_vec();
+        read.window.trim(from);
+        let entries = read.window.since(from).unwrap_or_default().to_vec();
         Ok(Page {
             total: self.total,
-            segments: read.segments,
             entries,
         })
     }
 
-    /// Reads what is new. The answer is the newest state, so nothing means that there is nothing.
-    async fn fetch(&self, plat: &Client, read: &mut Results) -> Result<(), PlatError> {
+    /// Begins anew at a segment that does not begin behind a position, as near to it as it is found.
+    async fn seek(
+        &self,
+        plat: &Client,
+        read: &mut Results,
+        from: usize,
+    ) -> Result<(), PlatError> {
         let prefix = keys::segments(&self.step);
-        let range = match read.segments.checked_sub(1) {
-            Some(last) => {
-                plat.behind(&keys::segment(&self.step, last), &prefix)
-                    .await?
+        for back in BACK {
+            let Some(before) = from.checked_sub(back + 1) else {
+                break;
+            };
+            let after = keys::segment(&self.step, before as u32);
+            let page = plat.page(&prefix, Some(after)).await?;
+            let first = page.items.first();
+            let first = first.and_then(|item| keys::first(&self.step, &item.key));
+            if let Some(first) = first.filter(|first| *first as usize <= from) {
+                read.window = Window::from(first as usize);
+                return self.take(read, &page);
+            }
+        }
+        read.window = Window::default();
+        Ok(())
+    }
+
+    /// Reads page after page until there is a result for a position or none is left. The last answer is
+    /// the newest state, so nothing means that there is nothing.
+    async fn reach(&self, plat: &Client, read: &mut Results, from: usize) -> Result<(), PlatError> {
+        let prefix = keys::segments(&self.step);
+        while read.window.end() <= from {
+            let last = read.window.newest();
+            let after = last.map(|last| keys::segment(&self.step, last as u32));
+            let page = plat.page(&prefix, after).await?;
+            self.take(read, &page)?;
+            read.window.trim(from);
+            if !page.more {
+                break;
             }
-            None => plat.list(&prefix).await?,
-        };
-        read.rev = range.rev;
-        for item in &range.items {
-            self.add(read, item)?;
         }
         Ok(())
     }
@@ -132,14 +164,22 @@
         Ok(())
     }
 
+    fn take(&self, read: &mut Results, page: &Range) -> Result<(), PlatError> {
+        read.rev = page.rev;
+        for item in &page.items {
+            self.add(read, item)?;
+        }
+        Ok(())
+    }
+
     /// Takes in a segment if it is the next one.
     fn add(&self, read: &mut Results, item: &Item) -> Result<(), PlatError> {
-        if item.key != keys::segment(&self.step, read.segments) {
+        let first = keys::first(&self.step, &item.key).map(|first| first as usize);
+        let Some(first) = first.filter(|first| *first == read.window.end()) else {
             return Ok(());
-        }
+        };
         let entries: Vec<Entry> = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
-        read.entries.extend(entries);
-        read.segments += 1;
+        read.window.add(first, entries);
         Ok(())
     }
 }
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use batch::Head;
-use batch::Spec;
 use batch::keys;
 use batch::record;
+use batch::record::Parts;
 use http::StatusCode;
 use kernel::Millis;
 use net::Reply;
@@ -134,15 +134,24 @@
     read_body(app, step, sample).await
 }
 
+/// Reads a step's samples part by part until the one that is asked for.
 async fn read_body(app: &App, step: &str, sample: &str) -> Result<Option<Vec<u8>>, PlatError> {
-    let range = app.plat.list(&keys::spec(step)).await?;
-    if range.items.is_empty() {
-        return Ok(None);
+    let prefix = keys::spec(step);
+    let mut parts = Parts::default();
+    let mut after = None;
+    loop {
+        let page = app.plat.page(&prefix, after).await?;
+        for item in &page.items {
+            let samples = parts.add(&item.value).map_err(|_| PlatError::Garbled)?;
+            if let Some(found) = samples.into_iter().find(|one| &*one.id == sample) {
+                return Ok(Some(found.body));
+            }
+        }
+        after = page.items.last().map(|item| item.key.clone());
+        if !page.more || after.is_none() {
+            return Ok(None);
+        }
     }
-    let parts = range.items.iter().map(|item| &*item.value);
-    let spec = Spec::join(parts).map_err(|_| PlatError::Garbled)?;
-    let found = spec.samples.into_iter().find(|one| &*one.id == sample);
-    Ok(found.map(|one| one.body))
 }
 
 /// Ends a step.
--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -231,6 +231,21 @@
         self.pages(prefix, Some(after.into()), Fresh::Newest).await
     }
 
+    /// Reads the first of the keys that have a prefix, behind `after` if it is given: as many as the
+    /// platform puts into one answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatError`].
+    pub async fn page(&self, prefix: &str, after: Option<String>) -> Result<Range, PlatError> {
+        self.range(Call::List {
+            prefix: prefix.into(),
+            after,
+            fresh: Fresh::Newest,
+        })
+        .await
+    }
+
     /// Reads page after page. The revision is that of the first page, so that whoever watches from
     /// there on misses nothing that changed between the pages.
     async fn pages(
