Begin groups that come again first, though their text is of no use

Cause: a trainer ends its step once nine of ten groups are whole; the others come again in one of its next steps, and that one waits for all of them. They have the longest samples of their step. Seen in the runs of the sample with which each step ended. The steps still end some 0.5 s after their last needed sample.

--- a/crates/batch/src/groups.rs
+++ b/crates/batch/src/groups.rs
@@ -70,4 +70,18 @@
         self.whole += u32::from(whole);
         whole && self.whole >= self.wanted
     }
+
+    /// The samples of groups of which one is not among `ended`.
+    pub fn left_over(&self, ended: impl Iterator<Item = u32>) -> Vec<u32> {
+        let mut missing: Vec<u32> = vec![0; self.left.len()];
+        for group in &self.of {
+            missing[*group] += 1;
+        }
+        for group in ended.filter_map(|index| self.of.get(index as usize)) {
+            missing[*group] = missing[*group].saturating_sub(1);
+        }
+        let of = self.of.iter().enumerate();
+        let left = of.filter(|(_, group)| missing[**group] > 0);
+        left.map(|(index, _)| index as u32).collect()
+    }
 }
--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -202,6 +202,12 @@
         self.ended.get(index as usize).copied().unwrap_or(true)
     }
 
+    /// The samples of groups that are not listed whole.
+    pub fn left_over(&self) -> Vec<u32> {
+        self.groups
+            .left_over(self.listed.iter().map(|entry| entry.index))
+    }
+
     /// Tells whether every sample has ended and is listed.
     pub fn is_done(&self) -> bool {
         self.listed.len() == self.ended.len()
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -6,12 +6,14 @@
 //! instances that both believe they own a step cannot both list results.
 //!
 //! - [`record`] has what is kept at the platform, and under which keys.
+//! - [`again`] has what ended steps have left over.
 //! - [`draft`] has what samples have so far.
 //! - [`groups`] says when a step's trainer can go on.
 //! - [`ledger`] has what the owner knows of its step.
 //! - [`window`] has what is read of a step's results elsewhere.
 //! - [`score`] says what follows from an answer of a scorer.
 
+pub mod again;
 pub mod draft;
 pub mod groups;
 pub mod keys;
@@ -20,6 +22,7 @@
 pub mod score;
 pub mod window;
 
+pub use again::Again;
 pub use draft::Draft;
 pub use draft::Piece;
 pub use groups::Groups;
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use batch::Again;
 use batch::Owner;
 use clock::Clock;
 use kernel::Map;
@@ -71,6 +72,8 @@
     pub works: Shards<Arc<str>, Arc<Work>>,
     /// What this instance has read of the results of other steps.
     pub shelves: Shards<Arc<str>, Arc<Shelf>>,
+    /// What steps that ended here have left over.
+    pub again: Mutex<Again>,
     /// Who runs the steps that callers ask for here.
     pub hints: Shards<Arc<str>, Hint>,
     /// Instances that get no steps from here until a time.
@@ -112,6 +115,7 @@
             news: watch::Sender::default(),
             works: Shards::new(),
             shelves: Shards::new(),
+            again: Mutex::default(),
             hints: Shards::new(),
             shunned: Mutex::default(),
             helper: Mutex::default(),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -24,6 +24,7 @@
 use batch::keys;
 use kernel::Map;
 use kernel::Millis;
+use kernel::Set;
 use parking_lot::Mutex;
 use table::Route;
 use tokio::sync::Notify;
@@ -73,6 +74,8 @@
     lost: AtomicBool,
     /// Whether another step goes on with what this one has left over.
     handed: AtomicBool,
+    /// Samples that an earlier step has left over.
+    again: Set<u32>,
     bell: Notify,
 }
 
@@ -95,6 +98,7 @@
             ended: AtomicBool::new(false),
             lost: AtomicBool::new(false),
             handed: AtomicBool::new(false),
+            again: Set::default(),
             bell: Notify::new(),
         }
     }
@@ -247,11 +251,58 @@
 }
 
 /// Begins to run a step that was accepted here.
-pub fn begin(app: &Arc<App>, step: &Arc<str>, head: Head, spec: Spec, rev: i64) {
-    let work = Work::new(app, step, head, spec, rev, app.clock.now());
+pub fn begin(app: &Arc<App>, step: &Arc<str>, head: Head, mut spec: Spec, rev: i64) {
+    let again = recall(app, &head, &mut spec);
+    let mut work = Work::new(app, step, head, spec, rev, app.clock.now());
+    work.again = again;
     start(app, work);
 }
 
+/// Finds the samples that an earlier step has left over. How long they became says more of how long they
+/// will be than their senders do.
+fn recall(app: &App, head: &Head, spec: &mut Spec) -> Set<u32> {
+    let now = app.clock.now();
+    let tokens = event_tokens(app, head);
+    let mut known = app.again.lock();
+    let mut again = Set::default();
+    for (index, sample) in spec.samples.iter_mut().enumerate() {
+        let Some(events) = known.take(sample.print(), now) else {
+            continue;
+        };
+        again.insert(index as u32);
+        let expected = events.saturating_mul(tokens).try_into().unwrap_or(u32::MAX);
+        sample.expected = expected.max(sample.expected);
+    }
+    again
+}
+
+/// Tokens in an event of a step's engines; 0 when it is not known.
+fn event_tokens(app: &App, head: &Head) -> u64 {
+    let plan = app.plan.load();
+    let route = plan
+        .as_ref()
+        .and_then(|plan| plan.find(&head.host, &head.path));
+    let service = route.and_then(|route| route.shares.first());
+    service.map_or(0, |share| u64::from(app.memory(&share.service).event))
+}
+
+/// Remembers the samples of groups that an ended step has left over.
+fn remember(app: &App, work: &Work) {
+    let left = work.ledger.lock().left_over();
+    let now = app.clock.now();
+    let mut again = app.again.lock();
+    for index in left {
+        let index = index as usize;
+        let draft = work.drafts[index].lock();
+        again.note(
+            work.spec.samples[index].print(),
+            draft.last,
+            draft.whole,
+            now,
+        );
+    }
+}
+
 /// What the owner before has left of a step at the platform.
 pub struct Left {
     /// The results that are listed.
@@ -264,14 +315,7 @@
 
 /// Goes on with a step whose owner is gone, from the results that are listed and from what is kept of
 /// samples that are not whole.
-pub fn resume(
-    app: &Arc<App>,
-    step: &Arc<str>,
-    head: Head,
-    spec: Spec,
-    rev: i64,
-    left: Left,
-) {
+pub fn resume(app: &Arc<App>, step: &Arc<str>, head: Head, spec: Spec, rev: i64, left: Left) {
     let age = app.clock.wall().saturating_sub(head.opened);
     let opened = app.clock.now().saturating_sub(age.saturating_sub(SKEW));
     let work = Work::new(app, step, head, spec, rev, opened);
@@ -308,6 +352,7 @@
         log::info!(target: "owner", id = &*work.step, ended = work.has_ended(),
             lost = work.is_lost(), whole = ledger_done; "step done");
         if !work.is_lost() {
+            remember(&app, &work);
             let lingers = async {
                 drive.leave().await;
                 sleep(LINGER).await;
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -76,12 +76,13 @@
         let samples = work.spec.samples.iter().enumerate();
         let jobs = samples
             .map(|(index, sample)| {
-                let last = work.drafts[index].lock().last;
+                let begun = work.drafts[index].lock().last > 0;
+                let index = index as u32;
                 Job {
-                    index: index as u32,
+                    index,
                     group: sample.group.clone(),
                     expected: sample.expected,
-                    carried: last > 0,
+                    carried: begun || work.again.contains(&index),
                 }
             })
             .filter(|job| !ledger.has_ended(job.index));
--- a/crates/node/src/shelf.rs
+++ b/crates/node/src/shelf.rs
@@ -106,12 +106,7 @@
     }
 
     /// Begins anew at a segment that does not begin behind a position, as near to it as it is found.
-    async fn seek(
-        &self,
-        plat: &Client,
-        read: &mut Results,
-        from: usize,
-    ) -> Result<(), PlatError> {
+    async fn seek(&self, plat: &Client, read: &mut Results, from: usize) -> Result<(), PlatError> {
         let prefix = keys::segments(&self.step);
         for back in BACK {
             let Some(before) = from.checked_sub(back + 1) else {
