Write the last log lines before a process ends

Cause: lines are written by a thread of their own, which ends with the process. When it had no processor between the last line and the end, the line was lost, and nothing said that the instance had left whole. Change: a process waits up to 250 ms at its end until its lines are written. Test: crates/logs/tests/queue.rs, two tests; with a reader of 100 ms a write.

--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -9,6 +9,8 @@
 use std::io;
 use std::path::PathBuf;
 use std::str::FromStr;
+use std::sync::OnceLock;
+use std::time::Duration;
 
 pub use line::COMMON;
 pub use line::json;
@@ -101,12 +103,27 @@
         Sink::Stderr => Ok(io::stderr().into()),
         Sink::Queue => {
             let queue = Queue::begin(io::stdout()).map_err(LogError::Writer)?;
+            let queue = QUEUE.get_or_init(|| queue).clone();
             let call = move |record: &log::Record<'_>| queue.line(record.args().to_string());
             Ok(fern::Output::call(call))
         }
     }
 }
 
+/// The queue of a process that logs through one.
+static QUEUE: OnceLock<Queue> = OnceLock::new();
+
+/// Time that a process waits at its end for its last lines to be written.
+const LAST: Duration = Duration::from_millis(250);
+
+/// Waits a moment until the lines so far are written; a process calls it before it ends.
+pub fn flush() {
+    if let Some(queue) = QUEUE.get() {
+        // Nobody is left who could be told that lines were lost.
+        let _ = queue.flush(LAST);
+    }
+}
+
 /// Begins to log where the settings say, and the audit trail to its own file if there is one.
 ///
 /// # Errors
--- a/crates/logs/src/queue.rs
+++ b/crates/logs/src/queue.rs
@@ -12,6 +12,7 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
 use std::thread::Builder;
+use std::time::Duration;
 
 /// Lines that wait at most: a second of an instance under full load, in about one megabyte.
 const LINES: usize = 4_096;
@@ -29,10 +30,18 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// What goes to the writing thread.
+#[derive(Debug)]
+enum Message {
+    Line(String),
+    /// All lines before it are to be written, and then this is to be told so.
+    Flush(SyncSender<()>),
+}
+
 /// The sending end of a queue.
 #[derive(Clone, Debug)]
 pub struct Queue {
-    sender: SyncSender<String>,
+    sender: SyncSender<Message>,
 }
 
 impl Queue {
@@ -50,20 +59,37 @@
 
     /// Hands over a line; never waits.
     pub fn line(&self, line: String) {
-        if self.sender.try_send(line).is_err() {
+        if self.sender.try_send(Message::Line(line)).is_err() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
     }
+
+    /// Waits until the lines so far are written, at most for `limit`; tells whether they are.
+    ///
+    /// A process that ended without it lost its last lines when the writing thread had no processor
+    /// before the end, so that nothing said whether it had left whole.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let (done, written) = sync_channel(1);
+        // A full queue has a reader that is too slow, and its lines are lost in any case.
+        let sent = self.sender.try_send(Message::Flush(done)).is_ok();
+        sent && written.recv_timeout(limit).is_ok()
+    }
 }
 
-fn write(receiver: &Receiver<String>, mut out: impl Write) {
+fn write(receiver: &Receiver<Message>, mut out: impl Write) {
     let mut told = 0;
     while let Ok(first) = receiver.recv() {
-        let mut text = first;
-        text.push('\n');
-        for line in receiver.try_iter().take(BATCH) {
-            text.push_str(&line);
-            text.push('\n');
+        let mut text = String::new();
+        let mut flushes = Vec::new();
+        let rest = receiver.try_iter().take(BATCH);
+        for message in std::iter::once(first).chain(rest) {
+            match message {
+                Message::Line(line) => {
+                    text.push_str(&line);
+                    text.push('\n');
+                }
+                Message::Flush(done) => flushes.push(done),
+            }
         }
         let dropped = dropped();
         if dropped > told {
@@ -77,5 +103,9 @@
         if out.write_all(text.as_bytes()).is_err() {
             return;
         }
+        for done in flushes {
+            // Whoever asked may have waited long enough.
+            let _ = done.send(());
+        }
     }
 }
--- a/crates/logs/tests/queue.rs
+++ b/crates/logs/tests/queue.rs
@@ -58,3 +58,53 @@
     assert!(text.starts_with("line 0\n"));
     assert!(text.contains("lines dropped"));
 }
+
+/// A reader that takes its time.
+struct Slow(std::sync::mpsc::Sender<Vec<u8>>);
+
+impl Write for Slow {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(100));
+        let _ = self.0.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+// Symptom: the log of a process that left gracefully does not say so.
+// Sequence: it writes its last line and ends, on a machine whose processors are busy.
+// Cause: lines are written by a thread of their own, which ends with the process.
+#[test]
+fn the_last_lines_are_written_before_the_end() {
+    let (sender, taken) = channel();
+    let queue = Queue::begin(Slow(sender)).unwrap();
+    queue.line("first".into());
+    queue.line("last".into());
+
+    let written = queue.flush(Duration::from_secs(5));
+
+    let text: Vec<u8> = taken.try_iter().flatten().collect();
+    assert!(written);
+    assert_eq!(String::from_utf8(text).unwrap(), "first\nlast\n");
+}
+
+#[test]
+fn a_reader_that_is_gone_holds_nobody_up_at_the_end() {
+    let (_go, told) = channel();
+    let (sender, _taken) = channel();
+    let queue = Queue::begin(Stalled {
+        go: told,
+        taken: sender,
+    })
+    .unwrap();
+    queue.line("first".into());
+    let begun = Instant::now();
+
+    let written = queue.flush(Duration::from_millis(100));
+
+    assert!(!written);
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -86,6 +86,7 @@
     tokio::spawn(reload(file.to_owned(), running.app.settings.clone()));
     term.recv().await;
     running.leave().await;
+    logs::flush();
     Ok(())
 }
 
