Tell the starts of an upstream apart, and read its entry strictly

Here the name was the key of all that is believed of an upstream, so the new start inherited places, versions, paces and failures of the former one, and a late entry of the former start replaced the new one's. An entry with an unknown state counted as leaving, one without some fields was used, and a value that is no base64 made the whole page fail. Change: table::Starts gives each start an identifier of its own, from `born` or, without it, from heartbeats that go back in a newer entry; only the adapter knows the name for the wire. A report of another start than the listed one is not believed. One line when a strange entry appears and one when it goes.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -71,6 +71,9 @@
     /// The answer makes no sense.
     #[error(transparent)]
     Dialect(#[from] DialectError),
+    /// Another start of the engine answers than the list names.
+    #[error("another start answers")]
+    Start,
     /// The request cannot be made.
     #[error("could not make the request")]
     Request(#[from] http::Error),
@@ -89,6 +92,12 @@
         .body(http_body_util::Full::default())?;
     let answer = app.http.fetch(request, STATE, MOST).await?;
     let stated = app.dialect.stated(answer.body())?;
+    // What it has counts for that start, which the list will name within a second or two.
+    if let (Some(born), Some(listed)) = (stated.born, one.start.born)
+        && born != listed
+    {
+        return Err(StateError::Start);
+    }
     let mut fleet = app.fleet.lock();
     for (model, version) in &stated.models {
         fleet.saw(&one.id, model, *version);
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -178,7 +178,7 @@
             return None;
         }
         let order = Order {
-            id: engine.id.clone(),
+            name: engine.start.name.clone(),
             addr: engine.addr,
             model: load.model.clone(),
             version: load.version,
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -150,6 +150,8 @@
     pub orders: u64,
     /// Requests that it works on.
     pub running: u32,
+    /// When it started, in milliseconds since 1970 on its own clock, if it says so.
+    pub born: Option<Millis>,
 }
 
 /// How running requests pass a change of weights.
@@ -164,8 +166,8 @@
 /// An order to load a version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
-    /// The engine's identifier, so that another one at its address does not take the order.
-    pub id: Arc<str>,
+    /// The engine's name, so that another one at its address does not take the order.
+    pub name: Arc<str>,
     /// Its address.
     pub addr: SocketAddr,
     /// The model.
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use kernel::Millis;
+use kernel::Set;
 use plat::Item;
 use plat::PlatError;
 use table::Belief;
 use table::Listed;
 use table::Plan;
+use table::Starts;
 
 use crate::App;
 use crate::board::Have;
@@ -131,6 +133,10 @@
     reads: u64,
     /// The upstreams by their keys.
     list: BTreeMap<String, Listed>,
+    /// The keys of entries that name no upstream.
+    strange: Set<String>,
+    /// Which start of each upstream is the newest.
+    starts: Starts,
     /// The revision of the configuration.
     plan: i64,
     /// Until when the first source is not asked.
@@ -220,26 +226,66 @@
             // The list has not been read yet.
             return;
         }
-        if news.whole {
-            self.list.clear();
+        let before = match news.whole {
+            true => std::mem::take(&mut self.list),
+            false => BTreeMap::new(),
+        };
+        let strange = std::mem::take(&mut self.strange);
+        if !news.whole {
+            self.strange.clone_from(&strange);
         }
         for item in news.items {
-            match app.dialect.listed(&item.key, &item.value) {
-                Ok(one) => drop(self.list.insert(item.key, one)),
-                Err(error) => {
-                    self.list.remove(&item.key);
-                    let error = error.to_string();
-                    log::warn!(target: "news", key = item.key.as_str(),
-                        error = error.as_str(); "entry of an upstream not understood");
-                }
-            }
+            let former = before.get(&item.key);
+            self.take_entry(app, item, former, &strange);
         }
         for key in &news.gone {
             self.list.remove(key);
+            self.strange.remove(key);
         }
+        for key in strange.difference(&self.strange) {
+            log::info!(target: "news", key = key.as_str(); "strange entry gone");
+        }
+        let names: Set<_> = self
+            .list
+            .values()
+            .map(|one| one.start.name.clone())
+            .collect();
+        self.starts.prune(|name| names.contains(name));
         believe(app, self.list.values().cloned().collect(), news.rev);
     }
 
+    /// Takes in an entry. One that was written by something else names no upstream, and the others hold.
+    ///
+    /// `former` is what stood there before everything was read anew.
+    fn take_entry(
+        &mut self,
+        app: &App,
+        item: Item,
+        former: Option<&Listed>,
+        strange: &Set<String>,
+    ) {
+        match app.dialect.listed(&item.key, &item.value) {
+            Ok(one) => {
+                self.strange.remove(&item.key);
+                match (self.starts.tell(&one.start, item.rev), former) {
+                    (Some(id), _) => drop(self.list.insert(item.key, Listed { id, ..one })),
+                    // A late entry of a former start changes nothing.
+                    (None, Some(former)) => drop(self.list.insert(item.key, former.clone())),
+                    (None, None) => (),
+                }
+            }
+            Err(error) => {
+                self.list.remove(&item.key);
+                if !strange.contains(&item.key) {
+                    let error = error.to_string();
+                    log::warn!(target: "news", key = item.key.as_str(), revision = item.rev,
+                        error = error.as_str(); "strange entry");
+                }
+                self.strange.insert(item.key);
+            }
+        }
+    }
+
     /// Tells whether to go on waiting while the platform answers nobody.
     fn waits(&mut self) -> bool {
         self.blind = (self.blind + 1) % BLIND;
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -84,7 +84,8 @@
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = uri;
         let dialect = &self.app.dialect;
-        *request.headers_mut() = dialect.forward(&self.head.headers, &one.id, Some(self.left()));
+        *request.headers_mut() =
+            dialect.forward(&self.head.headers, &one.start.name, Some(self.left()));
         if let Some(last) = last {
             let last = HeaderValue::from_str(last).ok()?;
             request.headers_mut().insert(LAST_EVENT, last);
--- a/crates/place/tests/place.rs
+++ b/crates/place/tests/place.rs
@@ -11,11 +11,17 @@
 use place::order;
 use table::Listed;
 use table::Roster;
+use table::Start;
 use yare::parameterized;
 
 fn engine(id: &str, slots: u32, version: u64) -> Listed {
     Listed {
         id: id.into(),
+        start: Start {
+            name: id.into(),
+            born: None,
+            beats: 1,
+        },
         service: "fit".into(),
         addr: ([127, 0, 0, 1], 1).into(),
         domain: "nord".into(),
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod plan;
 pub mod roster;
+pub mod starts;
 
 pub use plan::Engine;
 pub use plan::Kind;
@@ -14,3 +15,5 @@
 pub use roster::Belief;
 pub use roster::Listed;
 pub use roster::Roster;
+pub use starts::Start;
+pub use starts::Starts;
--- a/crates/table/src/roster.rs
+++ b/crates/table/src/roster.rs
@@ -5,6 +5,9 @@
 
 use kernel::Map;
 use kernel::Millis;
+use kernel::Set;
+
+use crate::Start;
 
 /// Gap between two reads of the list after which the platform counts as having been away: two
 /// reads in a row are missing at the usual pace of one a second.
@@ -19,6 +22,8 @@
 pub struct Listed {
     /// Identifies one start of the upstream.
     pub id: Arc<str>,
+    /// What it says of its start.
+    pub start: Start,
     /// The service that it belongs to.
     pub service: Arc<str>,
     /// Its address.
@@ -49,10 +54,10 @@
 /// # Examples
 ///
 /// ```
-/// use table::{Listed, Roster};
+/// use table::{Listed, Roster, Start};
 ///
 /// let listed = Listed {
-///     id: "i-1".into(), service: "fit".into(), addr: ([127, 0, 0, 1], 1).into(),
+///     id: "i-1".into(), start: Start { name: "i-1".into(), born: None, beats: 1 }, service: "fit".into(), addr: ([127, 0, 0, 1], 1).into(),
 ///     domain: "nord".into(), slots: 8, leaving: false, weights: Vec::new(),
 /// };
 /// let mut roster = Roster::default();
@@ -89,8 +94,10 @@
             }
             next.insert(one.id.clone(), one);
         }
+        let names: Set<_> = next.values().map(|one| one.start.name.clone()).collect();
         for (id, old) in self.all.drain() {
-            match held {
+            // A new start takes the place of the former one at once.
+            match held && !names.contains(&old.start.name) {
                 true => drop(next.insert(id, old)),
                 false => news.push(Belief::Gone(old)),
             }
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -7,11 +7,18 @@
 use table::Roster;
 use table::Route;
 use table::Share;
+use table::Start;
+use table::Starts;
 use yare::parameterized;
 
 fn listed(id: &str) -> Listed {
     Listed {
         id: id.into(),
+        start: Start {
+            name: id.into(),
+            born: None,
+            beats: 1,
+        },
         service: "fit".into(),
         addr: ([127, 0, 0, 1], 1).into(),
         domain: "nord".into(),
@@ -93,3 +100,66 @@
 
     assert_eq!(Plan::draw(&route, draw).map(|name| &**name), Some(service));
 }
+
+fn start(born: Option<u64>, beats: u64) -> Start {
+    Start {
+        name: "a".into(),
+        born,
+        beats,
+    }
+}
+
+// Symptom: an engine that was started again gets nothing, or gets what it cannot make.
+// Sequence: it starts under the name that it had; entries of the former start come late.
+// Cause: what was known of the former start is believed of the new one.
+#[parameterized(
+    same = { (Some(5), 1), (Some(5), 2), Some(true) },
+    newer = { (Some(5), 9), (Some(6), 1), Some(false) },
+    former = { (Some(5), 1), (Some(4), 99), None },
+    says_it_now = { (None, 9), (Some(6), 1), Some(false) },
+    does_not_say = { (None, 9), (None, 10), Some(true) },
+    counts_go_back = { (None, 9), (None, 2), Some(false) },
+)]
+fn the_starts_of_an_upstream_are_told_apart(
+    first: (Option<u64>, u64),
+    second: (Option<u64>, u64),
+    same: Option<bool>,
+) {
+    let mut starts = Starts::default();
+    let known = starts.tell(&start(first.0, first.1), 1).unwrap();
+
+    let told = starts.tell(&start(second.0, second.1), 2);
+
+    assert_eq!(told.map(|id| id == known), same);
+}
+
+#[test]
+fn an_entry_that_was_read_before_is_no_new_start() {
+    let mut starts = Starts::default();
+    let known = starts.tell(&start(None, 9), 4);
+
+    let late = starts.tell(&start(None, 2), 3);
+
+    assert_eq!(late, known);
+}
+
+// Symptom: an upstream counts twice, and gets twice what it can take.
+// Sequence: it starts anew while the platform is away; what was listed before is kept for a while.
+// Cause: keeping the former start beside the new one.
+#[test]
+fn a_new_start_takes_the_place_of_one_that_is_kept() {
+    let mut roster = Roster::default();
+    roster.read(vec![listed("a")], 0);
+    let new = Listed {
+        id: "a@6".into(),
+        ..listed("a")
+    };
+
+    let news = roster.read(vec![new], 5_000);
+
+    assert_eq!(roster.all().count(), 1);
+    assert!(
+        news.iter()
+            .any(|one| matches!(one, Belief::Gone(old) if &*old.id == "a"))
+    );
+}
