Let a route that comes later say how often a scorer may fail

Cause: the number of failures was fixed at the first try; when no configuration had the route of the request for a score then, the step's route decided for good, and a sample could be given up too early. Found by reading earlier. Change: each try takes the number of the route that is in force, never less than one before.

--- a/crates/batch/src/score.rs
+++ b/crates/batch/src/score.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Lets the scorer fail as often as a route allows that is in force now; never less often than one
+    /// before. When no configuration had the route at the first try, the sample was given up too early.
+    pub fn allow(&mut self, most: u32) {
+        self.most = self.most.max(most);
+    }
+
     /// Says what follows from an answer.
     pub fn next(&mut self, answer: Answer) -> Next {
         match answer {
--- a/crates/node/src/score.rs
+++ b/crates/node/src/score.rs
@@ -46,7 +46,7 @@
         }
     };
     let body = Bytes::from(scoring.body.clone());
-    let mut tries: Option<Tries> = None;
+    let mut tries = Tries::new(most);
     let mut asked = 0;
     let score = loop {
         if app.clock.now() >= until {
@@ -54,12 +54,10 @@
         }
         let mut answer = Answer::Nothing;
         if let Some(route) = route(app, scoring) {
-            // The route that is in force when the first try is sent says how often it may fail.
-            tries.get_or_insert_with(|| Tries::new(route.attempts.max(most)));
+            tries.allow(route.attempts);
             answer = ask(app, scoring, &route, head.clone(), body.clone(), until).await;
         }
         asked += 1;
-        let tries = tries.get_or_insert_with(|| Tries::new(most));
         match tries.next(answer) {
             Next::Score(score) => break Some(score),
             Next::Fail => break None,
