Load no more engines than the samples of a model's steps fill

Cause: at each announcement the leader asked and ordered all engines of a service. With 3,000 of them that took it many seconds and connections to all (3,090 held, 85 MB, 42% of its core), and samples waited for the few that it had come to, though some hundred places were needed. Change: of a model's engines those are kept up to date that the samples of the steps fill which may be open together, the least behind first, so that they stay the same ones. Test: no_more_engines_load_than_the_samples_fill (before: all 3,000), an_engine_that_is_gone_is_replaced_by_another_one.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -156,6 +156,7 @@
             Seen {
                 id: one.id.clone(),
                 models: one.weights.iter().map(newest).collect(),
+                slots: one.slots,
                 running: state.map_or(u32::MAX, |state| state.running),
                 busy: ordered.is_some()
                     || self.silent.contains_key(&one.id)
--- a/crates/node/src/control/targets.rs
+++ b/crates/node/src/control/targets.rs
@@ -56,7 +56,8 @@
     pub fn opened(&self, head: &Head) {
         let mut all = self.all.lock();
         let demand = all.entry(head.model.clone()).or_default();
-        demand.opened(head.least, head.work);
+        let samples = u64::from(head.total);
+        demand.opened(head.least, head.work, samples, head.opened);
     }
 }
 
--- a/crates/weight/src/aim.rs
+++ b/crates/weight/src/aim.rs
@@ -7,6 +7,7 @@
 //! step have begun.
 
 use std::cmp::max;
+use std::collections::VecDeque;
 
 use kernel::Millis;
 
@@ -20,6 +21,12 @@
 /// of the next; with a mean over four engines went to and fro between models, and loaded each time.
 const SMOOTH: u64 = 12;
 
+/// Time within which steps that were opened may be open together, in milliseconds.
+const TOGETHER: Millis = 10_000;
+
+/// Steps that are remembered: more than a model's trainers have open together.
+const STEPS: usize = 32;
+
 /// The versions of one model that are worth having.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Aim {
@@ -33,6 +40,8 @@
     pub calm: bool,
     /// What the model's steps ask for, against other models'; 0 as long as none is known.
     pub work: u64,
+    /// Samples that may have to run at the same time; 0 as long as no step is known.
+    pub samples: u64,
 }
 
 /// What is known of the wishes of one model's trainers.
@@ -46,14 +55,14 @@
 /// demand.announced(7, 0);
 /// // As long as no step is known, only the newest version will do.
 /// assert_eq!(demand.aim(0).oldest, 7);
-/// demand.opened(6, 2_000);
+/// demand.opened(6, 2_000, 300, 50);
 /// assert_eq!(demand.aim(100).oldest, 6);
 /// demand.announced(8, 4_000);
 /// assert_eq!(demand.aim(4_000).oldest, 7);
 /// // The step's samples have begun a little later.
 /// assert!(!demand.aim(4_000).calm && demand.aim(6_000).calm);
 /// ```
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
     newest: Version,
     /// When it was announced.
@@ -64,6 +73,8 @@
     lag: Version,
     /// The mean of what steps ask for.
     work: u64,
+    /// When the last steps were opened, and how many samples each has.
+    steps: VecDeque<(Millis, u64)>,
 }
 
 impl Demand {
@@ -80,8 +91,13 @@
     /// Notes that a step was opened that accepts versions from `least` on; steps are noted once
     /// each, in the order in which they were opened.
     ///
-    /// `work` is what the step's samples are expected to have together.
-    pub fn opened(&mut self, least: Version, work: u64) {
+    /// `work` is what the step's `samples` are expected to have together; `at` is when it was opened, on
+    /// one clock for all steps.
+    pub fn opened(&mut self, least: Version, work: u64, samples: u64, at: Millis) {
+        self.steps.push_back((at, samples));
+        if self.steps.len() > STEPS {
+            self.steps.pop_front();
+        }
         self.work = match self.work {
             0 => work,
             mean => (mean * (SMOOTH - 1) + work) / SMOOTH,
@@ -93,6 +109,20 @@
         self.lag = self.newest.saturating_sub(least);
     }
 
+    /// Samples that may have to run at the same time: those of the steps that may be open together, and
+    /// twice those of the newest one at least, since a trainer asks for the next step while one is open.
+    fn samples(&self) -> u64 {
+        let Some((newest, last)) = self.steps.back() else {
+            return 0;
+        };
+        let open = self
+            .steps
+            .iter()
+            .filter(|(at, _)| newest.saturating_sub(*at) < TOGETHER);
+        let together: u64 = open.map(|(_, samples)| samples).sum();
+        together.max(2 * last)
+    }
+
     /// The versions that are worth having.
     pub fn aim(&self, now: Millis) -> Aim {
         let expected = self.newest.saturating_sub(self.lag);
@@ -102,6 +132,7 @@
             since: self.since,
             calm: now >= self.since + BURST,
             work: self.work,
+            samples: self.samples(),
         }
     }
 }
--- a/crates/weight/src/swap.rs
+++ b/crates/weight/src/swap.rs
@@ -26,6 +26,8 @@
     pub models: Vec<(Arc<str>, Version)>,
     /// Requests that it works on.
     pub running: u32,
+    /// Requests that it can work on at the same time.
+    pub slots: u32,
     /// Whether it is carrying out an order.
     pub busy: bool,
 }
@@ -65,7 +67,7 @@
 /// use weight::swap::{Seen, Swap};
 ///
 /// let seen = |id: &str, running| Seen {
-///     id: id.into(), models: vec![("fit".into(), 1)], running, busy: false,
+///     id: id.into(), models: vec![("fit".into(), 1)], running, slots: 8, busy: false,
 /// };
 /// let aims = [("fit".into(), Aim { newest: 2, oldest: 2, ..Aim::default() })].into_iter().collect();
 /// let engines = [seen("a", 0), seen("b", 4)];
@@ -173,6 +175,7 @@
             .filter(given)
             .filter_map(|engine| Some((engine, engine.version(model)?)))
             .collect();
+        needed(&mut all, aim.samples);
         all.sort_by_key(|(engine, version)| (*version, engine.running, engine.id.clone()));
         let half = all.len().div_ceil(2);
         let loading = all.iter().filter(|(engine, _)| engine.busy).count();
@@ -204,6 +207,26 @@
     }
 }
 
+/// Leaves as many of a model's engines as its samples fill: those that are least behind, so that they stay
+/// the same ones.
+///
+/// With thousands of engines and a few hundred samples the leader asked and ordered all engines at each
+/// announcement, which took it many seconds, and samples waited for the few that it had come to.
+fn needed(all: &mut Vec<(&Seen, Version)>, samples: u64) {
+    if samples == 0 {
+        return;
+    }
+    all.sort_by_key(|(engine, version)| (Reverse(*version), engine.id.clone()));
+    let mut slots = 0;
+    let filled = all.iter().take_while(|(engine, _)| {
+        let fits = slots < samples;
+        slots += u64::from(engine.slots);
+        fits
+    });
+    let count = filled.count();
+    all.truncate(count);
+}
+
 /// The engines that each model had better have: as many as its part of the work says, or the same
 /// for all as long as nobody's work is known.
 fn parts(engines: &[Seen], aims: &Map<Arc<str>, Aim>) -> Vec<(Arc<str>, f64)> {
--- a/crates/weight/tests/swap.rs
+++ b/crates/weight/tests/swap.rs
@@ -17,6 +17,7 @@
             .map(|(name, version)| ((*name).into(), *version))
             .collect(),
         running,
+        slots: 6,
         busy: false,
     }
 }
@@ -147,11 +148,11 @@
 fn engines_that_the_new_step_accepts_go_on_serving_while_its_samples_begin() {
     let mut versions = [1; 8];
     let mut demand = Demand::default();
-    demand.opened(1, 1);
+    demand.opened(1, 1, 0, 0);
     for newest in 2..=9 {
         let now = newest * 4_000;
         demand.announced(newest, now);
-        demand.opened(newest - 1, 1);
+        demand.opened(newest - 1, 1, 0, 0);
 
         let at_once = loads(&engines(&versions), demand.aim(now + 150));
 
@@ -190,7 +191,7 @@
     demand.announced(9, 0);
 
     for least in [1, 5, 8] {
-        demand.opened(least, 1);
+        demand.opened(least, 1, 0, 0);
     }
     demand.announced(10, 0);
 
@@ -201,9 +202,9 @@
 fn a_version_that_an_open_step_does_not_accept_is_not_worth_having() {
     let mut demand = Demand::default();
     demand.announced(3, 0);
-    demand.opened(1, 1);
+    demand.opened(1, 1, 0, 0);
 
-    demand.opened(3, 1);
+    demand.opened(3, 1, 0, 0);
 
     assert_eq!((demand.aim(0).newest, demand.aim(0).oldest), (3, 3));
 }
@@ -215,11 +216,11 @@
 #[test]
 fn the_first_steps_say_nothing_of_how_old_weights_may_be() {
     let mut demand = Demand::default();
-    demand.opened(1, 1);
-    demand.opened(1, 1);
+    demand.opened(1, 1, 0, 0);
+    demand.opened(1, 1, 0, 0);
     demand.announced(2, 0);
 
-    demand.opened(1, 1);
+    demand.opened(1, 1, 0, 0);
 
     assert_eq!((demand.aim(0).newest, demand.aim(0).oldest), (2, 1));
 }
@@ -290,3 +291,57 @@
     assert_eq!(given[0], given[1]);
     assert_eq!(given[0], given[2]);
 }
+
+// Load: 3,000 engines and a trainer whose steps have 344 samples each 4 s. Ordering all engines at each
+// announcement took the leader longer than the time between two, and samples waited.
+#[test]
+fn no_more_engines_load_than_the_samples_fill() {
+    let mut all: Vec<_> = (0..3_000)
+        .map(|at| seen(&format!("e{at:04}"), &[("m", 1)], 0))
+        .collect();
+    let mut swap = Swap::default();
+    let mut demand = Demand::default();
+    let mut used = std::collections::BTreeSet::new();
+    let mut orders = 0;
+    for step in 1..=5 {
+        let at = step * 4_000;
+        demand.announced(step + 1, at);
+        demand.opened(step, 1, 344, at);
+        for now in (at..at + 4_000).step_by(1_000) {
+            let aims = [("m".into(), demand.aim(now))].into_iter().collect();
+            let loads = swap.next(&all, 600, &aims);
+            orders += loads.len();
+            for load in loads {
+                used.insert(load.id.to_string());
+                let engine = all.iter_mut().find(|one| one.id == load.id).unwrap();
+                engine.models = vec![("m".into(), load.version)];
+            }
+        }
+    }
+
+    // Three steps that overlap fill 172 engines; each loads once a step.
+    assert!((115..=180).contains(&used.len()), "{}", used.len());
+    assert!(orders <= 5 * 180, "{orders}");
+}
+
+#[test]
+fn an_engine_that_is_gone_is_replaced_by_another_one() {
+    let mut swap = Swap::default();
+    let mut demand = Demand::default();
+    demand.announced(2, 0);
+    demand.opened(2, 1, 12, 0);
+    let all: Vec<_> = (0..9)
+        .map(|at| seen(&format!("e{at}"), &[("m", 1)], 0))
+        .collect();
+    let aims = [("m".into(), demand.aim(9_000))].into_iter().collect();
+    let first = swap.next(&all, 9, &aims);
+
+    let rest: Vec<_> = all
+        .into_iter()
+        .filter(|one| one.id != first[0].id)
+        .collect();
+    let second = swap.next(&rest, 9, &aims);
+
+    assert_eq!((first.len(), second.len()), (4, 4));
+    assert!(second.iter().all(|load| load.id != first[0].id));
+}
