--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -6,6 +6,7 @@
 use futures_util::future::join_all;
 use kernel::Map;
 use kernel::Millis;
+use kernel::Set;
 use table::Listed;
 use tokio::task::JoinSet;
 use weight::Aim;
@@ -128,8 +129,9 @@
     /// Asks engines that may have to load for their state.
     async fn ask(&self, engines: &[Arc<Listed>], due: &[Load]) -> Map<Arc<str>, Stated> {
         let mut asks = JoinSet::new();
+        let due: Set<_> = due.iter().map(|load| &load.id).collect();
         for one in engines {
-            if !due.iter().any(|load| load.id == one.id) {
+            if !due.contains(&one.id) {
                 continue;
             }
             let (app, one) = (self.app.clone(), one.clone());
--- a/crates/weight/src/swap.rs
+++ b/crates/weight/src/swap.rs
@@ -13,6 +13,7 @@
 
 use kernel::Map;
 use kernel::Millis;
+use kernel::Set;
 
 use crate::Aim;
 use crate::Version;
@@ -89,8 +90,8 @@
 
     /// Gives each engine to one of its models and takes back what is gone.
     fn share(&mut self, engines: &[Seen], aims: &Map<Arc<str>, Aim>) {
-        self.given
-            .retain(|id, _| engines.iter().any(|engine| engine.id == *id));
+        let ids: Set<&Arc<str>> = engines.iter().map(|engine| &engine.id).collect();
+        self.given.retain(|id, _| ids.contains(id));
         for engine in engines {
             if self.given.contains_key(&engine.id) {
                 continue;
