--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -28,9 +28,9 @@
 use crate::sent::Place;
 use crate::sent::Sent;
 
-/// Time after which a call that may be repeated is sent to a second upstream as well: four times
-/// the usual work of today's services, and early enough for the second to answer within the
-/// latency that callers aim at.
+/// Time after which a call that may be repeated is sent to a second upstream as well: some times
+/// the usual work of a lookup, and early enough for the second to answer within the latency that
+/// callers aim at.
 const HEDGE: Duration = Duration::from_millis(110);
 
 /// Part of the time left that one attempt may take before it counts as lost, for a call that may
--- a/crates/node/src/hint.rs
+++ b/crates/node/src/hint.rs
@@ -15,7 +15,7 @@
 use crate::peer;
 
 /// Time for which a hint is kept, in milliseconds: a step is read for as long as it is open, and
-/// trainers of today give one up after 12 s.
+/// no trainer waits longer for one.
 const KEEP: Millis = 30_000;
 
 /// Who runs a step, as far as is known here.
--- a/crates/node/src/owner/looks.rs
+++ b/crates/node/src/owner/looks.rs
@@ -16,7 +16,7 @@
 /// Time between two looks at engines whose version is too old.
 const LOOK: Millis = 250;
 
-/// Engines that are asked in one such look: those of one model of four on today's largest site.
+/// Engines that are asked in one such look: enough for the first samples that wait, and few probes.
 const LOOKED: usize = 12;
 
 /// Time between two lines that say for what samples wait.
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -16,8 +16,8 @@
 use crate::App;
 use crate::dialect::Caller;
 
-/// Time kept back for the way of the answer to the caller, in milliseconds: three each way on the
-/// users' deployments, and the rest for our own work.
+/// Time kept back for the way of the answer to the caller, in milliseconds: a few each way within a
+/// region, and the rest for our own work.
 pub(crate) const WAY: Millis = 10;
 
 /// The header that names the last event of a stream that broke.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -70,8 +70,8 @@
     pub logs: logs::Settings,
 }
 
-/// Part of a service's engines that load at the same time. The users' weight stores serve 2 of 11,
-/// 10 of 48 and 9 of 45 engines at full speed; more at once would each take longer.
+/// Part of a service's engines that load at the same time: a weight store is sized for about a fifth
+/// of the engines at full speed, and more at once would each take longer.
 const PART: f64 = 0.2;
 
 /// Milliseconds in a second.
