Say which request broke a connection, and whether its upstream has ended

Cause: the lines of an incident could not tell whether one request came again under new ids or many broke off, nor whether upstreams had ended. Change: a digest of method, host, path, caller and body (print), the same for each attempt at every instance, and a look at the upstream's address after a broken connection: nobody listens where a process has ended. Both stand in the line 'connection broke', for calls, streams, scores and samples. The digest of several parts moves from once to kernel; there is one. Conclusion: a group of breaks with one digest is one request.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread.
 
+pub mod digest;
 pub mod id;
 pub mod map;
 pub mod name;
@@ -11,6 +12,7 @@
 pub mod shard;
 pub mod time;
 
+pub use digest::digest;
 pub use id::AttemptId;
 pub use id::RequestId;
 pub use map::Map;
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,5 +1,6 @@
 //! A client that tells a failed connect from a request that may have been received.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
+use tokio::net::TcpStream;
 
 use crate::body;
 use crate::connect::Connector;
@@ -80,6 +82,12 @@
     }
 }
 
+/// Tells whether an address refuses connections, as one does that nobody listens on.
+pub async fn refuses(addr: SocketAddr, limit: Duration) -> bool {
+    let opening = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
+    matches!(opening, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// An HTTP client with a pool of connections.
 #[derive(Clone, Debug)]
 pub struct Client {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use crate::App;
+use crate::crash;
 use crate::dialect::Caller;
 use crate::meter;
 use crate::refuse::Refusal;
@@ -269,6 +270,9 @@
             let why = error.to_string();
             log::info!(target: "forward", id = &*sent.id, upstream = &*one.id,
                 took_ms = took, why = why.as_str(); "attempt failed");
+            if matches!(error, SendError::Broken) {
+                crash::look(&sent.app, &sent.id, sent.print(), one);
+            }
             return match error.is_unsent() {
                 true => Came::Unrun,
                 false => Came::Unknown,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod app;
 pub mod board;
 pub mod control;
+mod crash;
 pub mod dialect;
 pub mod events;
 pub mod forward;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::App;
+use crate::crash;
 use crate::events::Events;
 use crate::events::Next;
 
@@ -35,6 +36,15 @@
 /// Events after which a run asks whether it had better move.
 const LOOK: u64 = 4;
 
+/// The connection broke before the answer began.
+const CONNECTION: &str = "connection broke";
+
+/// The connection broke in the midst of the answer.
+const STREAM: &str = "stream broke";
+
+/// How runs end at an engine that ends.
+const BROKE: [&str; 2] = [CONNECTION, STREAM];
+
 /// How a run ended.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -125,6 +135,12 @@
                 .lock()
                 .failed(&self.engine.id, self.app.clock.now());
         }
+        if let Ended::Broken(why) = &ended
+            && BROKE.contains(why)
+        {
+            let print = crash::sample(self, sample);
+            crash::look(&self.app, &sample.id, print, &self.engine);
+        }
         let took = self.app.clock.now() - begun;
         let outcome = match &ended {
             Ended::Whole => "whole",
@@ -156,7 +172,7 @@
             Ok(answer) => self.answer(sample, draft, answer, place).await,
             Err(net::SendError::Unconnected) => Ended::Broken("no connection"),
             Err(net::SendError::Late) => Ended::Broken("no answer"),
-            Err(_) => Ended::Broken("connection broke"),
+            Err(_) => Ended::Broken(CONNECTION),
         }
     }
 
@@ -224,7 +240,7 @@
                 Ok(Next::Block(block)) => block,
                 Ok(Next::End) if draft.lock().last > 0 => return Ended::Whole,
                 Ok(Next::End) => return Ended::Broken("empty"),
-                Ok(Next::Broken) => return Ended::Broken("stream broke"),
+                Ok(Next::Broken) => return Ended::Broken(STREAM),
                 Err(_) => return Ended::Broken("silent"),
             };
             let Some(event) = self.app.dialect.event(&block) else {
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -1,6 +1,7 @@
 //! A caller's request as it goes on to upstreams, once for each attempt.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -11,9 +12,11 @@
 use kernel::Millis;
 use place::Memory;
 use place::Want;
+use poison::Print;
 use table::Listed;
 
 use crate::App;
+use crate::crash;
 use crate::dialect::Caller;
 
 /// Time kept back for the way of the answer to the caller, in milliseconds: a few each way within a
@@ -32,6 +35,7 @@
     pub(crate) id: Arc<str>,
     /// When its time is over.
     pub(crate) until: Millis,
+    print: OnceLock<Print>,
 }
 
 impl Sent {
@@ -50,6 +54,7 @@
             body,
             id: caller.id.clone(),
             until: app.clock.now() + wait,
+            print: OnceLock::new(),
         }
     }
 
@@ -67,9 +72,17 @@
             body,
             id,
             until,
+            print: OnceLock::new(),
         }
     }
 
+    /// What it asks for.
+    pub(crate) fn print(&self) -> Print {
+        *self
+            .print
+            .get_or_init(|| crash::print(&self.head, &self.body))
+    }
+
     /// Time that an upstream may still use.
     pub(crate) fn left(&self) -> Millis {
         self.until.saturating_sub(self.app.clock.now() + WAY)
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -13,12 +13,14 @@
 use http::request::Parts;
 use hyper::body::Incoming;
 use net::Reply;
+use net::SendError;
 use net::body::Sender;
 use table::Plan;
 use table::Route;
 use tokio::time::timeout;
 
 use crate::App;
+use crate::crash;
 use crate::dialect::Caller;
 use crate::events::Events;
 use crate::events::Next;
@@ -118,6 +120,9 @@
                 let why = error.to_string();
                 log::info!(target: "stream", id = &*self.sent.id, upstream = &*one.id,
                     why = why.as_str(); "attempt failed");
+                if matches!(error, SendError::Broken) {
+                    crash::look(&self.sent.app, &self.sent.id, self.sent.print(), one);
+                }
                 return match error.is_unsent() {
                     true => Came::Unrun,
                     false => Came::Unknown,
@@ -192,9 +197,14 @@
                     }
                 }
                 Next::End => return true,
-                Next::Broken if !self.route.resumable => return false,
                 Next::Broken => {
-                    drop(place.take());
+                    if let Some(place) = place.take() {
+                        let Sent { app, id, .. } = &self.sent;
+                        crash::look(app, id, self.sent.print(), &place.one);
+                    }
+                    if !self.route.resumable {
+                        return false;
+                    }
                     match self.open(last.as_deref()).await {
                         Came::Stream(answer, next) => {
                             events = Events::new(answer.into_body());
--- a/crates/once/src/key.rs
+++ b/crates/once/src/key.rs
@@ -3,10 +3,9 @@
 use std::fmt;
 
 use kernel::Millis;
+use kernel::digest;
 use serde::Deserialize;
 use serde::Serialize;
-use sha2::Digest;
-use sha2::Sha256;
 use uuid::Uuid;
 
 /// Longest `Idempotency-Key` in bytes.
@@ -34,22 +33,6 @@
     Long,
 }
 
-fn hash(parts: &[&[u8]]) -> [u8; 32] {
-    let mut sha = Sha256::new();
-    for part in parts {
-        // The length keeps ("ab", "c") and ("a", "bc") apart.
-        sha.update((part.len() as u64).to_be_bytes());
-        sha.update(part);
-    }
-    sha.finalize().into()
-}
-
-fn lead<const N: usize>(hash: [u8; 32]) -> [u8; N] {
-    let mut out = [0; N];
-    out.copy_from_slice(&hash[..N]);
-    out
-}
-
 impl Key {
     /// Hashes the key that a customer gave for a call of a service.
     ///
@@ -75,7 +58,7 @@
             return Err(KeyError::Long);
         }
         let parts = [customer.as_bytes(), service.as_bytes(), text.as_bytes()];
-        Ok(Self(u128::from_be_bytes(lead(hash(&parts)))))
+        Ok(Self(u128::from_be_bytes(digest(&parts))))
     }
 
     /// The shard of the key among `count` shards.
@@ -94,7 +77,7 @@
     /// Hashes a request.
     pub fn new(method: &str, path: &str, body: &[u8]) -> Self {
         let parts = [method.as_bytes(), path.as_bytes(), body];
-        Self(u64::from_be_bytes(lead(hash(&parts))))
+        Self(u64::from_be_bytes(digest(&parts)))
     }
 }
 
--- /dev/null
+++ b/crates/poison/src/print.rs
@@ -0,0 +1,38 @@
+//! What a request asks for, whatever its attempts are called.
+
+use std::fmt;
+
+use kernel::digest;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The digest of what a request asks for: the same for each attempt, at every instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Print(u128);
+
+impl Print {
+    /// Makes the digest of a request. `caller` is what the request says of who sends it, if it says so.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use poison::Print;
+    ///
+    /// let one = Print::new("POST", "shop.example", "/plain/a?b=c", b"", b"body");
+    /// assert_eq!(one, Print::new("POST", "shop.example", "/plain/a?b=c", b"", b"body"));
+    /// assert_ne!(one, Print::new("POST", "shop.example", "/plain/a?b=c", b"Token k", b"body"));
+    /// ```
+    pub fn new(method: &str, host: &str, path: &str, caller: &[u8], body: &[u8]) -> Self {
+        let head = [method, host, path].map(str::as_bytes);
+        let [method, host, path] = head;
+        let parts = [method, host, path, caller, body];
+        Self(u128::from_be_bytes(digest(&parts)))
+    }
+}
+
+impl fmt::Display for Print {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
