Send a request no more that crashes the upstreams that run it

Cause: one request, under a new id each time, ended every upstream that ran it. An instance sent it to a second one at once, its caller came again at another instance, and nothing counted what a request did to upstreams. Change: each instance keeps a ledger of requests, by a digest of what they ask for, that were at an upstream when it crashed (nobody listens at its address after the break). After three crashes it runs nowhere, and is refused at once with 503 and the time until it may; a sample is held until its step gives it up. What an instance has seen is one small record at the platform, read with the list of upstreams, so all know within the time of a read and also after a start. Blame needs two crashes that nothing else accounts for, suspects run apart from one another, and a whole answer clears: whoever was beside a crash is served. The same for calls, second attempts, streams, samples and scores. Ledger, records and writes are bounded. A start of all instances let it run again; it does not now. Conclusion: mended where a request is about to be sent, for all kinds.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -18,6 +18,7 @@
 use place::Fleet;
 use place::Memory;
 use plat::Client;
+use poison::Ledger;
 use table::Plan;
 use table::Roster;
 use tokio::sync::Notify;
@@ -58,6 +59,10 @@
     pub plain: Mutex<Fleet>,
     /// The engines as this instance sees them.
     pub fleet: Mutex<Fleet>,
+    /// Which requests crash upstreams.
+    pub poison: Mutex<Ledger>,
+    /// Rings when an upstream has crashed under a request.
+    pub crashes: Notify,
     /// Rings when a place may have become free or an upstream has changed.
     pub room: Notify,
     /// The instances that have entered, this one among them.
@@ -108,6 +113,8 @@
             roster: Mutex::default(),
             plain: Mutex::default(),
             fleet: Mutex::default(),
+            poison: Mutex::default(),
+            crashes: Notify::new(),
             room: Notify::new(),
             members: Mutex::default(),
             peers: net::Client::idle(IDLE),
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -13,6 +13,7 @@
 use kernel::Millis;
 use net::Reply;
 use net::SendError;
+use poison::Verdict;
 use table::Kind;
 use table::Listed;
 use table::Plan;
@@ -22,7 +23,6 @@
 use tokio::time::timeout;
 
 use crate::App;
-use crate::crash;
 use crate::dialect::Caller;
 use crate::meter;
 use crate::refuse::Refusal;
@@ -41,6 +41,9 @@
 /// Time for which an upstream that turned a call away gets none, in milliseconds.
 const FULL: Millis = 100;
 
+/// Why a request is given up under which upstreams crash.
+const POISON: &str = "upstreams crash under it";
+
 /// Most bytes of an answer that is held until it is whole.
 const ANSWER: usize = 32 << 20;
 
@@ -148,6 +151,9 @@
 
     async fn answer(&mut self) -> Passed {
         let queue = self.manner == Manner::Caller;
+        if let Some(left) = self.sent.quarantine() {
+            return self.refuse(Refusal::Quarantined(left), POISON);
+        }
         if !self.begin(queue) {
             return self.give_up("no upstream has room");
         }
@@ -168,6 +174,9 @@
             if self.unclear && !self.may_repeat() {
                 return self.give_up("outcome unknown");
             }
+            if self.sent.quarantine().is_some() {
+                return self.give_up(POISON);
+            }
             if !self.begin(queue) && self.running.is_empty() {
                 return self.give_up("no upstream left");
             }
@@ -175,7 +184,10 @@
     }
 
     fn may_hedge(&self) -> bool {
-        self.may_repeat() && self.running.len() == 1 && self.used.len() < self.attempts()
+        self.may_repeat()
+            && self.running.len() == 1
+            && self.used.len() < self.attempts()
+            && self.sent.verdict() == Verdict::Free
     }
 
     fn attempts(&self) -> usize {
@@ -246,7 +258,11 @@
     let limit = Duration::from_millis(part);
     let answer = sent.app.http.fetch(request, limit, ANSWER).await;
     let took = sent.app.clock.now() - begun;
+    let broke = matches!(answer, Err(SendError::Broken));
     let came = judge(sent, one, answer, took);
+    if broke {
+        sent.broke(one).await;
+    }
     let outcome = match &came {
         Came::Answer(..) => "answered",
         Came::Unrun => "unrun",
@@ -270,9 +286,6 @@
             let why = error.to_string();
             log::info!(target: "forward", id = &*sent.id, upstream = &*one.id,
                 took_ms = took, why = why.as_str(); "attempt failed");
-            if matches!(error, SendError::Broken) {
-                crash::look(&sent.app, &sent.id, sent.print(), one);
-            }
             return match error.is_unsent() {
                 true => Came::Unrun,
                 false => Came::Unknown,
@@ -292,6 +305,8 @@
         && **id == *sent.id
     {
         plain.event(&one.id, took as f64);
+        drop(plain);
+        sent.whole();
         return Came::Answer(answer, signature);
     }
     plain.failed(&one.id, now);
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -17,6 +17,8 @@
 use crate::App;
 use crate::board::Have;
 use crate::board::News;
+use crate::crash;
+use crate::crash::report::REPORTS;
 use crate::member;
 use crate::peer;
 use crate::peer::Heard;
@@ -252,6 +254,10 @@
             self.strange.clone_from(&strange);
         }
         for item in news.items {
+            if item.key.starts_with(REPORTS) {
+                crash::report::take(app, &item);
+                continue;
+            }
             let former = before.get(&item.key);
             self.take_entry(app, item, former, &strange);
         }
@@ -324,7 +330,10 @@
     if app.post(|board| board.plan(plan)) {
         follower.catch_up(app);
     }
-    let range = app.plat.list(places.upstreams).await?;
+    // Whoever is ready must know which requests crash upstreams, also after a start.
+    let crashes = crash::report::list(app).await?;
+    let mut range = app.plat.list(places.upstreams).await?;
+    range.items.extend(crashes);
     follower.reads += 1;
     // Without them this read is as good.
     let members = match follower.reads.is_multiple_of(MEMBERS) {
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -7,11 +7,13 @@
 
 use batch::Draft;
 use batch::Outcome;
+use batch::Sample;
 use batch::ledger::Next;
 use kernel::Map;
 use kernel::Millis;
 use place::Job;
 use place::Want;
+use poison::Print;
 use table::Listed;
 use table::Plan;
 use table::Route;
@@ -25,6 +27,7 @@
 use super::write::Written;
 use super::write::write_segment;
 use crate::App;
+use crate::crash;
 use crate::meter;
 use crate::run::Ended;
 use crate::run::Run;
@@ -61,6 +64,8 @@
     app: &'a Arc<App>,
     work: &'a Arc<Work>,
     todo: VecDeque<Todo>,
+    /// Samples under which engines crash; they wait until they may run again or the step gives them up.
+    held: Vec<Todo>,
     runs: JoinSet<Ran>,
     scores: JoinSet<Scored>,
     writes: JoinSet<Written>,
@@ -99,6 +104,7 @@
             app,
             work,
             todo: todo.collect(),
+            held: Vec::new(),
             runs: JoinSet::new(),
             scores: JoinSet::new(),
             writes: JoinSet::new(),
@@ -154,7 +160,8 @@
 
     /// Begins as many runs as there is room for.
     fn place(&mut self) {
-        if self.todo.is_empty() {
+        self.release();
+        if self.todo.is_empty() && self.held.is_empty() {
             return;
         }
         let Some(route) = self.work.route(self.app) else {
@@ -169,6 +176,12 @@
             return;
         }
         while let Some(todo) = self.todo.pop_front() {
+            if self.is_quarantined(&todo) {
+                log::warn!(target: "owner", id = &*self.sample(&todo).id, step = &*self.work.step;
+                    "sample held: engines crash under it");
+                self.held.push(todo);
+                continue;
+            }
             match self.choose(&route, &todo) {
                 Some((service, engine)) => self.begin(&route, service, engine, todo),
                 None => {
@@ -181,6 +194,26 @@
         }
     }
 
+    fn sample(&self, todo: &Todo) -> &Sample {
+        &self.work.spec.samples[todo.job.index as usize]
+    }
+
+    fn print(&self, todo: &Todo) -> Print {
+        crash::sample(&self.work.head.host, self.sample(todo))
+    }
+
+    fn is_quarantined(&self, todo: &Todo) -> bool {
+        crash::quarantine(self.app, || self.print(todo)).is_some()
+    }
+
+    /// Lets held samples go that may run again.
+    fn release(&mut self) {
+        let held = std::mem::take(&mut self.held);
+        let (held, free) = held.into_iter().partition(|todo| self.is_quarantined(todo));
+        self.held = held;
+        self.todo.extend::<Vec<_>>(free);
+    }
+
     fn choose(&self, route: &Route, todo: &Todo) -> Option<(Arc<str>, Arc<Listed>)> {
         let service = Plan::draw(route, rand::random())?;
         let at = todo.job.index as usize;
@@ -198,7 +231,13 @@
             taken: memory.taken(sample.prompt, draft.last),
             memory,
         };
+        let mut apart = crash::apart(self.app, || self.print(todo));
+        apart.extend_from_slice(&todo.avoid);
         let any = Want { avoid: &[], ..want };
+        let want = Want {
+            avoid: &apart,
+            ..want
+        };
         let now = self.app.clock.now();
         let roster = self.app.roster.lock();
         let mut fleet = self.app.fleet.lock();
@@ -223,7 +262,9 @@
         };
         let work = self.work.clone();
         let index = todo.job.index;
+        let stay = crash::stay(self.app, || self.print(&todo), &engine.id);
         self.runs.spawn(async move {
+            let _stay = stay;
             let at = index as usize;
             let ended = run.go(&work.spec.samples[at], &work.drafts[at]).await;
             Ran {
@@ -326,6 +367,7 @@
     fn give_up(&mut self, why: &str) {
         log::warn!(target: "owner", id = &*self.work.step, why, samples = self.todo.len();
             "samples given up");
+        self.todo.extend(self.held.drain(..));
         for todo in std::mem::take(&mut self.todo) {
             self.fail(todo.job.index);
         }
--- a/crates/node/src/refuse.rs
+++ b/crates/node/src/refuse.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::RETRY_AFTER;
+use kernel::Millis;
 use net::Reply;
 use net::body;
 
@@ -13,11 +14,16 @@
 /// for a place to become free or a restarted instance to know its configuration.
 const BACK: &str = "0.25";
 
+/// Milliseconds.
+const SECOND: Millis = 1_000;
+
 /// Why a caller does not get what it asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
     /// Nothing was run and nothing will be; it may come back.
     Unrun,
+    /// Upstreams crash under it: it was not run, and may come back after so many milliseconds.
+    Quarantined(Millis),
     /// Whether it ran is not known.
     Unknown,
     /// It was sent, and the time is over.
@@ -35,6 +41,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Unrun => "refused",
+            Self::Quarantined(_) => "quarantined",
             Self::Unknown => "unknown",
             Self::Late => "late",
             Self::Missing => "missing",
@@ -45,7 +52,7 @@
 
     fn status(self) -> StatusCode {
         match self {
-            Self::Unrun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unrun | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::Missing => StatusCode::NOT_FOUND,
@@ -57,12 +64,20 @@
     /// The answer.
     pub fn reply(self) -> Reply {
         let mut reply = body::reply(self.status(), "text/plain", self.name());
-        if self == Self::Unrun {
-            let back = HeaderValue::from_static(BACK);
+        if let Some(back) = self.back() {
             reply.headers_mut().insert(RETRY_AFTER, back);
         }
         reply
     }
+
+    /// When the caller had better come back.
+    fn back(self) -> Option<HeaderValue> {
+        match self {
+            Self::Unrun => Some(HeaderValue::from_static(BACK)),
+            Self::Quarantined(left) => Some(left.div_ceil(SECOND).into()),
+            _ => None,
+        }
+    }
 }
 
 /// Asks the caller to open its next connection elsewhere.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -13,6 +13,7 @@
 use kernel::Millis;
 use parking_lot::Mutex;
 use place::Want;
+use poison::Verdict;
 use table::Listed;
 use tokio::time::timeout;
 
@@ -123,6 +124,7 @@
         let ended = self.attempt(sample, draft, &place).await;
         if ended == Ended::Whole {
             draft.lock().whole = true;
+            crash::whole(&self.app, || crash::sample(&self.host, sample));
             let events = draft.lock().last;
             self.app.fleet.lock().whole(sample.expected, events);
         }
@@ -138,8 +140,7 @@
         if let Ended::Broken(why) = &ended
             && BROKE.contains(why)
         {
-            let print = crash::sample(self, sample);
-            crash::look(&self.app, &sample.id, print, &self.engine);
+            self.broke(sample).await;
         }
         let took = self.app.clock.now() - begun;
         let outcome = match &ended {
@@ -157,6 +158,17 @@
         ended
     }
 
+    /// Looks whether the engine has crashed. The sample goes on elsewhere only after that if others know
+    /// it for a suspect.
+    async fn broke(&self, sample: &Sample) {
+        let print = crash::sample(&self.host, sample);
+        let looking = crash::look(&self.app, &sample.id, print, &self.engine);
+        if crash::verdict(&self.app, || print) != Verdict::Free {
+            // A look that panicked has noted nothing.
+            let _ = looking.await;
+        }
+    }
+
     async fn attempt(&self, sample: &Sample, draft: &Mutex<Draft>, place: &Place<'_>) -> Ended {
         let last = draft.lock().last;
         let dialect = &self.app.dialect;
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -13,10 +13,12 @@
 use place::Memory;
 use place::Want;
 use poison::Print;
+use poison::Verdict;
 use table::Listed;
 
 use crate::App;
 use crate::crash;
+use crate::crash::Stay;
 use crate::dialect::Caller;
 
 /// Time kept back for the way of the answer to the caller, in milliseconds: a few each way within a
@@ -83,6 +85,31 @@
             .get_or_init(|| crash::print(&self.head, &self.body))
     }
 
+    /// What may be done with it.
+    pub(crate) fn verdict(&self) -> Verdict {
+        crash::verdict(&self.app, || self.print())
+    }
+
+    /// The time for which it may not run, if it may not.
+    pub(crate) fn quarantine(&self) -> Option<Millis> {
+        crash::quarantine(&self.app, || self.print())
+    }
+
+    /// Notes that an upstream has answered it whole.
+    pub(crate) fn whole(&self) {
+        crash::whole(&self.app, || self.print());
+    }
+
+    /// Looks whether an upstream has crashed after the connection broke there. A suspect waits for it: it
+    /// must not go on to another one before that.
+    pub(crate) async fn broke(&self, one: &Arc<Listed>) {
+        let looking = crash::look(&self.app, &self.id, self.print(), one);
+        if self.verdict() != Verdict::Free {
+            // A look that panicked has noted nothing.
+            let _ = looking.await;
+        }
+    }
+
     /// Time that an upstream may still use.
     pub(crate) fn left(&self) -> Millis {
         self.until.saturating_sub(self.app.clock.now() + WAY)
@@ -115,7 +142,9 @@
         let app = &self.app;
         let roster = app.roster.lock();
         let slots = roster.of(service).map(|one| one.slots).max().unwrap_or(0);
-        let want = Want {
+        let mut apart = crash::apart(app, || self.print());
+        apart.extend_from_slice(used);
+        let any = Want {
             service,
             model: None,
             least: 0,
@@ -126,11 +155,23 @@
             taken: 0,
             memory: Memory::default(),
         };
+        let want = Want {
+            avoid: &apart,
+            ..any
+        };
+        let now = app.clock.now();
         let mut plain = app.plain.lock();
-        let one = plain.choose(&roster, &want, app.clock.now())?;
+        let one = plain
+            .choose(&roster, &want, now)
+            .or_else(|| plain.choose(&roster, &any, now))?;
         plain.begin(&one.id, 0);
+        let stay = crash::stay(app, || self.print(), &one.id);
         let app = app.clone();
-        Some(Place { app, one })
+        Some(Place {
+            app,
+            one,
+            _stay: stay,
+        })
     }
 }
 
@@ -139,6 +180,8 @@
     app: Arc<App>,
     /// The upstream.
     pub(crate) one: Arc<Listed>,
+    /// Held for its drop.
+    _stay: Option<Stay>,
 }
 
 impl Drop for Place {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -27,6 +27,7 @@
 use crate::Dialect;
 use crate::Settings;
 use crate::control;
+use crate::crash;
 use crate::front;
 use crate::hint;
 use crate::member;
@@ -129,6 +130,7 @@
         }
         tokio::spawn(control::orphans::reclaim(app.clone()));
         tokio::spawn(tidy(app.clone()));
+        tokio::spawn(crash::report::keep(app.clone()));
         tokio::spawn(count(app.clone()));
         log::info!(target: "start", instance = &*app.me.instance, start = app.me.start,
             domain = &*app.settings.domain; "started");
@@ -212,6 +214,7 @@
     loop {
         sleep(TIDY).await;
         hint::tidy(&app);
+        crash::tidy(&app);
         let mut all = Vec::new();
         app.shelves.each(|map| all.extend(map.values().cloned()));
         let mut old = Vec::new();
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -12,6 +12,7 @@
 use http::StatusCode;
 use http::request::Parts;
 use hyper::body::Incoming;
+use kernel::Millis;
 use net::Reply;
 use net::SendError;
 use net::body::Sender;
@@ -20,7 +21,6 @@
 use tokio::time::timeout;
 
 use crate::App;
-use crate::crash;
 use crate::dialect::Caller;
 use crate::events::Events;
 use crate::events::Next;
@@ -40,6 +40,8 @@
     Stream(Box<Response<Incoming>>, Place),
     /// The upstream has not run the request and never will.
     Unrun,
+    /// Nothing was sent: upstreams crash under the request, which may not run for so many milliseconds.
+    Quarantined(Millis),
     /// Whether it ran is not known.
     Unknown,
 }
@@ -69,6 +71,7 @@
     match stream.open(None).await {
         Came::Stream(answer, place) => stream.answer(*answer, place).await,
         Came::Unrun => Refusal::Unrun.reply(),
+        Came::Quarantined(left) => Refusal::Quarantined(left).reply(),
         Came::Unknown => Refusal::Unknown.reply(),
     }
 }
@@ -83,6 +86,11 @@
     async fn open(&mut self, last: Option<&str>) -> Came {
         let resumable = self.route.resumable;
         let mut unclear = false;
+        if let Some(left) = self.sent.quarantine() {
+            log::info!(target: "stream", id = &*self.sent.id, left_ms = left;
+                "upstreams crash under it");
+            return Came::Quarantined(left);
+        }
         while self.used.len() < self.route.attempts.max(1) as usize {
             let Some(place) = self.choose() else { break };
             self.used.push(place.one.id.clone());
@@ -91,6 +99,9 @@
                 Came::Unknown if resumable => unclear = true,
                 came => return came,
             }
+            if self.sent.quarantine().is_some() {
+                break;
+            }
         }
         match unclear {
             true => Came::Unknown,
@@ -121,7 +132,7 @@
                 log::info!(target: "stream", id = &*self.sent.id, upstream = &*one.id,
                     why = why.as_str(); "attempt failed");
                 if matches!(error, SendError::Broken) {
-                    crash::look(&self.sent.app, &self.sent.id, self.sent.print(), one);
+                    self.sent.broke(one).await;
                 }
                 return match error.is_unsent() {
                     true => Came::Unrun,
@@ -170,6 +181,7 @@
         let Ok(bytes) = net::body::read(body, ANSWER).await else {
             return Refusal::Unknown.reply();
         };
+        self.sent.whole();
         let mut reply = Response::new(net::body::full(bytes));
         *reply.status_mut() = head.status;
         *reply.headers_mut() = self.sent.app.dialect.back(&head.headers);
@@ -196,11 +208,13 @@
                         return true;
                     }
                 }
-                Next::End => return true,
+                Next::End => {
+                    self.sent.whole();
+                    return true;
+                }
                 Next::Broken => {
                     if let Some(place) = place.take() {
-                        let Sent { app, id, .. } = &self.sent;
-                        crash::look(app, id, self.sent.print(), &place.one);
+                        self.sent.broke(&place.one).await;
                     }
                     if !self.route.resumable {
                         return false;
@@ -210,7 +224,7 @@
                             events = Events::new(answer.into_body());
                             place = Some(next);
                         }
-                        Came::Unrun | Came::Unknown => return false,
+                        Came::Unrun | Came::Quarantined(_) | Came::Unknown => return false,
                     }
                 }
             }
--- a/crates/operate/src/story.rs
+++ b/crates/operate/src/story.rs
@@ -9,7 +9,7 @@
 const COMMON: [&str; 4] = ["at", "level", "from", "what"];
 
 /// Fields whose value names what a line is about.
-const ABOUT: [&str; 4] = ["id", "step", "upstream", "instance"];
+const ABOUT: [&str; 5] = ["id", "step", "upstream", "instance", "print"];
 
 /// A line that belongs to a story.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/operate/tests/story.rs
+++ b/crates/operate/tests/story.rs
@@ -32,3 +32,21 @@
 fn what_nobody_wrote_about_has_no_story() {
     assert!(tell("none", LOG.lines()).is_empty());
 }
+
+// Each attempt of a request that crashes upstreams has an id of its own; what it asks for joins them.
+#[test]
+fn the_story_of_a_request_that_comes_again_has_its_crashes() {
+    let log = r#"
+ 0.1 e1 {"at":"1","from":"crash","id":"r1","print":"0a","upstream":"u1","what":"connection broke"}
+ 0.2 e2 {"at":"2","from":"crash","id":"r2","print":"0a","upstream":"u2","what":"connection broke"}
+ 0.3 e2 {"at":"3","from":"crash","print":"0a","crashes":3,"what":"request quarantined"}
+ 0.3 e2 {"at":"3","from":"crash","id":"r3","print":"0b","upstream":"u2","what":"connection broke"}
+"#;
+
+    let story = tell("0a", log.lines());
+
+    let upstreams = story.iter().flat_map(|line| &line.fields);
+    let upstreams = upstreams.filter(|(name, _)| name == "upstream");
+    let upstreams: Vec<_> = upstreams.map(|(_, value)| value.as_str()).collect();
+    assert_eq!((story.len(), upstreams), (3, vec!["u1", "u2"]));
+}
--- /dev/null
+++ b/crates/poison/src/ledger.rs
@@ -0,0 +1,366 @@
+//! Which requests crash upstreams, as far as one instance knows.
+//!
+//! Load pattern: one request among many crashes each upstream that begins to run it, and comes again, at
+//! any instance. Whatever else runs there breaks off as well. A connection that broke therefore says little of
+//! a request; what counts is how often upstreams crashed under it, and what else was there each time.
+//!
+//! The verdict follows from the crashes that are known and from nothing else, so instances that know the
+//! same say the same, in whatever order they heard of it.
+
+use std::sync::Arc;
+
+use kernel::Map;
+use kernel::Millis;
+use kernel::Set;
+
+use crate::Print;
+use crate::report::Crash;
+use crate::report::MOST;
+use crate::report::Report;
+use crate::report::Whole;
+
+/// Crashes after which a request runs no more: one may be chance and two a bad moment, and a service
+/// loses no more upstreams to a request than it takes to tell.
+pub const CRASHES: usize = 3;
+
+/// Crashes that nothing else accounts for, without which a request is not blamed. A request that was beside
+/// the culprit each time has none; two, since the culprit's last crash may not be known yet.
+const SOLE: usize = 2;
+
+/// Time for which a crash counts, in milliseconds: ten minutes, the longest that the platform keeps a
+/// lease. Callers have given up by then, and an upstream that was mended gets the request again without
+/// anybody's doing; if it was not, one more crash is enough.
+pub const KEEP: Millis = 600_000;
+
+/// Most requests that are remembered. A fleet of 600 upstreams that crash at the same moment with a dozen
+/// requests each leaves 7,200; most of those run whole elsewhere and are forgotten. With some 200 bytes
+/// each they are 1 MB.
+const CASES: usize = 4_096;
+
+/// Part of the requests that are forgotten at a time when there are too many: a look through all of them
+/// for each new one would take a flood's whole processor time.
+const PART: usize = 8;
+
+/// Most crashes that are remembered of one request.
+const KNOWN: usize = 16;
+
+/// Time for which it is remembered that a request ran whole after all its crashes, in milliseconds: an older
+/// report of them may still be on its way.
+const SETTLED: Millis = 10_000;
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may run anywhere.
+    Free,
+    /// An upstream crashed under it: it had better run where no other such request does, so that the next
+    /// crash tells them apart.
+    Suspect,
+    /// It may not run for so many milliseconds.
+    Quarantined(Millis),
+}
+
+/// A change of what is believed of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The request.
+    pub print: Print,
+    /// Crashes that count.
+    pub crashes: usize,
+    /// Whether it is quarantined now; else it has ceased to be.
+    pub quarantined: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Case {
+    crashes: Vec<(Arc<str>, Millis)>,
+    whole: Millis,
+    quarantined: bool,
+}
+
+impl Case {
+    /// The crashes that count: none that are too old, and none before it ran whole.
+    fn counted(&self, now: Millis) -> impl Iterator<Item = &(Arc<str>, Millis)> {
+        let crashes = self.crashes.iter();
+        crashes.filter(move |(_, at)| *at > self.whole && now < *at + KEEP)
+    }
+
+    fn total(&self, now: Millis) -> usize {
+        self.counted(now).count()
+    }
+
+    fn add(&mut self, upstream: &Arc<str>, at: Millis) -> bool {
+        if self.crashes.iter().any(|(known, _)| known == upstream) {
+            return false;
+        }
+        self.crashes.push((upstream.clone(), at));
+        if self.crashes.len() > KNOWN {
+            self.crashes.remove(0);
+        }
+        true
+    }
+}
+
+/// What one instance knows of crashes.
+///
+/// # Examples
+///
+/// ```
+/// use poison::{Ledger, Print, Verdict};
+///
+/// let print = Print::new("GET", "shop.example", "/a", b"", b"");
+/// let mut ledger = Ledger::default();
+/// for upstream in ["i-1", "i-2"] {
+///     ledger.crashed(print, &upstream.into(), 1_000);
+/// }
+/// assert_eq!(ledger.verdict(print, 1_000), Verdict::Suspect);
+/// ledger.crashed(print, &"i-3".into(), 1_000);
+/// assert_eq!(ledger.verdict(print, 1_000), Verdict::Quarantined(600_000));
+/// ```
+#[derive(Debug, Default)]
+pub struct Ledger {
+    cases: Map<Print, Case>,
+    /// The requests that were at an upstream when it crashed.
+    beside: Map<Arc<str>, Vec<Print>>,
+    /// What this instance has seen itself.
+    own: Report,
+    /// The upstreams at which suspects of this instance are.
+    places: Map<Arc<str>, Vec<Print>>,
+    changes: Vec<Change>,
+}
+
+impl Ledger {
+    /// Tells whether nothing is known, as it nearly always is: then no request needs a digest.
+    pub fn is_empty(&self) -> bool {
+        self.cases.is_empty()
+    }
+
+    /// Requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.cases.len()
+    }
+
+    /// What may be done with a request. Times are in milliseconds since 1970.
+    pub fn verdict(&self, print: Print, now: Millis) -> Verdict {
+        let Some(case) = self.cases.get(&print) else {
+            return Verdict::Free;
+        };
+        let total = case.total(now);
+        if total == 0 {
+            return Verdict::Free;
+        }
+        if total < CRASHES || self.sole(print, case, total, now) < SOLE {
+            return Verdict::Suspect;
+        }
+        Verdict::Quarantined(until(case, now).saturating_sub(now))
+    }
+
+    /// Crashes of a request at which nothing else was that crashes about as often. A crash less counts as
+    /// often: what an instance sees reaches the others a second later.
+    fn sole(&self, print: Print, case: &Case, total: usize, now: Millis) -> usize {
+        let rival = |other: &Print| {
+            let other = self.cases.get(other).filter(|_| *other != print);
+            other.is_some_and(|other| other.total(now) + 1 >= total)
+        };
+        let alone = |upstream: &Arc<str>| {
+            let beside = self.beside.get(upstream);
+            !beside.is_some_and(|beside| beside.iter().any(rival))
+        };
+        let counted = case.counted(now);
+        counted.filter(|(upstream, _)| alone(upstream)).count()
+    }
+
+    /// Notes that an upstream crashed while a request of this instance was there.
+    pub fn crashed(&mut self, print: Print, upstream: &Arc<str>, now: Millis) {
+        let crash = Crash {
+            print,
+            upstream: upstream.clone(),
+            at: now,
+        };
+        if !self.learn(&crash, now) {
+            return;
+        }
+        self.judge(self.touched([print]), now);
+        if self.own.crashes.len() >= MOST {
+            // What is quarantined has to outlast a restart of all instances.
+            let crashes = &self.own.crashes;
+            let lesser = crashes.iter().position(|crash| !self.is_held(crash.print));
+            self.own.crashes.remove(lesser.unwrap_or(0));
+        }
+        self.own.crashes.push(crash);
+    }
+
+    fn is_held(&self, print: Print) -> bool {
+        self.cases.get(&print).is_some_and(|case| case.quarantined)
+    }
+
+    /// Notes that an upstream answered a request of this instance whole: it is not what crashes them.
+    pub fn whole(&mut self, print: Print, now: Millis) {
+        if !self.cases.contains_key(&print) {
+            return;
+        }
+        let known = self.own.crashes.len();
+        self.own.crashes.retain(|crash| crash.print != print);
+        let crashes = self.cases.get(&print).map_or(0, |case| case.crashes.len());
+        if known - self.own.crashes.len() < crashes {
+            // Others know of it as well.
+            self.own.wholes.retain(|whole| whole.print != print);
+            if self.own.wholes.len() >= MOST {
+                self.own.wholes.remove(0);
+            }
+            self.own.wholes.push(Whole { print, at: now });
+        }
+        self.clear(print, now);
+        self.judge(self.touched([print]), now);
+    }
+
+    fn clear(&mut self, print: Print, at: Millis) {
+        if let Some(case) = self.cases.get_mut(&print) {
+            case.whole = case.whole.max(at);
+        }
+    }
+
+    /// Takes in what another instance has seen; what is known already changes nothing.
+    pub fn heard(&mut self, report: &Report, now: Millis) {
+        for crash in &report.crashes {
+            self.learn(crash, now);
+        }
+        for whole in &report.wholes {
+            self.clear(whole.print, whole.at.min(now));
+        }
+        let crashes = report.crashes.iter().map(|crash| crash.print);
+        let wholes = report.wholes.iter().map(|whole| whole.print);
+        self.judge(self.touched(crashes.chain(wholes)), now);
+    }
+
+    fn learn(&mut self, crash: &Crash, now: Millis) -> bool {
+        // A clock that is ahead must not keep a crash for longer than the others do.
+        let at = crash.at.min(now);
+        if now >= at + KEEP {
+            return false;
+        }
+        if !self.cases.contains_key(&crash.print) && self.cases.len() >= CASES {
+            self.evict(now);
+        }
+        let case = self.cases.entry(crash.print).or_default();
+        if !case.add(&crash.upstream, at) {
+            return false;
+        }
+        let beside = self.beside.entry(crash.upstream.clone()).or_default();
+        beside.push(crash.print);
+        true
+    }
+
+    /// Forgets those that have crashed least, the oldest first: a flood of requests that were beside one
+    /// crash each must not push out what is quarantined.
+    fn evict(&mut self, now: Millis) {
+        let newest = |case: &Case| case.crashes.iter().map(|(_, at)| *at).max();
+        let order = |(print, case): (&Print, &Case)| (case.total(now), newest(case), *print);
+        let mut all: Vec<_> = self.cases.iter().map(order).collect();
+        all.sort_unstable();
+        for (.., print) in all.into_iter().take(CASES / PART) {
+            self.cases.remove(&print);
+        }
+        self.settle();
+    }
+
+    /// Forgets what counts no more.
+    pub fn prune(&mut self, now: Millis) {
+        self.judge(self.cases.keys().copied().collect(), now);
+        self.cases
+            .retain(|_, case| case.total(now) > 0 || now < case.whole + SETTLED);
+        self.own.crashes.retain(|crash| now < crash.at + KEEP);
+        self.own.wholes.retain(|whole| now < whole.at + KEEP);
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        let cases = &self.cases;
+        self.beside.retain(|_, beside| {
+            beside.retain(|print| cases.contains_key(print));
+            !beside.is_empty()
+        });
+    }
+
+    /// The requests whose verdict may change with those of some: they and what was beside them.
+    fn touched(&self, prints: impl IntoIterator<Item = Print>) -> Set<Print> {
+        let mut touched = Set::default();
+        for print in prints {
+            let crashes = self.cases.get(&print).map(|case| case.crashes.iter());
+            for (upstream, _) in crashes.into_iter().flatten() {
+                touched.extend(self.beside.get(upstream).into_iter().flatten());
+            }
+        }
+        touched
+    }
+
+    /// Notes which of some requests are quarantined now and were not, or were and are not.
+    fn judge(&mut self, prints: Set<Print>, now: Millis) {
+        let judged = |print: Print| {
+            let case = self.cases.get(&print)?;
+            let quarantined = matches!(self.verdict(print, now), Verdict::Quarantined(_));
+            (quarantined != case.quarantined).then(|| Change {
+                print,
+                crashes: case.total(now),
+                quarantined,
+            })
+        };
+        let changes: Vec<_> = prints.into_iter().filter_map(judged).collect();
+        for change in &changes {
+            if let Some(case) = self.cases.get_mut(&change.print) {
+                case.quarantined = change.quarantined;
+            }
+        }
+        self.changes.extend(changes);
+    }
+
+    /// Takes the changes of belief since the last call.
+    pub fn changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Requests that are quarantined.
+    pub fn quarantined(&self) -> usize {
+        self.cases.values().filter(|case| case.quarantined).count()
+    }
+
+    /// What this instance has seen itself.
+    pub fn own(&self) -> &Report {
+        &self.own
+    }
+
+    /// Notes that a suspect of this instance is at an upstream.
+    pub fn enter(&mut self, print: Print, upstream: &Arc<str>) {
+        let place = self.places.entry(upstream.clone()).or_default();
+        place.push(print);
+    }
+
+    /// Notes that a suspect of this instance has left an upstream.
+    pub fn leave(&mut self, print: Print, upstream: &str) {
+        let Some(place) = self.places.get_mut(upstream) else {
+            return;
+        };
+        if let Some(at) = place.iter().position(|one| *one == print) {
+            place.swap_remove(at);
+        }
+        if place.is_empty() {
+            self.places.remove(upstream);
+        }
+    }
+
+    /// The upstreams at which other suspects of this instance are.
+    pub fn taken(&self, print: Print) -> impl Iterator<Item = &Arc<str>> {
+        let others = move |place: &&Vec<Print>| place.iter().any(|one| *one != print);
+        let places = self.places.iter();
+        places
+            .filter(move |(_, place)| others(place))
+            .map(|(upstream, _)| upstream)
+    }
+}
+
+/// When a quarantine ends: when only two crashes are left that count.
+fn until(case: &Case, now: Millis) -> Millis {
+    let mut times: Vec<_> = case.counted(now).map(|(_, at)| *at).collect();
+    times.sort_unstable_by(|a, b| b.cmp(a));
+    times.get(CRASHES - 1).map_or(now, |at| at + KEEP)
+}
--- /dev/null
+++ b/crates/poison/src/report.rs
@@ -0,0 +1,45 @@
+//! What instances tell one another of crashes.
+
+use std::sync::Arc;
+
+use kernel::Millis;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Print;
+
+/// A request was at an upstream when that crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Crash {
+    /// The request.
+    pub print: Print,
+    /// The start of the upstream.
+    pub upstream: Arc<str>,
+    /// When, in milliseconds since 1970 at the instance that noticed.
+    pub at: Millis,
+}
+
+/// A request that had been at a crash was answered whole by an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Whole {
+    /// The request.
+    pub print: Print,
+    /// When, in milliseconds since 1970 at the instance that noticed.
+    pub at: Millis,
+}
+
+/// What one instance has seen itself: at most [`MOST`] of each kind, the newest last.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Report {
+    /// Crashes.
+    pub crashes: Vec<Crash>,
+    /// Whole answers.
+    pub wholes: Vec<Whole>,
+}
+
+/// Most entries of each kind in a report. With some 60 bytes each a report is 4 KB, and those of 400
+/// instances are read within one answer of the platform.
+pub const MOST: usize = 32;
--- /dev/null
+++ b/crates/poison/tests/ledger.rs
@@ -0,0 +1,293 @@
+//! What is believed of requests from the crashes that are known.
+
+use std::sync::Arc;
+
+use kernel::Millis;
+use poison::Crash;
+use poison::Ledger;
+use poison::Print;
+use poison::Report;
+use poison::Verdict;
+use poison::Whole;
+use poison::ledger::CRASHES;
+use poison::ledger::KEEP;
+use poison::report::MOST;
+use proptest::prelude::*;
+
+/// A time of day, in milliseconds since 1970.
+const NOW: Millis = 1_750_000_000_000;
+
+fn print(name: &str) -> Print {
+    Print::new("GET", "shop.example", name, b"", b"")
+}
+
+fn id(number: usize) -> Arc<str> {
+    format!("i-{number}").into()
+}
+
+fn is_held(ledger: &Ledger, name: &str, now: Millis) -> bool {
+    matches!(ledger.verdict(print(name), now), Verdict::Quarantined(_))
+}
+
+fn crash(name: &str, upstream: usize, at: Millis) -> Crash {
+    Crash {
+        print: print(name),
+        upstream: id(upstream),
+        at,
+    }
+}
+
+fn report(crashes: &[Crash]) -> Report {
+    Report {
+        crashes: crashes.into(),
+        ..Report::default()
+    }
+}
+
+// Crashes are counted over instances: each saw one, and none alone would ever have said a word.
+#[test]
+fn crashes_that_three_instances_saw_make_three() {
+    let mut ledger = Ledger::default();
+
+    ledger.crashed(print("a"), &id(1), NOW);
+    for upstream in [2, 3] {
+        assert_eq!(ledger.verdict(print("a"), NOW), Verdict::Suspect);
+        ledger.heard(&report(&[crash("a", upstream, NOW)]), NOW);
+    }
+
+    assert_eq!(ledger.verdict(print("a"), NOW), Verdict::Quarantined(KEEP));
+    assert_eq!(ledger.verdict(print("b"), NOW), Verdict::Free);
+    assert_eq!(ledger.changes().len(), 1);
+}
+
+// The same crash comes back with each read of the records, and two instances may see it of one upstream.
+#[test]
+fn a_crash_that_is_heard_of_again_counts_once() {
+    let mut ledger = Ledger::default();
+    let twice = report(&[crash("a", 1, NOW), crash("a", 1, NOW + 7)]);
+
+    for _ in 0..5 {
+        ledger.heard(&twice, NOW + 10);
+    }
+
+    assert_eq!(ledger.verdict(print("a"), NOW + 10), Verdict::Suspect);
+}
+
+// A request was beside the culprit each time it crashed an upstream, at another instance. What tells them
+// apart is the next crash, at which it is not.
+#[test]
+fn a_request_that_was_beside_the_culprit_each_time_is_not_blamed() {
+    let mut ledger = Ledger::default();
+    for upstream in 1..=3 {
+        ledger.heard(&report(&[crash("beside", upstream, NOW)]), NOW);
+        ledger.heard(&report(&[crash("culprit", upstream, NOW)]), NOW);
+    }
+    let both = ["beside", "culprit"].map(|name| is_held(&ledger, name, NOW));
+
+    ledger.crashed(print("culprit"), &id(4), NOW);
+    ledger.crashed(print("culprit"), &id(5), NOW);
+
+    assert_eq!(both, [false, false]);
+    assert!(is_held(&ledger, "culprit", NOW));
+    assert!(!is_held(&ledger, "beside", NOW));
+}
+
+// The culprit's third crash is known a second later than that of the request beside it.
+#[test]
+fn a_crash_that_is_not_known_yet_shifts_no_blame() {
+    let mut ledger = Ledger::default();
+    for upstream in 1..=2 {
+        ledger.crashed(print("culprit"), &id(upstream), NOW);
+    }
+
+    for upstream in 1..=3 {
+        ledger.heard(&report(&[crash("beside", upstream, NOW)]), NOW);
+    }
+    let early = is_held(&ledger, "beside", NOW);
+    ledger.crashed(print("culprit"), &id(3), NOW);
+
+    assert!(!early);
+    assert!(!is_held(&ledger, "beside", NOW));
+}
+
+// A request that thousands of callers send is under way somewhere whenever an upstream crashes.
+#[test]
+fn a_request_that_runs_whole_in_between_is_not_blamed() {
+    let mut ledger = Ledger::default();
+    for upstream in 1..=6 {
+        let now = NOW + upstream as Millis * 1_000;
+        for name in ["popular", "culprit"] {
+            ledger.crashed(print(name), &id(upstream), now);
+        }
+        ledger.whole(print("popular"), now + 100);
+    }
+
+    let now = NOW + 10_000;
+    assert_eq!(ledger.verdict(print("popular"), now), Verdict::Free);
+    assert!(is_held(&ledger, "culprit", now));
+}
+
+// An instance that has seen a request run whole says so, since others still count its crashes.
+#[test]
+fn others_hear_that_a_request_ran_whole() {
+    let (mut one, mut other) = (Ledger::default(), Ledger::default());
+    for upstream in 1..=3 {
+        one.crashed(print("a"), &id(upstream), NOW);
+    }
+    other.heard(one.own(), NOW);
+    let held = is_held(&other, "a", NOW);
+
+    other.whole(print("a"), NOW + 500);
+    one.heard(other.own(), NOW + 600);
+
+    assert!(held);
+    assert_eq!(one.verdict(print("a"), NOW + 600), Verdict::Free);
+    let changes = one.changes();
+    let changes: Vec<_> = changes.iter().map(|change| change.quarantined).collect();
+    assert_eq!(changes, [true, false]);
+}
+
+// An upstream that was mended would never get the request again.
+#[test]
+fn a_quarantine_ends_when_its_crashes_are_old() {
+    let mut ledger = Ledger::default();
+    for (upstream, at) in [(1, NOW), (2, NOW + 1_000), (3, NOW + 2_000)] {
+        ledger.crashed(print("a"), &id(upstream), at);
+    }
+
+    let left = ledger.verdict(print("a"), NOW + 2_000);
+    let later = ledger.verdict(print("a"), NOW + KEEP);
+    ledger.crashed(print("a"), &id(4), NOW + KEEP + 10);
+
+    assert_eq!(left, Verdict::Quarantined(KEEP - 2_000));
+    assert_eq!(later, Verdict::Suspect);
+    assert!(is_held(&ledger, "a", NOW + KEEP + 10));
+    ledger.prune(NOW + KEEP * 2 + 20);
+    assert!(ledger.is_empty());
+}
+
+// The clock of the instance that saw a crash is far ahead, and the request would be held for as long.
+#[test]
+fn a_clock_that_is_ahead_holds_nothing_for_longer() {
+    let mut ledger = Ledger::default();
+    let ahead = NOW + 10 * KEEP;
+    let crashes: Vec<_> = (1..=3).map(|at| crash("a", at, ahead)).collect();
+
+    ledger.heard(&report(&crashes), NOW);
+
+    assert_eq!(ledger.verdict(print("a"), NOW), Verdict::Quarantined(KEEP));
+}
+
+// 600 upstreams crash at the same moment with a dozen requests each, again and again. What is known must
+// stay small, and what is quarantined must stay known, to others as well.
+#[test]
+fn a_flood_of_crashes_stays_bounded_and_pushes_out_nothing_that_is_quarantined() {
+    let mut ledger = Ledger::default();
+    for upstream in 1..=3 {
+        ledger.crashed(print("a"), &id(upstream), NOW);
+    }
+    let begun = std::time::Instant::now();
+
+    for at in 0..40_000 {
+        let now = NOW + at / 100;
+        ledger.crashed(
+            print(&format!("flood {at}")),
+            &id(100 + at as usize / 12),
+            now,
+        );
+    }
+
+    assert!(is_held(&ledger, "a", NOW + 400));
+    let own = ledger.own();
+    assert_eq!(own.crashes.len(), MOST);
+    let kept = own.crashes.iter().filter(|crash| crash.print == print("a"));
+    assert_eq!(kept.count(), CRASHES);
+    assert!(ledger.len() <= 4_096, "{}", ledger.len());
+    // A second of a part of a core is what all requests of an instance have.
+    assert!(begun.elapsed().as_secs() < 20, "{:?}", begun.elapsed());
+}
+
+#[test]
+fn suspects_keep_apart() {
+    let mut ledger = Ledger::default();
+    let (a, b) = (print("a"), print("b"));
+    ledger.enter(a, &id(1));
+    ledger.enter(a, &id(1));
+    ledger.enter(b, &id(2));
+
+    let of_a: Vec<_> = ledger.taken(a).cloned().collect();
+    ledger.leave(a, "i-1");
+    let of_b: Vec<_> = ledger.taken(b).cloned().collect();
+    ledger.leave(a, "i-1");
+
+    assert_eq!(of_a, [id(2)]);
+    assert_eq!(of_b, [id(1)]);
+    assert_eq!(ledger.taken(b).count(), 0);
+}
+
+/// What happens while a request crashes upstreams: beside which others each crash was, and in which order
+/// an instance hears of it, some of it more than once.
+fn story() -> impl Strategy<Value = (Vec<Vec<usize>>, Vec<usize>)> {
+    let crashes = prop::collection::vec(prop::collection::vec(0..6_usize, 0..4), 3..10);
+    let order = prop::collection::vec(0..1_000_usize, 60);
+    (crashes, order)
+}
+
+proptest! {
+    // Two instances that hear of the same crashes in another order must say the same, or a caller is served or
+    // not by chance; nobody who was beside is blamed once all is known; and whoever crashes upstreams is held
+    // after two more than three at most, if others were beside it now and then only.
+    #[test]
+    fn instances_that_know_the_same_say_the_same((crashes, order) in story()) {
+        let mut all = Vec::new();
+        for (upstream, beside) in crashes.iter().enumerate() {
+            all.push(crash("culprit", upstream, NOW));
+            all.extend(beside.iter().map(|name| crash(&format!("b{name}"), upstream, NOW)));
+        }
+        let mut other = all.clone();
+        for (at, to) in order.iter().enumerate() {
+            let len = other.len();
+            other.swap(at % len, to % len);
+        }
+        let (mut here, mut there) = (Ledger::default(), Ledger::default());
+        here.heard(&report(&all), NOW);
+        for crash in other.iter().chain(&other[..other.len() / 2]) {
+            there.heard(&report(std::slice::from_ref(crash)), NOW);
+        }
+
+        let names = (0..6).map(|name| format!("b{name}"));
+        for name in names.chain(["culprit".to_owned()]) {
+            prop_assert_eq!(here.verdict(print(&name), NOW), there.verdict(print(&name), NOW));
+            if name != "culprit" {
+                prop_assert!(!is_held(&here, &name, NOW), "{} is blamed", name);
+            }
+        }
+        let most = (0..6).map(|name| crashes.iter().filter(|beside| beside.contains(&name)).count());
+        if most.max() < Some(crashes.len() - 1) {
+            prop_assert!(is_held(&here, "culprit", NOW));
+        }
+    }
+
+    // Records of other instances are what they are: old, from clocks that differ, of any size.
+    #[test]
+    fn any_report_leaves_the_ledger_bounded(
+        crashes in prop::collection::vec((0..9_usize, 0..9_usize, 0..u64::MAX), 0..60),
+        wholes in prop::collection::vec((0..9_usize, 0..u64::MAX), 0..9),
+        now in KEEP..NOW,
+    ) {
+        let crashes = crashes.iter().map(|(name, at, time)| crash(&name.to_string(), *at, *time));
+        let wholes = wholes.iter().map(|(name, time)| Whole {
+            print: print(&name.to_string()),
+            at: *time,
+        });
+        let report = Report { crashes: crashes.collect(), wholes: wholes.collect() };
+        let mut ledger = Ledger::default();
+
+        ledger.heard(&report, now);
+
+        prop_assert!(ledger.len() <= 9);
+        prop_assert!(ledger.own() == &Report::default());
+        ledger.prune(now + KEEP + 10_000);
+        prop_assert!(ledger.is_empty());
+    }
+}
