Let all parts of an instance share one watch over crashes

Cause: the ledger's shell stood in the crate node; the product's own entries send requests to upstreams as well and need the same. Change: crate crash (what is noticed, what is told), plat::Single (a key of one writer, guarded against its own late writes), digests of node's requests in node::print. No change of what is decided. Conclusion: one copy, for both programs.

--- /dev/null
+++ b/crates/crash/src/watch.rs
@@ -0,0 +1,218 @@
+//! The ledger of crashes as the parts of an instance share it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clock::Clock;
+use kernel::Millis;
+use parking_lot::Mutex;
+use poison::Change;
+use poison::Ledger;
+use poison::Print;
+use poison::Report;
+use poison::Verdict;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+/// Requests that were at an upstream when it crashed.
+pub const CRASHES: &str = "snipeway_upstream_crashes_total";
+
+/// Requests that are quarantined since upstreams crash under them.
+pub const QUARANTINED: &str = "snipeway_quarantined_requests";
+
+/// Time that the look at an upstream may take: within a region a port that nobody listens on answers
+/// within milliseconds, and one that says nothing in this time says nothing of its process.
+const LOOK: Duration = Duration::from_millis(300);
+
+/// What an instance knows of requests under which upstreams crash.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+///
+/// use crash::Watch;
+/// use poison::{Print, Verdict};
+///
+/// let watch = Arc::new(Watch::default());
+/// let print = || Print::new("GET", "shop.example", "/a", b"", b"");
+/// assert_eq!(watch.verdict(print), Verdict::Free);
+/// watch.crashed(print(), &"i-1".into());
+/// assert_eq!(watch.verdict(print), Verdict::Suspect);
+/// watch.whole(print);
+/// assert_eq!(watch.verdict(print), Verdict::Free);
+/// ```
+#[derive(Default)]
+pub struct Watch {
+    clock: Clock,
+    ledger: Mutex<Ledger>,
+    /// Rings when there is something to tell.
+    news: Notify,
+}
+
+impl Watch {
+    /// What may be done with a request. Its digest is made only where anything is known of any.
+    pub fn verdict(&self, print: impl FnOnce() -> Print) -> Verdict {
+        let ledger = self.ledger.lock();
+        match ledger.is_empty() {
+            true => Verdict::Free,
+            false => ledger.verdict(print(), self.clock.wall()),
+        }
+    }
+
+    /// The time for which a request may not run, if it may not.
+    pub fn quarantine(&self, print: impl FnOnce() -> Print) -> Option<Millis> {
+        match self.verdict(print) {
+            Verdict::Quarantined(left) => Some(left),
+            Verdict::Free | Verdict::Suspect => None,
+        }
+    }
+
+    /// The upstreams that a request had better keep away from: suspects run apart from one another, so that
+    /// the next crash tells the culprit from what was beside it.
+    pub fn apart(&self, print: impl FnOnce() -> Print) -> Vec<Arc<str>> {
+        let ledger = self.ledger.lock();
+        if ledger.is_empty() {
+            return Vec::new();
+        }
+        let print = print();
+        match ledger.verdict(print, self.clock.wall()) {
+            Verdict::Free => Vec::new(),
+            Verdict::Suspect | Verdict::Quarantined(_) => ledger.taken(print).cloned().collect(),
+        }
+    }
+
+    /// Notes that a request goes to an upstream, if it is a suspect.
+    pub fn stay(
+        self: &Arc<Self>,
+        print: impl FnOnce() -> Print,
+        upstream: &Arc<str>,
+    ) -> Option<Stay> {
+        let mut ledger = self.ledger.lock();
+        if ledger.is_empty() {
+            return None;
+        }
+        let print = print();
+        if ledger.verdict(print, self.clock.wall()) == Verdict::Free {
+            return None;
+        }
+        ledger.enter(print, upstream);
+        Some(Stay {
+            watch: self.clone(),
+            print,
+            upstream: upstream.clone(),
+        })
+    }
+
+    /// Notes that an upstream has answered a request whole.
+    pub fn whole(&self, print: impl FnOnce() -> Print) {
+        let mut ledger = self.ledger.lock();
+        if ledger.is_empty() {
+            return;
+        }
+        ledger.whole(print(), self.clock.wall());
+        let changes = ledger.changes();
+        drop(ledger);
+        tell(changes);
+        self.news.notify_one();
+    }
+
+    /// Looks whether an upstream has crashed after the connection of a request broke there, and notes it.
+    ///
+    /// A broken connection alone says nothing of the request: connections are reset, and answers are cut
+    /// off, by upstreams that live on. Nobody listens at the address of one that has crashed. One that `left`
+    /// says is about to leave, or is not listed any more, may have ended by itself.
+    pub fn look(
+        self: &Arc<Self>,
+        id: &str,
+        print: Print,
+        upstream: &Arc<str>,
+        addr: SocketAddr,
+        left: impl FnOnce() -> bool + Send + 'static,
+    ) -> JoinHandle<()> {
+        let (watch, id, upstream) = (self.clone(), id.to_owned(), upstream.clone());
+        tokio::spawn(async move {
+            let refused = net::client::refuses(addr, LOOK).await;
+            let outcome = match (refused, refused && left()) {
+                (true, false) => "crashed",
+                (true, true) => "left",
+                (false, _) => "lives",
+            };
+            let name = print.to_string();
+            log::info!(target: "crash", id = id.as_str(), print = name.as_str(),
+                upstream = &*upstream, outcome; "connection broke");
+            if outcome == "crashed" {
+                watch.crashed(print, &upstream);
+            }
+        })
+    }
+
+    /// Notes that an upstream has crashed while a request was there.
+    pub fn crashed(&self, print: Print, upstream: &Arc<str>) {
+        metrics::counter!(CRASHES).increment(1);
+        let mut ledger = self.ledger.lock();
+        ledger.crashed(print, upstream, self.clock.wall());
+        let changes = ledger.changes();
+        drop(ledger);
+        tell(changes);
+        self.news.notify_one();
+    }
+
+    /// Takes in what another instance has seen.
+    pub fn heard(&self, report: &Report) {
+        let mut ledger = self.ledger.lock();
+        ledger.heard(report, self.clock.wall());
+        let changes = ledger.changes();
+        drop(ledger);
+        tell(changes);
+    }
+
+    /// Forgets what counts no more.
+    pub fn tidy(&self) {
+        let mut ledger = self.ledger.lock();
+        if ledger.is_empty() {
+            return;
+        }
+        ledger.prune(self.clock.wall());
+        let changes = ledger.changes();
+        metrics::gauge!(QUARANTINED).set(ledger.quarantined() as f64);
+        drop(ledger);
+        tell(changes);
+    }
+
+    /// What this instance has seen itself.
+    pub fn own(&self) -> Report {
+        self.ledger.lock().own().clone()
+    }
+
+    /// Waits until this instance may have seen something new.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+}
+
+/// Writes what is believed of requests now and was not.
+fn tell(changes: Vec<Change>) {
+    for change in changes {
+        let print = change.print.to_string();
+        let what = match change.quarantined {
+            true => "request quarantined",
+            false => "request released",
+        };
+        log::warn!(target: "crash", print = print.as_str(), crashes = change.crashes; "{what}");
+    }
+}
+
+/// A suspect at an upstream, for as long as it is there.
+pub struct Stay {
+    watch: Arc<Watch>,
+    print: Print,
+    upstream: Arc<str>,
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        self.watch.ledger.lock().leave(self.print, &self.upstream);
+    }
+}
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -11,6 +11,7 @@
 use batch::Again;
 use batch::Owner;
 use clock::Clock;
+use crash::Watch;
 use kernel::Map;
 use kernel::Millis;
 use kernel::Shards;
@@ -18,11 +19,13 @@
 use place::Fleet;
 use place::Memory;
 use plat::Client;
-use poison::Ledger;
+use poison::Print;
+use table::Listed;
 use table::Plan;
 use table::Roster;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use crate::Dialect;
 use crate::Settings;
@@ -60,9 +63,7 @@
     /// The engines as this instance sees them.
     pub fleet: Mutex<Fleet>,
     /// Which requests crash upstreams.
-    pub poison: Mutex<Ledger>,
-    /// Rings when an upstream has crashed under a request.
-    pub crashes: Notify,
+    pub crashes: Arc<Watch>,
     /// Rings when a place may have become free or an upstream has changed.
     pub room: Notify,
     /// The instances that have entered, this one among them.
@@ -113,8 +114,7 @@
             roster: Mutex::default(),
             plain: Mutex::default(),
             fleet: Mutex::default(),
-            poison: Mutex::default(),
-            crashes: Notify::new(),
+            crashes: Arc::default(),
             room: Notify::new(),
             members: Mutex::default(),
             peers: net::Client::idle(IDLE),
@@ -144,6 +144,16 @@
         })
     }
 
+    /// Looks whether an upstream has crashed after the connection of a request broke there.
+    pub(crate) fn look(self: &Arc<Self>, id: &str, print: Print, one: &Listed) -> JoinHandle<()> {
+        let (app, start) = (self.clone(), one.id.clone());
+        let left = move || {
+            let roster = app.roster.lock();
+            roster.get(&start).is_none_or(|one| one.leaving)
+        };
+        self.crashes.look(id, print, &one.id, one.addr, left)
+    }
+
     /// Notes that this instance's own entry was written.
     pub fn enter(&self, entered: Entered) {
         *self.entered.lock() = Some(entered);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod app;
 pub mod board;
 pub mod control;
-mod crash;
 pub mod dialect;
 pub mod events;
 pub mod forward;
@@ -24,6 +23,7 @@
 pub mod news;
 pub mod owner;
 pub mod peer;
+mod print;
 pub mod refuse;
 pub mod run;
 mod score;
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -22,12 +22,6 @@
 /// Requests for the score of a sample, by outcome.
 pub const SCORES: &str = "snipeway_scores_total";
 
-/// Requests at an upstream when that crashed.
-pub const CRASHES: &str = "snipeway_upstream_crashes_total";
-
-/// Requests that are quarantined since upstreams crash under them.
-pub const QUARANTINED: &str = "snipeway_quarantined_requests";
-
 /// Steps, by what became of them here.
 pub const STEPS: &str = "snipeway_steps_total";
 
@@ -63,8 +57,8 @@
     metrics::describe_counter!(ATTEMPTS, "attempts at upstreams by outcome");
     metrics::describe_counter!(SAMPLES, "samples that ended by outcome");
     metrics::describe_counter!(SCORES, "requests for the score of a sample by outcome");
-    metrics::describe_counter!(CRASHES, "requests at an upstream when that crashed");
-    metrics::describe_gauge!(QUARANTINED, "requests that crash upstreams");
+    metrics::describe_counter!(crash::CRASHES, "requests at an upstream when that crashed");
+    metrics::describe_gauge!(crash::QUARANTINED, "requests that crash upstreams");
     metrics::describe_counter!(STEPS, "steps by what became of them here");
     metrics::describe_counter!(ORDERS, "orders to engines by result");
     metrics::describe_gauge!(PLATFORM, "calls of the platform by kind");
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -17,8 +17,6 @@
 use crate::App;
 use crate::board::Have;
 use crate::board::News;
-use crate::crash;
-use crate::crash::report::REPORTS;
 use crate::member;
 use crate::peer;
 use crate::peer::Heard;
@@ -61,6 +59,9 @@
 /// Time for which a reader that had nothing in time is not asked again, in milliseconds.
 const SHUN: Millis = 3_000;
 
+/// What the keys of the records begin with in which instances say which requests crash upstreams.
+pub(crate) const CRASHES: &str = "snipeway/crash/";
+
 /// Puts a configuration in force unless a newer one is.
 fn apply(app: &App, item: &Item) {
     let plan = match app.dialect.plan(&item.value) {
@@ -254,8 +255,8 @@
             self.strange.clone_from(&strange);
         }
         for item in news.items {
-            if item.key.starts_with(REPORTS) {
-                crash::report::take(app, &item);
+            if item.key.starts_with(CRASHES) {
+                crash::report::take(&app.crashes, &item);
                 continue;
             }
             let former = before.get(&item.key);
@@ -331,9 +332,9 @@
         follower.catch_up(app);
     }
     // Whoever is ready must know which requests crash upstreams, also after a start.
-    let crashes = crash::report::list(app).await?;
+    let crashes = app.plat.list(CRASHES).await?;
     let mut range = app.plat.list(places.upstreams).await?;
-    range.items.extend(crashes);
+    range.items.extend(crashes.items);
     follower.reads += 1;
     // Without them this read is as good.
     let members = match follower.reads.is_multiple_of(MEMBERS) {
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -27,8 +27,8 @@
 use super::write::Written;
 use super::write::write_segment;
 use crate::App;
-use crate::crash;
 use crate::meter;
+use crate::print;
 use crate::run::Ended;
 use crate::run::Run;
 use crate::score;
@@ -199,11 +199,11 @@
     }
 
     fn print(&self, todo: &Todo) -> Print {
-        crash::sample(&self.work.head.host, self.sample(todo))
+        print::sample(&self.work.head.host, self.sample(todo))
     }
 
     fn is_quarantined(&self, todo: &Todo) -> bool {
-        crash::quarantine(self.app, || self.print(todo)).is_some()
+        self.app.crashes.quarantine(|| self.print(todo)).is_some()
     }
 
     /// Lets held samples go that may run again.
@@ -231,7 +231,7 @@
             taken: memory.taken(sample.prompt, draft.last),
             memory,
         };
-        let mut apart = crash::apart(self.app, || self.print(todo));
+        let mut apart = self.app.crashes.apart(|| self.print(todo));
         apart.extend_from_slice(&todo.avoid);
         let any = Want { avoid: &[], ..want };
         let want = Want {
@@ -262,7 +262,7 @@
         };
         let work = self.work.clone();
         let index = todo.job.index;
-        let stay = crash::stay(self.app, || self.print(&todo), &engine.id);
+        let stay = self.app.crashes.stay(|| self.print(&todo), &engine.id);
         self.runs.spawn(async move {
             let _stay = stay;
             let at = index as usize;
--- /dev/null
+++ b/crates/node/src/print.rs
@@ -0,0 +1,25 @@
+//! What requests ask for, whatever their attempts are called.
+
+use batch::Sample;
+use http::header::AUTHORIZATION;
+use http::header::HOST;
+use http::request::Parts;
+use poison::Print;
+
+/// What a request asks for. Its caller is what the request itself says of who sends it: addresses differ
+/// from one connection of a caller to the next.
+pub(crate) fn request(head: &Parts, body: &[u8]) -> Print {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let caller = head.headers.get(AUTHORIZATION);
+    let caller = caller.map_or(&b""[..], |caller| caller.as_bytes());
+    let host = host.to_ascii_lowercase();
+    Print::new(head.method.as_str(), &host, path, caller, body)
+}
+
+/// What a sample asks for.
+pub(crate) fn sample(host: &str, sample: &Sample) -> Print {
+    let host = host.to_ascii_lowercase();
+    Print::new("POST", &host, &sample.path, b"", &sample.body)
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -18,9 +18,9 @@
 use tokio::time::timeout;
 
 use crate::App;
-use crate::crash;
 use crate::events::Events;
 use crate::events::Next;
+use crate::print;
 
 /// Time within which an engine with a free slot begins to answer: ten events of an ordinary engine,
 /// three of a slow one. One that does not is full, cut off or dark, and the sample had better begin
@@ -124,7 +124,7 @@
         let ended = self.attempt(sample, draft, &place).await;
         if ended == Ended::Whole {
             draft.lock().whole = true;
-            crash::whole(&self.app, || crash::sample(&self.host, sample));
+            self.app.crashes.whole(|| print::sample(&self.host, sample));
             let events = draft.lock().last;
             self.app.fleet.lock().whole(sample.expected, events);
         }
@@ -161,9 +161,9 @@
     /// Looks whether the engine has crashed. The sample goes on elsewhere only after that if others know
     /// it for a suspect.
     async fn broke(&self, sample: &Sample) {
-        let print = crash::sample(&self.host, sample);
-        let looking = crash::look(&self.app, &sample.id, print, &self.engine);
-        if crash::verdict(&self.app, || print) != Verdict::Free {
+        let print = print::sample(&self.host, sample);
+        let looking = self.app.look(&sample.id, print, &self.engine);
+        if self.app.crashes.verdict(|| print) != Verdict::Free {
             // A look that panicked has noted nothing.
             let _ = looking.await;
         }
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -4,6 +4,7 @@
 use std::sync::OnceLock;
 
 use bytes::Bytes;
+use crash::Stay;
 use http::HeaderValue;
 use http::Request;
 use http::Uri;
@@ -17,9 +18,8 @@
 use table::Listed;
 
 use crate::App;
-use crate::crash;
-use crate::crash::Stay;
 use crate::dialect::Caller;
+use crate::print;
 
 /// Time kept back for the way of the answer to the caller, in milliseconds: a few each way within a
 /// region, and the rest for our own work.
@@ -82,28 +82,28 @@
     pub(crate) fn print(&self) -> Print {
         *self
             .print
-            .get_or_init(|| crash::print(&self.head, &self.body))
+            .get_or_init(|| print::request(&self.head, &self.body))
     }
 
     /// What may be done with it.
     pub(crate) fn verdict(&self) -> Verdict {
-        crash::verdict(&self.app, || self.print())
+        self.app.crashes.verdict(|| self.print())
     }
 
     /// The time for which it may not run, if it may not.
     pub(crate) fn quarantine(&self) -> Option<Millis> {
-        crash::quarantine(&self.app, || self.print())
+        self.app.crashes.quarantine(|| self.print())
     }
 
     /// Notes that an upstream has answered it whole.
     pub(crate) fn whole(&self) {
-        crash::whole(&self.app, || self.print());
+        self.app.crashes.whole(|| self.print());
     }
 
     /// Looks whether an upstream has crashed after the connection broke there. A suspect waits for it: it
     /// must not go on to another one before that.
     pub(crate) async fn broke(&self, one: &Arc<Listed>) {
-        let looking = crash::look(&self.app, &self.id, self.print(), one);
+        let looking = self.app.look(&self.id, self.print(), one);
         if self.verdict() != Verdict::Free {
             // A look that panicked has noted nothing.
             let _ = looking.await;
@@ -142,7 +142,7 @@
         let app = &self.app;
         let roster = app.roster.lock();
         let slots = roster.of(service).map(|one| one.slots).max().unwrap_or(0);
-        let mut apart = crash::apart(app, || self.print());
+        let mut apart = app.crashes.apart(|| self.print());
         apart.extend_from_slice(used);
         let any = Want {
             service,
@@ -165,7 +165,7 @@
             .choose(&roster, &want, now)
             .or_else(|| plain.choose(&roster, &any, now))?;
         plain.begin(&one.id, 0);
-        let stay = crash::stay(app, || self.print(), &one.id);
+        let stay = app.crashes.stay(|| self.print(), &one.id);
         let app = app.clone();
         Some(Place {
             app,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -14,6 +14,7 @@
 use net::Limits;
 use net::Reply;
 use plat::Client;
+use plat::PlatError;
 use plat::Protocol;
 use plat::budget::Kind;
 use tokio::net::TcpListener;
@@ -27,12 +28,12 @@
 use crate::Dialect;
 use crate::Settings;
 use crate::control;
-use crate::crash;
 use crate::front;
 use crate::hint;
 use crate::member;
 use crate::meter;
 use crate::news;
+use crate::news::Reach;
 use crate::peer;
 use crate::refuse::Refusal;
 use crate::settings;
@@ -130,7 +131,7 @@
         }
         tokio::spawn(control::orphans::reclaim(app.clone()));
         tokio::spawn(tidy(app.clone()));
-        tokio::spawn(crash::report::keep(app.clone()));
+        tokio::spawn(tell_crashes(app.clone()));
         tokio::spawn(count(app.clone()));
         log::info!(target: "start", instance = &*app.me.instance, start = app.me.start,
             domain = &*app.settings.domain; "started");
@@ -214,7 +215,7 @@
     loop {
         sleep(TIDY).await;
         hint::tidy(&app);
-        crash::tidy(&app);
+        app.crashes.tidy();
         let mut all = Vec::new();
         app.shelves.each(|map| all.extend(map.values().cloned()));
         let mut old = Vec::new();
@@ -228,6 +229,17 @@
     }
 }
 
+/// Keeps what this instance has seen of crashes at the platform.
+async fn tell_crashes(app: Arc<App>) {
+    let key = format!("{}{}/{}", news::CRASHES, app.me.instance, app.me.start);
+    let mut reach = Reach::new("record of crashes");
+    let heard = |done: Result<(), &PlatError>| match done {
+        Ok(()) => reach.back(),
+        Err(error) => reach.lost(error),
+    };
+    crash::report::keep(&app.crashes, &app.plat, &key, heard).await;
+}
+
 /// Reports the calls of the platform, which it counts and limits.
 async fn count(app: Arc<App>) {
     loop {
--- a/crates/node/tests/fields.rs
+++ b/crates/node/tests/fields.rs
@@ -34,7 +34,8 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let page = fs::read_to_string(root.join("../../docs/OPERATIONS.md")).unwrap();
     let mut written = BTreeSet::new();
-    for file in files(&root.join("src")) {
+    let written_by = [root.join("src"), root.join("../crash/src")];
+    for file in written_by.iter().flat_map(|folder| files(folder)) {
         let text = fs::read_to_string(&file).unwrap();
         for call in text.split("log::").skip(1) {
             let level = call.split('!').next().unwrap_or_default();
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod proto;
 pub mod protocol;
 pub mod relay;
+pub mod single;
 pub mod watch;
 
 pub use budget::Budget;
@@ -35,4 +36,5 @@
 pub use protocol::Ask;
 pub use protocol::Protocol;
 pub use relay::Relay;
+pub use single::Single;
 pub use watch::Watch;
