Hold requests that crash upstreams in the product's own interface as well

Cause: the same as at the platform's instances: an entry tries one upstream after the other, and other entries know nothing of it. A test showed besides that a sample is at the fifth engine before the first look is over: it went on within a millisecond. Change: calls, orders, completions, samples and scores ask the same watch before each attempt; a refusal of type quarantined says that nothing ran and when to come back. Crashes go to peers with the probes and to the platform, where an entry that starts reads them. A request whose connection broke waits for the look, 20 ms at most while nothing is known of it. Stand-ins can end as a process does. Conclusion: one decision for both dialects.

--- a/crates/crash/src/watch.rs
+++ b/crates/crash/src/watch.rs
@@ -14,6 +14,8 @@
 use poison::Verdict;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Requests that were at an upstream when it crashed.
 pub const CRASHES: &str = "snipeway_upstream_crashes_total";
@@ -25,6 +27,15 @@
 /// within milliseconds, and one that says nothing in this time says nothing of its process.
 const LOOK: Duration = Duration::from_millis(300);
 
+/// Pause before the look: a process that ends closes its sockets one after the other, and the one that it
+/// listens on may be the last.
+const CLOSING: Duration = Duration::from_millis(5);
+
+/// Time that a request of which nothing is known waits for the look before it goes on elsewhere: enough for an
+/// answer within a region. One that ends its upstreams within a millisecond would else be at the fifth of
+/// them before the first look is over; an upstream that is cut off answers no look at all.
+const WAIT: Duration = Duration::from_millis(20);
+
 /// What an instance knows of requests under which upstreams crash.
 ///
 /// # Examples
@@ -118,12 +129,30 @@
         self.news.notify_one();
     }
 
-    /// Looks whether an upstream has crashed after the connection of a request broke there, and notes it.
+    /// Looks whether an upstream has crashed after the connection of a request broke there, and notes it. The
+    /// request goes on elsewhere behind this: at once when the look is over, or soon when nothing is known of it.
     ///
     /// A broken connection alone says nothing of the request: connections are reset, and answers are cut
     /// off, by upstreams that live on. Nobody listens at the address of one that has crashed. One that `left`
     /// says is about to leave, or is not listed any more, may have ended by itself.
-    pub fn look(
+    pub async fn broke(
+        self: &Arc<Self>,
+        id: &str,
+        print: Print,
+        upstream: &Arc<str>,
+        addr: SocketAddr,
+        left: impl FnOnce() -> bool + Send + 'static,
+    ) {
+        let looking = self.look(id, print, upstream, addr, left);
+        let wait = match self.verdict(|| print) {
+            Verdict::Free => WAIT,
+            Verdict::Suspect | Verdict::Quarantined(_) => CLOSING + LOOK,
+        };
+        // A look that takes longer goes on; one that panicked has noted nothing.
+        let _ = timeout(wait, looking).await;
+    }
+
+    fn look(
         self: &Arc<Self>,
         id: &str,
         print: Print,
@@ -133,6 +162,7 @@
     ) -> JoinHandle<()> {
         let (watch, id, upstream) = (self.clone(), id.to_owned(), upstream.clone());
         tokio::spawn(async move {
+            sleep(CLOSING).await;
             let refused = net::client::refuses(addr, LOOK).await;
             let outcome = match (refused, refused && left()) {
                 (true, false) => "crashed",
--- a/crates/fleet/src/rumour.rs
+++ b/crates/fleet/src/rumour.rs
@@ -2,6 +2,7 @@
 
 use kernel::Map;
 use kernel::Name;
+use poison::Report;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -43,6 +44,15 @@
         /// Milliseconds since 1970 at the instance that asked it.
         at: u64,
     },
+    /// What an instance has seen of crashes under requests.
+    Crashes {
+        /// The instance.
+        from: Name,
+        /// Milliseconds since 1970 at that instance.
+        at: u64,
+        /// What it has seen.
+        report: Report,
+    },
     /// What customers ask of one instance, for the split of their limits.
     Demand {
         /// The instance.
@@ -65,6 +75,8 @@
     Demand(Name),
     /// What an engine states.
     Engine(Name),
+    /// What an instance has seen of crashes.
+    Crashes(Name),
 }
 
 impl Rumour {
@@ -74,6 +86,7 @@
             Self::Member(member) => About::Member(member.name.clone()),
             Self::Upstream { name, .. } => About::Upstream(name.clone()),
             Self::Engine { name, .. } => About::Engine(name.clone()),
+            Self::Crashes { from, .. } => About::Crashes(from.clone()),
             Self::Demand { from, .. } => About::Demand(from.clone()),
         }
     }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,6 +6,7 @@
 use kernel::Map;
 use kernel::Millis;
 use kernel::Name;
+use poison::Report;
 
 use crate::Life;
 use crate::Member;
@@ -93,6 +94,8 @@
     upstreams: Map<Name, (bool, u64)>,
     /// When the newest that is known of each engine was seen.
     engines: Map<Name, u64>,
+    /// When the newest report of crashes of each instance was made.
+    reports: Map<Name, u64>,
 }
 
 impl View {
@@ -108,6 +111,7 @@
             demands: Map::default(),
             upstreams: Map::default(),
             engines: Map::default(),
+            reports: Map::default(),
         }
     }
 
@@ -260,7 +264,8 @@
         let new = match &rumour {
             Rumour::Member(member) => return self.hear_member(member, now),
             Rumour::Upstream { name, leaving, at } => self.hear_upstream(name, *leaving, *at),
-            Rumour::Engine { name, at, .. } => self.hear_engine(name, *at),
+            Rumour::Engine { name, at, .. } => is_newer(&mut self.engines, name, *at),
+            Rumour::Crashes { from, at, .. } => is_newer(&mut self.reports, from, *at),
             Rumour::Demand { from, turn, rates } => self.hear_demand(from, *turn, rates, now),
         };
         if new {
@@ -309,13 +314,6 @@
         true
     }
 
-    fn hear_engine(&mut self, name: &Name, at: u64) -> bool {
-        let known = self.engines.entry(name.clone()).or_insert(0);
-        let news = at > *known;
-        *known = at.max(*known);
-        news
-    }
-
     fn hear_demand(&mut self, from: &Name, turn: u64, rates: &[Demand], now: Millis) -> bool {
         if *from == self.me.name {
             return false;
@@ -336,6 +334,12 @@
         self.broadcast.add(Rumour::Demand { from, turn, rates });
     }
 
+    /// Reports to its peers what this instance has seen of crashes.
+    pub fn crashes(&mut self, at: u64, report: Report) {
+        let from = self.me.name.clone();
+        self.broadcast.add(Rumour::Crashes { from, at, report });
+    }
+
     /// What other live instances reported of a customer.
     pub fn demands(&self, customer: &str, now: Millis) -> Vec<f64> {
         let rate = |wanted: &Wanted| {
@@ -361,6 +365,14 @@
     }
 }
 
+/// Notes when something was seen; tells whether that is later than what was known.
+fn is_newer(known: &mut Map<Name, u64>, name: &Name, at: u64) -> bool {
+    let known = known.entry(name.clone()).or_insert(0);
+    let news = at > *known;
+    *known = at.max(*known);
+    news
+}
+
 fn probe(member: &Member) -> Probe {
     Probe {
         name: member.name.clone(),
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -25,7 +25,6 @@
 use table::Roster;
 use tokio::sync::Notify;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 
 use crate::Dialect;
 use crate::Settings;
@@ -145,13 +144,13 @@
     }
 
     /// Looks whether an upstream has crashed after the connection of a request broke there.
-    pub(crate) fn look(self: &Arc<Self>, id: &str, print: Print, one: &Listed) -> JoinHandle<()> {
+    pub(crate) async fn broke(self: &Arc<Self>, id: &str, print: Print, one: &Listed) {
         let (app, start) = (self.clone(), one.id.clone());
         let left = move || {
             let roster = app.roster.lock();
             roster.get(&start).is_none_or(|one| one.leaving)
         };
-        self.crashes.look(id, print, &one.id, one.addr, left)
+        self.crashes.broke(id, print, &one.id, one.addr, left).await;
     }
 
     /// Notes that this instance's own entry was written.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -13,7 +13,6 @@
 use kernel::Millis;
 use parking_lot::Mutex;
 use place::Want;
-use poison::Verdict;
 use table::Listed;
 use tokio::time::timeout;
 
@@ -140,7 +139,8 @@
         if let Ended::Broken(why) = &ended
             && BROKE.contains(why)
         {
-            self.broke(sample).await;
+            let print = print::sample(&self.host, sample);
+            self.app.broke(&sample.id, print, &self.engine).await;
         }
         let took = self.app.clock.now() - begun;
         let outcome = match &ended {
@@ -158,17 +158,6 @@
         ended
     }
 
-    /// Looks whether the engine has crashed. The sample goes on elsewhere only after that if others know
-    /// it for a suspect.
-    async fn broke(&self, sample: &Sample) {
-        let print = print::sample(&self.host, sample);
-        let looking = self.app.look(&sample.id, print, &self.engine);
-        if self.app.crashes.verdict(|| print) != Verdict::Free {
-            // A look that panicked has noted nothing.
-            let _ = looking.await;
-        }
-    }
-
     async fn attempt(&self, sample: &Sample, draft: &Mutex<Draft>, place: &Place<'_>) -> Ended {
         let last = draft.lock().last;
         let dialect = &self.app.dialect;
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -100,14 +100,9 @@
         self.app.crashes.whole(|| self.print());
     }
 
-    /// Looks whether an upstream has crashed after the connection broke there. A suspect waits for it: it
-    /// must not go on to another one before that.
-    pub(crate) async fn broke(&self, one: &Arc<Listed>) {
-        let looking = self.app.look(&self.id, self.print(), one);
-        if self.verdict() != Verdict::Free {
-            // A look that panicked has noted nothing.
-            let _ = looking.await;
-        }
+    /// Looks whether an upstream has crashed after the connection broke there.
+    pub(crate) async fn broke(&self, one: &Listed) {
+        self.app.broke(&self.id, self.print(), one).await;
     }
 
     /// Time that an upstream may still use.
--- a/crates/plat/src/keys.rs
+++ b/crates/plat/src/keys.rs
@@ -23,6 +23,9 @@
 /// Shards of the journal of non-idempotent requests.
 pub const JOURNAL: &str = "/snipeway/once/";
 
+/// What instances have seen of crashes under requests, one a start of an instance.
+pub const CRASHES: &str = "/snipeway/crashes/";
+
 /// The platform's list of upstreams that are leaving.
 pub const LEAVING: &str = "/instances/leaving/";
 
@@ -49,6 +52,11 @@
     format!("{WEIGHTS}{model}")
 }
 
+/// The key of what one start of an instance has seen of crashes.
+pub fn crashes(instance: &str, start: u64) -> String {
+    format!("{CRASHES}{instance}/{start}")
+}
+
 /// The key of a step's head.
 pub fn step(step: &str) -> String {
     format!("{STEPS}{step}/head")
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -9,6 +9,7 @@
 use contract::Revision;
 use contract::book::InForce;
 use contract::book::Offer;
+use crash::Watch;
 use fleet::Life;
 use fleet::Member;
 use fleet::View;
@@ -62,6 +63,8 @@
     pub leave: Notify,
     /// Weight versions, on an instance that has a disk.
     pub cache: Option<Cache>,
+    /// Which requests crash upstreams.
+    pub crashes: Arc<Watch>,
     /// What happened lately.
     pub history: History,
     /// One more than the monotonic time at which the contracts were last known to be the newest;
@@ -97,6 +100,7 @@
             drain: Drain::default(),
             leaving: AtomicBool::new(false),
             leave: Notify::new(),
+            crashes: Arc::default(),
             history: History::default(),
             cache: settings
                 .weights
--- a/crates/serve/src/complete.rs
+++ b/crates/serve/src/complete.rs
@@ -15,6 +15,7 @@
 use net::body;
 use net::body::Sender;
 use net::events;
+use poison::Print;
 use route::Attempt;
 use route::Kind;
 use route::Next;
@@ -31,6 +32,7 @@
 use wire::caller::Completed;
 use wire::caller::Completion;
 use wire::caller::Usage;
+use wire::engine::GENERATE;
 use wire::engine::Generate;
 use wire::problem::Type;
 
@@ -44,6 +46,7 @@
 use crate::limits;
 use crate::limits::Passage;
 use crate::refuse;
+use crate::suspect::Sent;
 use crate::trace::Trace;
 
 /// Serves `/v1/completions`.
@@ -144,8 +147,11 @@
         blocks: blocks(&job.asked.prompt),
         ..Ask::default()
     };
+    let sent = sent(job, trace);
     job.dispatcher.earn();
     loop {
+        sent.check(app, ran(trace))?;
+        ask.avoid.extend(sent.apart(app));
         let permit = match job
             .dispatcher
             .acquire(&job.entry, ask.clone(), job.deadline)
@@ -165,7 +171,7 @@
         };
         let upstream = permit.spec.name.clone();
         trace.upstream = Some(upstream.clone());
-        let order = order(job, trace);
+        let order = order(job, &sent, trace);
         trace.attempts += 1;
         let before = assembly.partial().tokens;
         let end = generate::run(app, permit, &order, &mut assembly, sink).await;
@@ -194,10 +200,39 @@
     }
 }
 
-fn order(job: &Job, trace: &Trace) -> generate::Order {
+/// Whether some of a completion may have run.
+fn ran(trace: &Trace) -> Ran {
+    match trace.attempts {
+        0 => Attempt::new().refuse(),
+        _ => Ran::Unknown,
+    }
+}
+
+/// What a completion asks for: the same for each attempt of a customer.
+fn sent(job: &Job, trace: &Trace) -> Sent {
+    let Completion {
+        model,
+        prompt,
+        max_tokens,
+        seed,
+        temperature,
+        top_p,
+        stop,
+        ..
+    } = &job.asked;
+    let how = format!("{max_tokens} {seed:?} {temperature:?} {top_p:?} {stop:?} {prompt}");
+    let customer = job.entry.customer.as_bytes();
+    Sent {
+        print: Print::new("POST", model, GENERATE, customer, how.as_bytes()),
+        id: trace.id.to_string(),
+    }
+}
+
+fn order(job: &Job, sent: &Sent, trace: &Trace) -> generate::Order {
     let attempt = trace.id.attempt(trace.attempts);
     generate::Order {
         attempt,
+        sent: sent.clone(),
         generate: Generate {
             attempt,
             prompt: job.asked.prompt.clone(),
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -21,6 +21,7 @@
 use net::Reply;
 use net::SendError;
 use net::body;
+use poison::Print;
 use route::Attempt;
 use route::Kind;
 use route::Next;
@@ -39,9 +40,11 @@
 use crate::App;
 use crate::auth;
 use crate::dispatcher::Dispatcher;
+use crate::dispatcher::Permit;
 use crate::limits;
 use crate::limits::Passage;
 use crate::refuse;
+use crate::suspect::Sent;
 use crate::trace::Trace;
 
 /// Header by which an upstream says that it is leaving.
@@ -209,9 +212,15 @@
         ..
     } = job;
     let mut ask = Ask::default();
+    let print = print(&job.entry, dispatcher, outbound);
+    let id = trace.id.to_string();
+    let sent = Sent { print, id };
+    let mut before = Ran::No;
     dispatcher.earn();
     loop {
         let attempt = Attempt::new();
+        sent.check(app, before)?;
+        ask.avoid.extend(sent.apart(app));
         let permit = match dispatcher
             .acquire(&job.entry, ask.clone(), outbound.deadline)
             .await
@@ -225,10 +234,15 @@
         let upstream = permit.spec.name.clone();
         trace.upstream = Some(upstream.clone());
         trace.attempts += 1;
-        let (ran, why) = match send(app, dispatcher, outbound, permit, attempt).await {
+        let stay = sent.stay(app, &permit.spec);
+        let (ran, why) = match send(app, job, &sent, permit, attempt).await {
             Ok(answer) => return Ok(answer),
             Err(failed) => failed,
         };
+        drop(stay);
+        if ran == Ran::Unknown {
+            before = ran;
+        }
         trace.note(format!("attempt {} at {upstream}: {why}", trace.attempts));
         let failure = Failure {
             ran,
@@ -260,14 +274,33 @@
     }
 }
 
+/// What a call asks for: the same for each attempt of a customer.
+fn print(entry: &Entry, dispatcher: &Dispatcher, outbound: &Outbound) -> Print {
+    let method = outbound.method.as_str();
+    let customer = entry.customer.as_bytes();
+    Print::new(
+        method,
+        &dispatcher.name,
+        &outbound.path,
+        customer,
+        &outbound.body,
+    )
+}
+
 async fn send(
     app: &App,
-    dispatcher: &Arc<Dispatcher>,
-    outbound: &Outbound,
-    permit: crate::dispatcher::Permit,
+    job: &Job,
+    sent: &Sent,
+    permit: Permit,
     attempt: Attempt<Unsent>,
 ) -> Result<Response<Bytes>, (Ran, String)> {
-    let uri = net::client::uri(permit.spec.addr, &outbound.path);
+    let Job {
+        dispatcher,
+        outbound,
+        ..
+    } = job;
+    let spec = permit.spec.clone();
+    let uri = net::client::uri(spec.addr, &outbound.path);
     let mut request = Request::new(Full::new(outbound.body.clone()));
     *request.method_mut() = outbound.method.clone();
     *request.headers_mut() = outbound.headers.clone();
@@ -288,6 +321,7 @@
             }
             permit.end(!failed(answer.status()));
             attempt.answer();
+            sent.whole(app);
             Ok(answer)
         }
         Err(SendError::Unconnected) => {
@@ -301,6 +335,9 @@
         }
         Err(error) => {
             permit.end(false);
+            if matches!(error, SendError::Broken) {
+                sent.broke(app, &spec).await;
+            }
             Err((attempt.fail(), error.to_string()))
         }
     }
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -25,6 +25,7 @@
 
 use crate::App;
 use crate::dispatcher::Permit;
+use crate::suspect::Sent;
 
 /// Silence after which a stream counts as cut. An engine that holds a request back for want of a
 /// slot sends nothing either, so this is long.
@@ -85,6 +86,8 @@
     pub attempt: AttemptId,
     /// The request, without what is there already.
     pub generate: Generate,
+    /// What is sent, for what upstreams do under it.
+    pub(crate) sent: Sent,
     /// Lowest weight version that will do.
     pub floor: u64,
     /// When it has to be over, on the monotonic clock.
@@ -101,12 +104,19 @@
 ) -> End {
     assembly.restart(order.attempt);
     let left = order.deadline.saturating_sub(app.clock.now());
+    let stay = order.sent.stay(app, &permit.spec);
     let whole = attempt(app, &permit, order, assembly, sink);
     let end = match tokio::time::timeout(Duration::from_millis(left), whole).await {
         Ok(end) => end,
         Err(_) => End::Early(Ran::Unknown, Why::Silent),
     };
     learn(app, &permit, assembly.version());
+    match &end {
+        End::Whole => order.sent.whole(app),
+        End::Early(Ran::Unknown, Why::Cut) => order.sent.broke(app, &permit.spec).await,
+        End::Early(..) | End::Unwanted => (),
+    }
+    drop(stay);
     judge(app, permit, &end);
     end
 }
--- a/crates/serve/src/gossip.rs
+++ b/crates/serve/src/gossip.rs
@@ -15,6 +15,7 @@
 use http::header::CONTENT_TYPE;
 use http_body_util::Full;
 use net::SendError;
+use poison::Report;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use wire::peer;
@@ -99,10 +100,12 @@
 /// Probes peers until the instance leaves.
 pub async fn run(app: Arc<App>) {
     let mut told = Vec::new();
+    let mut crashes = Report::default();
     let mut turn = 0;
     loop {
         turn += 1;
         second(&app, turn, &mut told);
+        tell_crashes(&app, &mut crashes);
         let probes = app.view.lock().tick(app.clock.now());
         for probe in probes {
             let app = app.clone();
@@ -114,6 +117,16 @@
     }
 }
 
+/// Tells peers of crashes if there is something new.
+fn tell_crashes(app: &App, told: &mut Report) {
+    app.crashes.tidy();
+    let report = app.crashes.own();
+    if report != *told {
+        *told = report.clone();
+        app.view.lock().crashes(app.clock.wall(), report);
+    }
+}
+
 /// What is done once a second: demands are measured, shares adapted.
 fn second(app: &App, turn: u64, told: &mut Vec<fleet::rumour::Demand>) {
     let demands = limits::second(app);
@@ -234,6 +247,7 @@
                 poll::believe(dispatcher, name, *version, *leaving);
             }
         }
+        Rumour::Crashes { report, .. } => app.crashes.heard(report),
         Rumour::Member(_) | Rumour::Demand { .. } => (),
     }
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod server;
 pub mod settings;
 pub mod steps;
+mod suspect;
 pub mod sync;
 pub mod trace;
 pub mod weights;
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -16,6 +16,7 @@
 use crate::meter;
 use crate::poll;
 use crate::router::router;
+use crate::suspect;
 use crate::sync;
 
 /// Time for which an instance that leaves still accepts: the balancer asks for readiness now and
@@ -84,6 +85,7 @@
             tokio::spawn(gossip::run(app.clone())),
             tokio::spawn(sync::run(app.clone())),
             tokio::spawn(poll::run(app.clone())),
+            tokio::spawn(suspect::run(app.clone())),
         ];
         log::info!(
             target: "entry",
--- a/crates/serve/src/steps/sample.rs
+++ b/crates/serve/src/steps/sample.rs
@@ -6,12 +6,14 @@
 use contract::book::InForce;
 use kernel::Millis;
 use limit::order::Entry;
+use poison::Print;
 use route::pool::Ask;
 use route::prefix::blocks;
 use step::Assembly;
 use step::assembly::Partial;
 use step::run::Begin;
 use step::run::Kept;
+use wire::engine::GENERATE;
 use wire::engine::Generate;
 
 use super::score;
@@ -25,6 +27,7 @@
 use crate::limits;
 use crate::limits::Passage;
 use crate::meter;
+use crate::suspect::Sent;
 
 /// Time that a sample may take at one engine.
 const LIMIT: Millis = 10 * 60_000;
@@ -64,6 +67,12 @@
         give_back(work, index, ordinal, begin.partial, PAUSE).await;
         return;
     };
+    let sent = sent(work, &begin);
+    if app.crashes.quarantine(|| sent.print).is_some() {
+        // The step keeps it until its trainer ends the step.
+        give_back(work, index, ordinal, begin.partial, PLACE).await;
+        return;
+    }
     let passage = match limits::pass_sample(app, &held, f64::from(begin.tokens)) {
         Ok(passage) => passage,
         Err(after) => {
@@ -79,7 +88,17 @@
             return;
         }
     };
-    run(app, work, begin, permit, &passage).await;
+    run(app, work, begin, sent, permit, &passage).await;
+}
+
+/// What a sample asks for: the same for each attempt of its step.
+fn sent(work: &Work, begin: &Begin) -> Sent {
+    let (customer, model) = (work.customer().as_bytes(), &work.dispatcher.name);
+    let how = format!("{} {} {}", begin.index, begin.tokens, begin.prompt);
+    Sent {
+        print: Print::new("POST", model, GENERATE, customer, how.as_bytes()),
+        id: work.request.to_string(),
+    }
 }
 
 async fn give_back(work: &Work, index: u32, ordinal: u32, partial: Partial, pause: Millis) {
@@ -97,22 +116,32 @@
         cost: f64::from(left.max(1)),
     };
     let avoid = work.avoid.lock().get(&begin.index).cloned();
+    let mut avoid: Vec<_> = avoid.into_iter().collect();
+    avoid.extend(sent(work, begin).apart(app));
     let ask = Ask {
         blocks: blocks(&begin.prompt),
         version: begin.version,
-        avoid: avoid.into_iter().collect(),
+        avoid,
     };
     let deadline = app.clock.now() + LIMIT;
     let permit = work.dispatcher.acquire(&entry, ask, deadline).await;
     permit.map_err(|refusal| refusal.after)
 }
 
-async fn run(app: &Arc<App>, work: &Work, begin: Begin, permit: Permit, passage: &Passage) {
+async fn run(
+    app: &Arc<App>,
+    work: &Work,
+    begin: Begin,
+    sent: Sent,
+    permit: Permit,
+    passage: &Passage,
+) {
     let (index, ordinal) = (begin.index, begin.ordinal);
     let engine = permit.spec.name.clone();
     let attempt = work.request.attempt(ordinal);
     let order = generate::Order {
         attempt,
+        sent,
         generate: Generate {
             attempt,
             prompt: begin.prompt.clone(),
--- a/crates/serve/src/steps/score.rs
+++ b/crates/serve/src/steps/score.rs
@@ -7,7 +7,10 @@
 use http::Method;
 use kernel::Millis;
 use limit::order::Entry;
+use net::SendError;
+use net::client::JsonError;
 use net::client::uri;
+use poison::Print;
 use route::Kind;
 use route::pool::Ask;
 use step::Sample;
@@ -17,6 +20,7 @@
 
 use super::work::Work;
 use crate::App;
+use crate::suspect::Sent;
 
 /// Time that a scorer has for one sample.
 const LIMIT: Millis = 5_000;
@@ -34,12 +38,15 @@
     /// The settings know no such service.
     #[error("the settings have no service {0}")]
     Unknown(String),
+    /// Scorers crash under it.
+    #[error("scorers crash under it")]
+    Quarantined,
     /// No scorer can take it now.
     #[error("no scorer can take it now")]
     Busy,
     /// The scorer gave none.
     #[error(transparent)]
-    Scorer(#[from] net::client::JsonError),
+    Scorer(#[from] JsonError),
 }
 
 /// Asks for the score of a sample until there is one, or the contract lets it pass without.
@@ -57,7 +64,7 @@
         let Some(scorer) = &contract.scorer else {
             return;
         };
-        match ask(app, contract, scorer, prompt, &sample.text).await {
+        match ask(app, work, contract, scorer, prompt, &sample.text).await {
             Ok(score) => {
                 sample.score = Some(score);
                 return;
@@ -82,6 +89,7 @@
 
 async fn ask(
     app: &App,
+    work: &Work,
     contract: &Contract,
     scorer: &str,
     prompt: &str,
@@ -96,8 +104,21 @@
         class: contract.class,
         cost: 1.0,
     };
+    let customer = contract.customer.as_bytes();
+    let how = format!("{prompt} {text}");
+    let sent = Sent {
+        print: Print::new("POST", scorer, SCORE, customer, how.as_bytes()),
+        id: work.request.to_string(),
+    };
+    if app.crashes.quarantine(|| sent.print).is_some() {
+        return Err(ScoreError::Quarantined);
+    }
     let deadline = app.clock.now() + LIMIT;
-    let permit = dispatcher.acquire(&entry, Ask::default(), deadline).await;
+    let apart = Ask {
+        avoid: sent.apart(app),
+        ..Ask::default()
+    };
+    let permit = dispatcher.acquire(&entry, apart, deadline).await;
     let permit = permit.map_err(|_| ScoreError::Busy)?;
     let asked = Score {
         prompt: prompt.into(),
@@ -105,7 +126,15 @@
     };
     let uri = uri(permit.spec.addr, SCORE);
     let limit = Duration::from_millis(LIMIT);
+    let spec = permit.spec.clone();
+    let stay = sent.stay(app, &spec);
     let scored: Result<Scored, _> = app.http.json(Method::POST, &uri, &asked, limit).await;
     permit.end(scored.is_ok());
+    match &scored {
+        Ok(_) => sent.whole(app),
+        Err(JsonError::Send(SendError::Broken)) => sent.broke(app, &spec).await,
+        Err(_) => (),
+    }
+    drop(stay);
     Ok(scored?.score)
 }
--- /dev/null
+++ b/crates/serve/src/suspect.rs
@@ -0,0 +1,98 @@
+//! Requests that crash upstreams, as this instance's parts meet them.
+
+use std::sync::Arc;
+
+use crash::Stay;
+use crash::Watch;
+use kernel::Millis;
+use kernel::Name;
+use plat::PlatError;
+use plat::keys;
+use poison::Print;
+use route::Ran;
+use route::Spec;
+use wire::Problem;
+use wire::problem::Type;
+
+use crate::App;
+
+/// Time within which the crash of an upstream is one and the same, whoever notices it, in milliseconds:
+/// upstreams keep their name, and take some seconds to start again.
+const START: Millis = 5_000;
+
+/// A request on its way to upstreams.
+#[derive(Clone, Debug)]
+pub(crate) struct Sent {
+    /// What it asks for.
+    pub(crate) print: Print,
+    /// Its id, for lines.
+    pub(crate) id: String,
+}
+
+impl Sent {
+    /// Refuses the request if it may not run; `ran` tells whether it may have before.
+    pub(crate) fn check(&self, app: &App, ran: Ran) -> Result<(), Problem> {
+        let Some(left) = app.crashes.quarantine(|| self.print) else {
+            return Ok(());
+        };
+        let problem = Problem::new(Type::Quarantined, ran);
+        match ran {
+            Ran::No => Err(problem.after(left)),
+            Ran::Unknown => Err(problem),
+        }
+    }
+
+    /// The upstreams at which other suspects are.
+    pub(crate) fn apart(&self, app: &App) -> Vec<Name> {
+        let starts = app.crashes.apart(|| self.print);
+        let names = starts.iter().filter_map(|start| start.split_once('@'));
+        names.filter_map(|(name, _)| name.parse().ok()).collect()
+    }
+
+    /// Notes that the request goes to an upstream, if it is a suspect.
+    pub(crate) fn stay(&self, app: &App, spec: &Spec) -> Option<Stay> {
+        app.crashes.stay(|| self.print, &start(app, spec))
+    }
+
+    /// Looks whether an upstream has crashed after the connection broke there.
+    pub(crate) async fn broke(&self, app: &App, spec: &Spec) {
+        let leaving = app.view.lock().leaving(&spec.name).unwrap_or(false);
+        let left = move || leaving;
+        let start = start(app, spec);
+        let looking = app
+            .crashes
+            .broke(&self.id, self.print, &start, spec.addr, left);
+        looking.await;
+    }
+
+    /// Notes that an upstream has answered it whole.
+    pub(crate) fn whole(&self, app: &App) {
+        app.crashes.whole(|| self.print);
+    }
+}
+
+fn start(app: &App, spec: &Spec) -> Arc<str> {
+    format!("{}@{}", spec.name, app.clock.wall() / START).into()
+}
+
+/// Learns what others have seen before, and keeps what this instance sees at the platform.
+pub(crate) async fn run(app: Arc<App>) {
+    let watch: &Watch = &app.crashes;
+    match app.plat.list(keys::CRASHES).await {
+        Ok(range) => range
+            .items
+            .iter()
+            .for_each(|item| crash::report::take(watch, item)),
+        Err(error) => failed(Err(&error)),
+    }
+    let me = app.view.lock().me().clone();
+    let key = keys::crashes(&me.name, me.incarnation);
+    crash::report::keep(watch, &app.plat, &key, failed).await;
+}
+
+fn failed(done: Result<(), &PlatError>) {
+    if let Err(error) = done {
+        let error = error.to_string();
+        log::warn!(target: "crash", error = error.as_str(); "record of crashes not reached");
+    }
+}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -6,6 +6,10 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::Notify;
+
+/// The word that ends a stand-in with [`Fault::fatal`].
+pub const FATAL: &str = "fatal";
 
 /// What goes wrong at a stand-in.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -34,6 +38,8 @@
     pub shuffle: bool,
     /// It says that it is leaving.
     pub leaving: bool,
+    /// It ends as a process does when a body that it reads holds the word [`FATAL`].
+    pub fatal: bool,
 }
 
 impl Fault {
@@ -47,6 +53,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
     now: Arc<Mutex<Fault>>,
+    ended: Arc<Notify>,
+    gone: Arc<Notify>,
 }
 
 impl Faults {
@@ -65,6 +73,24 @@
         f(&mut self.now.lock());
     }
 
+    /// Ends the stand-in as a process does: whoever is connected is cut off, and nobody listens any more.
+    pub async fn end(&self) {
+        self.change(|fault| fault.down = true);
+        self.ended.notify_one();
+        self.gone.notified().await;
+    }
+
+    /// Waits until the stand-in is to end.
+    pub(crate) async fn ended(&self) {
+        self.ended.notified().await;
+    }
+
+    /// Notes that nobody listens any more.
+    pub(crate) fn gone(&self) {
+        self.gone.notify_waiters();
+        self.gone.notify_one();
+    }
+
     /// Waits for the delay that is switched on.
     pub async fn delay(&self) {
         let delay = self.get().delay;
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -21,6 +21,7 @@
 
 use crate::Fault;
 use crate::Faults;
+use crate::fault::FATAL;
 
 /// Path at which the faults of a stand-in are read and replaced.
 pub const FAULT: &str = "/fault";
@@ -69,7 +70,14 @@
     let faults = app.faults().clone();
     let drain = Drain::default();
     let server = net::server::serve(listener, router(&app), Limits::default(), drain.clone());
-    tokio::spawn(server);
+    let ended = faults.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = server => (),
+            () = ended.ended() => (),
+        }
+        ended.gone();
+    });
     Ok(Host {
         addr,
         faults,
@@ -104,6 +112,10 @@
     let faults = app.faults().clone();
     faults.delay().await;
     let fault = faults.get();
+    if fault.fatal && holds(&bytes, FATAL) {
+        faults.end().await;
+        return cut();
+    }
     if fault.down {
         return cut();
     }
@@ -118,6 +130,12 @@
     if fault.mute { cut() } else { reply }
 }
 
+fn holds(bytes: &[u8], word: &str) -> bool {
+    bytes
+        .windows(word.len())
+        .any(|part| part == word.as_bytes())
+}
+
 fn fault(faults: &Faults, call: &Call, bytes: &[u8]) -> Reply {
     if call.method == Method::GET {
         return body::json(StatusCode::OK, &faults.get());
--- a/crates/wire/src/problem.rs
+++ b/crates/wire/src/problem.rs
@@ -36,6 +36,8 @@
     Full,
     /// No upstream can take it now.
     NoUpstream,
+    /// Upstreams crash under it.
+    Quarantined,
     /// The upstream failed.
     Upstream,
     /// The answer is longer than allowed.
@@ -74,6 +76,7 @@
             Self::Late
             | Self::Full
             | Self::NoUpstream
+            | Self::Quarantined
             | Self::Journal
             | Self::Platform
             | Self::Draining => 503,
@@ -96,6 +99,7 @@
             Self::Late => "cannot be done by the deadline",
             Self::Full => "the queue is full",
             Self::NoUpstream => "no upstream can take it now",
+            Self::Quarantined => "upstreams crash under it",
             Self::Upstream => "the upstream failed",
             Self::AnswerTooLarge => "the answer is too large",
             Self::KeyInDoubt => "the key was used and its outcome is not known",
