Let a failure of an upstream clear no request that crashes others

Cause: any whole answer counted as a run; an upstream that fails now and then answers with 500 before it runs anything, which cleared a request under which two others had crashed. Change: only answers that are no failure of the upstream clear.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -306,7 +306,7 @@
     {
         plain.event(&one.id, took as f64);
         drop(plain);
-        sent.whole();
+        sent.answered(answer.status());
         return Came::Answer(answer, signature);
     }
     plain.failed(&one.id, now);
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -7,6 +7,7 @@
 use crash::Stay;
 use http::HeaderValue;
 use http::Request;
+use http::StatusCode;
 use http::Uri;
 use http::request::Parts;
 use http_body_util::Full;
@@ -95,9 +96,12 @@
         self.app.crashes.quarantine(|| self.print())
     }
 
-    /// Notes that an upstream has answered it whole.
-    pub(crate) fn whole(&self) {
-        self.app.crashes.whole(|| self.print());
+    /// Notes that an upstream has answered it whole. A failure of the upstream does not tell that the request
+    /// ran: an upstream that fails now and then would clear each request that crashes others.
+    pub(crate) fn answered(&self, status: StatusCode) {
+        if !status.is_server_error() {
+            self.app.crashes.whole(|| self.print());
+        }
     }
 
     /// Looks whether an upstream has crashed after the connection broke there.
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -181,7 +181,7 @@
         let Ok(bytes) = net::body::read(body, ANSWER).await else {
             return Refusal::Unknown.reply();
         };
-        self.sent.whole();
+        self.sent.answered(head.status);
         let mut reply = Response::new(net::body::full(bytes));
         *reply.status_mut() = head.status;
         *reply.headers_mut() = self.sent.app.dialect.back(&head.headers);
@@ -209,7 +209,7 @@
                     }
                 }
                 Next::End => {
-                    self.sent.whole();
+                    self.sent.answered(StatusCode::OK);
                     return true;
                 }
                 Next::Broken => {
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -321,7 +321,7 @@
             }
             permit.end(!failed(answer.status()));
             attempt.answer();
-            sent.whole(app);
+            sent.answered(app, answer.status());
             Ok(answer)
         }
         Err(SendError::Unconnected) => {
--- a/crates/serve/src/suspect.rs
+++ b/crates/serve/src/suspect.rs
@@ -4,6 +4,7 @@
 
 use crash::Stay;
 use crash::Watch;
+use http::StatusCode;
 use kernel::Millis;
 use kernel::Name;
 use plat::PlatError;
@@ -65,6 +66,14 @@
         looking.await;
     }
 
+    /// Notes that an upstream has answered a call whole. A failure of the upstream does not tell that the call
+    /// ran.
+    pub(crate) fn answered(&self, app: &App, status: StatusCode) {
+        if !status.is_server_error() {
+            self.whole(app);
+        }
+    }
+
     /// Notes that an upstream has answered it whole.
     pub(crate) fn whole(&self, app: &App) {
         app.crashes.whole(|| self.print);
