Weigh all engines once for all samples that begin together

Cause: for each sample that an owner placed it weighed every engine anew, with some six look-ups each, and did so with each run that ended while samples waited. At 3,000 engines that is most of the processor of an instance that has a part of one core. Change: a round weighs the engines of a service once and the cheapest anew before it is taken; an engine is looked up once; after a look that found no place the next one is due 8 ms later. A property test: the same engines as single choices.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -63,6 +63,11 @@
             "Time from an announcement until 10, 100 and 600 engines have it",
             &[],
         ),
+        cmd(
+            "place",
+            "Time of choosing an engine for one sample, by the number of engines",
+            &[],
+        ),
         cmd(
             "spread",
             "Time until a contract is in force on 9 entries",
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 mod journal;
 mod limits;
 mod overhead;
+mod place;
 mod slow;
 mod spread;
 mod surge;
@@ -32,6 +33,10 @@
             "journal" => journal::run().await,
             "limits" => limits::run().await,
             "trainer" => trainer::run(&parsed).await,
+            "place" => {
+                place::run();
+                Ok(())
+            }
             "weights" => weights::run().await,
             _ => spread::run().await,
         }
--- /dev/null
+++ b/crates/bench/src/place.rs
@@ -0,0 +1,113 @@
+//! What choosing an engine for one sample costs, by the number of engines.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+use kernel::Millis;
+use load::Table;
+use place::Fleet;
+use place::Memory;
+use place::Round;
+use place::Want;
+use table::Listed;
+use table::Roster;
+use table::Start;
+
+/// Choices that are timed together.
+const TIMES: u32 = 400;
+
+/// Places of an engine.
+const SLOTS: u32 = 6;
+
+/// A time at which everything is known.
+const NOW: Millis = 10_000;
+
+fn listed(at: usize) -> Listed {
+    let name: Arc<str> = format!("i-{at:010x}").into();
+    Listed {
+        id: name.clone(),
+        start: Start {
+            name,
+            born: None,
+            beats: 1,
+        },
+        service: "fit".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        domain: ["nord", "syd"][at % 2].into(),
+        slots: SLOTS,
+        leaving: false,
+        weights: vec![("large".into(), 7), ("small".into(), 3 + at as u64 % 2)],
+    }
+}
+
+/// Engines all of whose places are taken but one in `free`.
+fn fleet(engines: usize, free: usize) -> (Roster, Fleet) {
+    let all: Vec<_> = (0..engines).map(listed).collect();
+    let mut fleet = Fleet::default();
+    for (at, one) in all.iter().enumerate() {
+        let taken = match at % free {
+            0 => SLOTS - 1,
+            _ => SLOTS,
+        };
+        (0..taken).for_each(|_| fleet.begin(&one.id, 100));
+        fleet.event(&one.id, 30.0 + (at % 17) as f64);
+        fleet.saw(&one.id, &"small".into(), 4);
+    }
+    let mut roster = Roster::default();
+    roster.read(all, NOW);
+    (roster, fleet)
+}
+
+fn want() -> Want<'static> {
+    Want {
+        service: "fit",
+        model: Some("small"),
+        least: 4,
+        queue: 0,
+        domain: "nord",
+        kin: None,
+        avoid: &[],
+        taken: 100,
+        memory: Memory::default(),
+    }
+}
+
+/// Microseconds of one choice among many at the same moment.
+fn together(engines: usize) -> f64 {
+    let (roster, mut fleet) = fleet(engines, 1);
+    let want = want();
+    let begun = Instant::now();
+    let mut round = Round::new(&fleet, &roster, &want, NOW);
+    let mut chosen = 0;
+    while let Some(one) = round.choose(&fleet, &roster, &want, NOW) {
+        fleet.begin(&one.id, want.taken);
+        chosen += 1;
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(chosen)
+}
+
+/// Microseconds of one choice.
+fn choice(engines: usize, free: usize) -> f64 {
+    let (roster, fleet) = fleet(engines, free);
+    let want = want();
+    let begun = Instant::now();
+    for _ in 0..TIMES {
+        black_box(fleet.choose(black_box(&roster), &want, NOW));
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(TIMES)
+}
+
+/// Runs the measurement.
+pub(crate) fn run() {
+    let mut table = Table::default();
+    for engines in [62, 600, 3_000] {
+        for (name, free) in [("one place in ten", 10), ("no place", usize::MAX)] {
+            let row = format!("{engines} engines, {name} free: us a choice");
+            table.row(row, format!("{:.1}", choice(engines, free)));
+        }
+        let row = format!("{engines} engines, a place at each, all taken together: us a choice");
+        table.row(row, format!("{:.1}", together(engines)));
+    }
+    print!("{table}");
+}
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -12,6 +12,7 @@
 use kernel::Map;
 use kernel::Millis;
 use place::Job;
+use place::Round;
 use place::Want;
 use poison::Print;
 use table::Listed;
@@ -36,6 +37,11 @@
 /// Longest pause between two looks at what can be done.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Shortest time between two looks for places after one that found none, in milliseconds: each looks through
+/// all engines, and hundreds of runs end each second. A place stays free for half of it on average, a
+/// thousandth of a run of some seconds.
+const PLACE: Millis = 8;
+
 /// Time after a step's begin for which its samples' scores are asked for when its route is not known any
 /// more, in milliseconds: no trainer waits longer for a step.
 const TTL: Millis = 15_000;
@@ -53,6 +59,14 @@
     score: Option<Arc<str>>,
 }
 
+/// What came of looking for places.
+enum Placed {
+    /// All that could begin has begun.
+    Looked,
+    /// The last look found none a moment ago; the next one is due after this.
+    Later(Duration),
+}
+
 /// A sample that has to run.
 struct Todo {
     job: Job,
@@ -71,6 +85,8 @@
     writes: JoinSet<Written>,
     checks: Checks,
     looks: Looks,
+    /// When no engine had room.
+    blocked: Millis,
     failures: Map<u32, u32>,
     kin: Map<Arc<str>, Arc<str>>,
 }
@@ -110,6 +126,7 @@
             writes: JoinSet::new(),
             checks: Checks::default(),
             looks: Looks::default(),
+            blocked: 0,
             failures: Map::default(),
             kin: Map::default(),
         };
@@ -126,7 +143,10 @@
             if self.work.is_lost() || self.work.has_ended() {
                 return;
             }
-            self.place();
+            let pause = match self.place() {
+                Placed::Looked => TICK,
+                Placed::Later(pause) => pause,
+            };
             if self.write() {
                 return;
             }
@@ -139,7 +159,7 @@
                 Some(()) = self.looks.ended() => (),
                 () = self.work.bell.notified() => (),
                 () = self.app.room.notified() => (),
-                () = sleep(TICK) => (),
+                () = sleep(pause) => (),
             }
         }
     }
@@ -159,22 +179,28 @@
     }
 
     /// Begins as many runs as there is room for.
-    fn place(&mut self) {
+    fn place(&mut self) -> Placed {
+        let due = self.blocked + PLACE;
+        let now = self.app.clock.now();
+        if now < due {
+            return Placed::Later(Duration::from_millis(due - now));
+        }
         self.release();
         if self.todo.is_empty() && self.held.is_empty() {
-            return;
+            return Placed::Looked;
         }
         let Some(route) = self.work.route(self.app) else {
             // Without any configuration nothing is known; with one, the route is gone.
             if self.app.plan.load().is_some() {
                 self.give_up("route gone");
             }
-            return;
+            return Placed::Looked;
         };
-        if self.app.clock.now() > self.work.opened + route.ttl {
+        if now > self.work.opened + route.ttl {
             self.give_up("time to live is over");
-            return;
+            return Placed::Looked;
         }
+        let mut rounds = Map::default();
         while let Some(todo) = self.todo.pop_front() {
             if self.is_quarantined(&todo) {
                 log::warn!(target: "owner", id = &*self.sample(&todo).id, step = &*self.work.step;
@@ -182,16 +208,18 @@
                 self.held.push(todo);
                 continue;
             }
-            match self.choose(&route, &todo) {
+            match self.choose(&route, &todo, &mut rounds) {
                 Some((service, engine)) => self.begin(&route, service, engine, todo),
                 None => {
                     self.todo.push_front(todo);
+                    self.blocked = now;
                     self.looks
                         .begin(self.app, self.work, &route, self.todo.len());
-                    return;
+                    break;
                 }
             }
         }
+        Placed::Looked
     }
 
     fn sample(&self, todo: &Todo) -> &Sample {
@@ -214,7 +242,12 @@
         self.todo.extend::<Vec<_>>(free);
     }
 
-    fn choose(&self, route: &Route, todo: &Todo) -> Option<(Arc<str>, Arc<Listed>)> {
+    fn choose(
+        &self,
+        route: &Route,
+        todo: &Todo,
+        rounds: &mut Map<Arc<str>, Round>,
+    ) -> Option<(Arc<str>, Arc<Listed>)> {
         let service = Plan::draw(route, rand::random())?;
         let at = todo.job.index as usize;
         let sample = &self.work.spec.samples[at];
@@ -241,9 +274,12 @@
         let now = self.app.clock.now();
         let roster = self.app.roster.lock();
         let mut fleet = self.app.fleet.lock();
-        let engine = fleet
-            .choose(&roster, &want, now)
-            .or_else(|| fleet.choose(&roster, &any, now))?;
+        let round = rounds
+            .entry(service.clone())
+            .or_insert_with(|| Round::new(&fleet, &roster, &any, now));
+        let engine = round
+            .choose(&fleet, &roster, &want, now)
+            .or_else(|| round.choose(&fleet, &roster, &any, now))?;
         fleet.begin(&engine.id, want.taken);
         Some((service.clone(), engine))
     }
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -54,6 +54,14 @@
         };
     }
 
+    /// Its pace, or the usual one as long as its own is not known.
+    pub(crate) fn pace_or(&self, usual: f64) -> f64 {
+        match self.pace > 0.0 {
+            true => self.pace,
+            false => usual,
+        }
+    }
+
     /// Notes that the engine answers.
     pub(crate) fn answered(&mut self) {
         self.failures = 0;
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -59,6 +59,17 @@
 /// processor left.
 const PACES: Millis = 80;
 
+/// What came of weighing an engine for a sample.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Weighed {
+    /// It takes no sample of this kind now.
+    Closed,
+    /// It may take others, not this one: it has to keep away, or its prompt does not fit into the memory.
+    Unfit,
+    /// A run of one event costs so many milliseconds.
+    Fits(f64),
+}
+
 /// What is known of the paces of all engines.
 #[derive(Clone, Copy, Debug)]
 struct Paces {
@@ -136,11 +147,7 @@
 
     /// The version of a model's weights that an engine has; [`None`] when it has no such model.
     pub fn version(&self, one: &Listed, model: &str) -> Option<u64> {
-        let listed = one.weights.iter().find(|(name, _)| &**name == model);
-        let listed = listed.map(|(_, version)| *version);
-        let engine = self.engines.get(&one.id);
-        let seen = engine.and_then(|engine| engine.versions.get(model).copied());
-        listed.max(seen)
+        newest(one, self.engines.get(&one.id), model)
     }
 
     /// Notes that a sample is whole, of which `expected` was expected.
@@ -160,10 +167,8 @@
 
     /// The pace of an engine, or the usual one as long as its own is not known.
     fn pace(&self, id: &str, usual: f64) -> f64 {
-        match self.engines.get(id) {
-            Some(engine) if engine.pace > 0.0 => engine.pace,
-            _ => usual,
-        }
+        let engine = self.engines.get(id);
+        engine.map_or(usual, |engine| engine.pace_or(usual))
     }
 
     /// The paces of the engines that were measured, a moment ago at most.
@@ -186,62 +191,85 @@
         new
     }
 
-    fn fits(&self, one: &Listed, want: &Want<'_>, now: Millis) -> bool {
-        if one.leaving || want.avoid.contains(&one.id) {
-            return false;
+    /// Whether an engine can take a sample, and what a run of one event costs there.
+    ///
+    /// Each engine is looked up once, and what rules out most is looked at first: this is done for all
+    /// engines of a service at a time.
+    pub(crate) fn weigh(&self, one: &Listed, want: &Want<'_>, usual: f64, now: Millis) -> Weighed {
+        let slots = one.slots + want.queue;
+        let engine = self.engines.get(&one.id);
+        let (mine, tokens) = engine.map_or((0, 0), |engine| (engine.mine, engine.tokens));
+        if one.leaving || mine >= slots {
+            return Weighed::Closed;
         }
         if let Some(model) = want.model
-            && self.version(one, model) < Some(want.least)
+            && newest(one, engine, model) < Some(want.least)
         {
-            return false;
+            return Weighed::Closed;
         }
-        let slots = one.slots + want.queue;
-        match self.engines.get(&one.id) {
-            Some(engine) => {
-                let memory = want.memory;
-                !engine.rests(now)
-                    // A call had better try than be turned away.
-                    && (want.model.is_none() || !engine.is_on_trial())
-                    && engine.room(slots, now) > 0
-                    && memory.lets_in(engine.tokens, engine.mine, want.taken)
+        if let Some(engine) = engine {
+            // A call had better try than be turned away.
+            let tried = want.model.is_some() && engine.is_on_trial();
+            if engine.rests(now) || tried || engine.room(slots, now) == 0 {
+                return Weighed::Closed;
             }
-            None => slots > 0,
         }
-    }
-
-    /// What a run of one event costs at an engine, in milliseconds.
-    fn cost(&self, one: &Listed, want: &Want<'_>, usual: f64) -> f64 {
-        let far = if *one.domain == *want.domain {
-            0.0
-        } else {
-            FAR
+        if !want.memory.lets_in(tokens, mine, want.taken) || want.avoid.contains(&one.id) {
+            return Weighed::Unfit;
+        }
+        let far = match *one.domain == *want.domain {
+            true => 0.0,
+            false => FAR,
         };
-        let slots = f64::from(self.mine(&one.id)) / f64::from(one.slots.max(1));
-        let tokens = self.engines.get(&one.id).map_or(0, |engine| engine.tokens);
-        let full = slots.max(want.memory.part(tokens));
+        let pace = engine.map_or(usual, |engine| engine.pace_or(usual));
+        let part = f64::from(mine) / f64::from(one.slots.max(1));
+        let full = part.max(want.memory.part(tokens));
         // A fuller engine is a little slower, and the last slots are kept for what comes next.
-        self.pace(&one.id, usual) * (1.0 + 0.2 * full) + far
+        Weighed::Fits(pace * (1.0 + 0.2 * full) + far)
     }
 
-    /// Chooses the engine for a sample; [`None`] when none has room.
-    pub fn choose(&self, roster: &Roster, want: &Want<'_>, now: Millis) -> Option<Arc<Listed>> {
-        let usual = self.paces(now).usual;
-        let fits = |one: &&Arc<Listed>| self.fits(one, want, now);
-        let costs = roster.of(want.service).filter(fits);
-        let costs = costs.map(|one| (self.cost(one, want, usual), one));
-        let cheapest = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.id.cmp(&b.1.id)));
-        let (_, best) = cheapest?;
-        // The kin has the prompt in its cache; it wins unless it has become slow.
+    /// The usual pace of all engines.
+    pub(crate) fn usual(&self, now: Millis) -> f64 {
+        self.paces(now).usual
+    }
+
+    /// Chooses between the cheapest engine and the kin, which has the prompt in its cache: the kin wins
+    /// unless it has become slow.
+    pub(crate) fn or_kin(
+        &self,
+        best: &Arc<Listed>,
+        roster: &Roster,
+        want: &Want<'_>,
+        now: Millis,
+    ) -> Arc<Listed> {
+        let usual = self.usual(now);
         let kin = want.kin.and_then(|kin| roster.get(kin));
-        let kin = kin.filter(fits).filter(|kin| *kin.service == *want.service);
-        match kin {
+        let kin = kin.filter(|kin| *kin.service == *want.service);
+        let fits =
+            |kin: &&Arc<Listed>| matches!(self.weigh(kin, want, usual, now), Weighed::Fits(_));
+        match kin.filter(fits) {
             Some(kin) if self.pace(&kin.id, usual) <= self.pace(&best.id, usual) * FASTER => {
-                Some(kin.clone())
+                kin.clone()
             }
-            _ => Some(best.clone()),
+            _ => best.clone(),
         }
     }
 
+    /// Chooses the engine for a sample; [`None`] when none has room.
+    pub fn choose(&self, roster: &Roster, want: &Want<'_>, now: Millis) -> Option<Arc<Listed>> {
+        let usual = self.usual(now);
+        let costs =
+            roster
+                .of(want.service)
+                .filter_map(|one| match self.weigh(one, want, usual, now) {
+                    Weighed::Fits(cost) => Some((cost, one)),
+                    Weighed::Closed | Weighed::Unfit => None,
+                });
+        let cheapest = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.id.cmp(&b.1.id)));
+        let (_, best) = cheapest?;
+        Some(self.or_kin(best, roster, want, now))
+    }
+
     /// Chooses an engine to which a run with `left` more events had better move, if there is one.
     pub fn better(
         &self,
@@ -274,3 +302,11 @@
         (worth && *best.id != *here).then_some(best)
     }
 }
+
+/// The newest version of a model's weights that an engine is known to have.
+fn newest(one: &Listed, engine: Option<&Engine>, model: &str) -> Option<u64> {
+    let listed = one.weights.iter().find(|(name, _)| &**name == model);
+    let listed = listed.map(|(_, version)| *version);
+    let seen = engine.and_then(|engine| engine.versions.get(model).copied());
+    listed.max(seen)
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod memory;
 mod order;
+mod round;
 mod scale;
 
 pub use engine::Load;
@@ -17,4 +18,5 @@
 pub use memory::Memory;
 pub use order::Job;
 pub use order::order;
+pub use round::Round;
 pub use scale::Scale;
--- a/crates/place/tests/place.rs
+++ b/crates/place/tests/place.rs
@@ -7,6 +7,7 @@
 use place::Job;
 use place::Load;
 use place::Memory;
+use place::Round;
 use place::Want;
 use place::order;
 use table::Listed;
@@ -353,3 +354,62 @@
     assert!(before);
     assert!(fleet.choose(&roster, &growing(300), 0).is_none());
 }
+
+/// A fleet of engines with places, paces and versions that differ.
+fn mixed(engines: &[(u32, u32, u8, u64)]) -> (Roster, Fleet) {
+    let name = |at: usize| format!("e{at:02}");
+    let all = engines.iter().enumerate();
+    let listed = all.map(|(at, (slots, ..))| Listed {
+        domain: ["nord", "syd"][at % 2].into(),
+        ..engine(&name(at), *slots, 1)
+    });
+    let roster = roster(listed.collect());
+    let mut fleet = Fleet::default();
+    for (at, (_, mine, pace, version)) in engines.iter().enumerate() {
+        let id = id(&name(at));
+        (0..*mine).for_each(|_| fleet.begin(&id, 50));
+        if *pace > 0 {
+            fleet.event(&id, f64::from(*pace));
+        }
+        fleet.saw(&id, &"m".into(), *version);
+    }
+    (roster, fleet)
+}
+
+proptest::proptest! {
+    // Thousands of samples that begin together weighed all engines anew each; what is weighed once must give
+    // the same engines.
+    #[test]
+    fn a_round_chooses_as_single_choices_do(
+        engines in proptest::collection::vec((0..5_u32, 0..4_u32, 0..60_u8, 0..3_u64), 1..24),
+        samples in proptest::collection::vec((0..24_usize, 0..24_usize, 0..300_u64, 0..2_u8), 1..60),
+        holds in 0..600_u32,
+    ) {
+        let (roster, mut one) = mixed(&engines);
+        let (_, mut other) = mixed(&engines);
+        let memory = Memory { holds, event: 1 };
+        let mut round = None;
+        for (avoid, kin, taken, has_kin) in samples {
+            let avoid = [id(&format!("e{avoid:02}"))];
+            let kin = format!("e{kin:02}");
+            let want = Want {
+                avoid: &avoid,
+                kin: (has_kin > 0).then_some(&*kin),
+                taken,
+                memory,
+                ..want()
+            };
+            let single = one.choose(&roster, &want, 0);
+            let round = round.get_or_insert_with(|| Round::new(&other, &roster, &want, 0));
+            let together = round.choose(&other, &roster, &want, 0);
+            proptest::prop_assert_eq!(
+                single.as_ref().map(|one| &one.id),
+                together.as_ref().map(|one| &one.id)
+            );
+            if let Some(engine) = single {
+                one.begin(&engine.id, taken);
+                other.begin(&engine.id, taken);
+            }
+        }
+    }
+}
