Hand a step to the next strong instance when one declines it

Cause: many trainers share a route in a large fleet; the instance that takes its steps runs twelve and declines more, and whoever was asked ran them, though it has a fifth of the processor. Change: up to three strong instances are asked, in an order that all share; one that is silent is followed by nobody, since the trainer has waited a second.

--- a/crates/node/src/hand.rs
+++ b/crates/node/src/hand.rs
@@ -4,9 +4,11 @@
 //! owner that runs one step alone knows neither which slots the others of its model take nor how fast
 //! the engines are, and opens new connections to all of them. So the steps of one route go to one
 //! instance of the failure domain, the same in the eyes of all: one of those with the most processor.
-//! When it does not answer, whoever was asked takes the step itself; the write that accepts a step
-//! succeeds once, whoever makes it.
+//! When it runs as many steps as it can, the next one of them is asked, in an order that is the same in the
+//! eyes of all; when one does not answer, or all decline, whoever was asked takes the step itself, however
+//! little processor it has. The write that accepts a step succeeds once, whoever makes it.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use kernel::Millis;
@@ -15,6 +17,7 @@
 use crate::App;
 use crate::member::Member;
 use crate::peer;
+use crate::peer::Handed;
 use crate::steps::accept::Accepted;
 use crate::steps::accept::Submission;
 
@@ -25,12 +28,15 @@
 /// then its entry has lapsed, or it is back.
 const SHUN: Millis = 4_000;
 
-/// The instance that takes the steps of a route, in a failure domain.
+/// Instances that are asked in turn: each is sent the whole step, and one that declines answers at once.
+const ASKED: usize = 3;
+
+/// The instances that take the steps of a route, in a failure domain, the first one first.
 ///
 /// # Examples
 ///
 /// ```
-/// use node::hand::taker;
+/// use node::hand::takers;
 /// use node::member::Member;
 ///
 /// let member = |name: &str, domain: &str, power| Member {
@@ -41,40 +47,58 @@
 ///     power,
 /// };
 /// let members = [member("a", "nord", 12), member("b", "nord", 50), member("c", "syd", 50)];
-/// assert_eq!(taker(&members, "nord", "steps").map(|one| &*one.owner.instance), Some("b"));
-/// assert_eq!(taker(&members, "vest", "steps"), None);
+/// let takers = takers(&members, "nord", "steps");
+/// assert_eq!(takers.len(), 1);
+/// assert_eq!(&*takers[0].owner.instance, "b");
+/// assert!(node::hand::takers(&members, "vest", "steps").is_empty());
 /// ```
-pub fn taker<'a>(members: &'a [Member], domain: &str, route: &str) -> Option<&'a Member> {
+pub fn takers<'a>(members: &'a [Member], domain: &str, route: &str) -> Vec<&'a Member> {
     let near = || {
         let all = members.iter();
         all.filter(|one| one.reads && *one.domain == *domain)
     };
-    let most = near().map(|one| one.power).max()?;
+    let most = near().map(|one| one.power).max().unwrap_or(0);
     let strong = |one: &&Member| f64::from(one.power) >= f64::from(most) * STRONG;
-    near()
-        .filter(strong)
-        .max_by_key(|one| rank(&one.owner.instance, route))
+    let mut takers: Vec<_> = near().filter(strong).collect();
+    takers.sort_by_key(|one| Reverse(rank(&one.owner.instance, route)));
+    takers
 }
 
-/// Hands a step to the instance that takes its route's steps; [`None`] when it is to be taken here.
+/// Hands a step to an instance that takes its route's steps; [`None`] when it is to be taken here.
 pub async fn over(app: &Arc<App>, submission: &Submission) -> Option<Accepted> {
-    let member = {
-        let plan = app.plan.load();
-        let route = plan
-            .as_ref()
-            .and_then(|plan| plan.find(&submission.host, &submission.path))?;
-        let members = app.members.lock();
-        taker(&members, &app.settings.domain, &route.name)?.clone()
-    };
-    let name = &member.owner.instance;
-    if *name == app.me.instance || app.clock.now() < app.shunned(name) {
-        return None;
-    }
-    let accepted = peer::submit(app, member.addr, submission).await;
-    if accepted.is_none() {
-        log::info!(target: "steps", id = &*submission.id, instance = &**name;
+    for member in candidates(app, submission)? {
+        let name = &member.owner.instance;
+        if *name == app.me.instance {
+            return None;
+        }
+        let handed = peer::submit(app, member.addr, submission).await;
+        let outcome = match handed {
+            Handed::Taken(accepted) => return Some(accepted),
+            Handed::Declined => "declined",
+            Handed::Silent => "silent",
+        };
+        log::info!(target: "steps", id = &*submission.id, instance = &**name, outcome;
             "step not handed over");
         app.shun(name, app.clock.now() + SHUN);
+        if matches!(handed, Handed::Silent) {
+            // The trainer has waited a second already.
+            return None;
+        }
     }
-    accepted
+    None
+}
+
+/// The instances to ask, but for those that did not take a step a moment ago.
+fn candidates(app: &App, submission: &Submission) -> Option<Vec<Member>> {
+    let plan = app.plan.load();
+    let route = plan
+        .as_ref()
+        .and_then(|plan| plan.find(&submission.host, &submission.path))?;
+    let members = app.members.lock();
+    let takers = takers(&members, &app.settings.domain, &route.name);
+    let now = app.clock.now();
+    let open = takers
+        .into_iter()
+        .filter(|one| now >= app.shunned(&one.owner.instance));
+    Some(open.take(ASKED).cloned().collect())
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -250,13 +250,23 @@
     }
 }
 
-/// Hands a step over; [`None`] when the other one does not take it, or nothing was heard of it. It
-/// may have accepted the step all the same.
-pub async fn submit(app: &App, to: SocketAddr, submission: &Submission) -> Option<Accepted> {
+/// What came of handing a step over.
+pub enum Handed {
+    /// The other one has answered for it.
+    Taken(Accepted),
+    /// It does not take the step.
+    Declined,
+    /// Nothing was heard of it; it may have accepted the step all the same.
+    Silent,
+}
+
+/// Hands a step over.
+pub async fn submit(app: &App, to: SocketAddr, submission: &Submission) -> Handed {
     let question = Ask::Submit(submission.clone());
-    match ask(app, to, &question, HAND).await? {
-        Told::Submit(accepted) => accepted,
-        _ => None,
+    match ask(app, to, &question, HAND).await {
+        Some(Told::Submit(Some(accepted))) => Handed::Taken(accepted),
+        Some(Told::Submit(None)) => Handed::Declined,
+        _ => Handed::Silent,
     }
 }
 
