--- a/crates/crash/src/watch.rs
+++ b/crates/crash/src/watch.rs
@@ -134,15 +134,23 @@
 
     /// Notes that an upstream has answered a request whole.
     pub fn whole(&self, print: impl FnOnce() -> Print) {
-        let mut ledger = self.ledger.lock();
-        if ledger.is_empty() {
+        if self.ledger.lock().is_empty() {
             return;
         }
-        ledger.whole(print(), self.clock.wall());
+        self.change(|ledger, now| ledger.whole(print(), now));
+        self.news.notify_one();
+    }
+
+    /// Changes what is known, and tells what is believed since.
+    fn change(&self, change: impl FnOnce(&mut Ledger, Millis)) {
+        let mut ledger = self.ledger.lock();
+        change(&mut ledger, self.clock.wall());
         let changes = ledger.changes();
+        if !changes.is_empty() {
+            metrics::gauge!(QUARANTINED).set(ledger.quarantined() as f64);
+        }
         drop(ledger);
         tell(changes);
-        self.news.notify_one();
     }
 
     /// Looks whether an upstream has crashed after the connection of a request broke there, and notes it. The
@@ -197,34 +205,20 @@
     /// Notes that an upstream has crashed while a request was there.
     pub fn crashed(&self, print: Print, upstream: &Arc<str>) {
         metrics::counter!(CRASHES).increment(1);
-        let mut ledger = self.ledger.lock();
-        ledger.crashed(print, upstream, self.clock.wall());
-        let changes = ledger.changes();
-        drop(ledger);
-        tell(changes);
+        self.change(|ledger, now| ledger.crashed(print, upstream, now));
         self.news.notify_one();
     }
 
     /// Takes in what another instance has seen.
     pub fn heard(&self, report: &Report) {
-        let mut ledger = self.ledger.lock();
-        ledger.heard(report, self.clock.wall());
-        let changes = ledger.changes();
-        drop(ledger);
-        tell(changes);
+        self.change(|ledger, now| ledger.heard(report, now));
     }
 
     /// Forgets what counts no more.
     pub fn tidy(&self) {
-        let mut ledger = self.ledger.lock();
-        if ledger.is_empty() {
-            return;
+        if !self.ledger.lock().is_empty() {
+            self.change(Ledger::prune);
         }
-        ledger.prune(self.clock.wall());
-        let changes = ledger.changes();
-        metrics::gauge!(QUARANTINED).set(ledger.quarantined() as f64);
-        drop(ledger);
-        tell(changes);
     }
 
     /// What this instance has seen itself.
--- a/crates/node/src/control/office.rs
+++ b/crates/node/src/control/office.rs
@@ -19,7 +19,7 @@
 use tokio::time::sleep;
 
 use crate::App;
-use crate::news::Reach;
+use crate::reach::Reach;
 
 /// The key of the record.
 const KEY: &str = "snipeway/leader";
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod owner;
 pub mod peer;
 mod print;
+mod reach;
 pub mod refuse;
 pub mod run;
 mod score;
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use crate::App;
-use crate::news::Reach;
+use crate::reach::Reach;
 use crate::settings::Role;
 use crate::sources;
 
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -1,5 +1,7 @@
 //! Following the configuration and the list of upstreams.
 
+mod belief;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,7 +11,7 @@
 use kernel::Set;
 use plat::Item;
 use plat::PlatError;
-use table::Belief;
+
 use table::Listed;
 use table::Plan;
 use table::Starts;
@@ -20,6 +22,7 @@
 use crate::member;
 use crate::peer;
 use crate::peer::Heard;
+use crate::reach::Reach;
 use crate::sources;
 
 /// Time between two reads. A leaving upstream must get nothing new two seconds after the platform
@@ -275,7 +278,7 @@
             let names: Set<_> = names.collect();
             self.starts.prune(|name| names.contains(name));
         }
-        believe(app, &self.list, news.rev);
+        belief::believe(app, &self.list, news.rev);
     }
 
     /// Takes in an entry. One that was written by something else names no upstream, and the others hold.
@@ -354,60 +357,3 @@
     follower.catch_up(app);
     Ok(())
 }
-
-/// Takes in the list of upstreams.
-fn believe(app: &App, list: &BTreeMap<String, Arc<Listed>>, rev: i64) {
-    let now = app.clock.now();
-    let beliefs = {
-        let mut roster = app.roster.lock();
-        let beliefs = roster.share(list.values().cloned(), now);
-        // Nothing is to be forgotten of upstreams while none comes or goes.
-        if !beliefs.is_empty() {
-            app.plain.lock().prune(&roster);
-            app.fleet.lock().prune(&roster);
-        }
-        beliefs
-    };
-    for belief in &beliefs {
-        tell(belief, rev);
-    }
-    metrics::gauge!(crate::meter::AGE).set(0.0);
-    app.room.notify_waiters();
-}
-
-fn tell(belief: &Belief, rev: i64) {
-    let (one, what) = match belief {
-        Belief::Came(one) => (one, "upstream in"),
-        Belief::Leaving(one) => (one, "upstream leaving"),
-        Belief::Gone(one) => (one, "upstream out"),
-    };
-    let addr = one.addr.to_string();
-    log::info!(target: "news", upstream = &*one.id, service = &*one.service,
-        address = addr.as_str(), revision = rev; "{what}");
-}
-
-/// Tells once when a dependency is lost and once when it is back.
-pub(crate) struct Reach {
-    what: &'static str,
-    lost: bool,
-}
-
-impl Reach {
-    pub(crate) fn new(what: &'static str) -> Self {
-        Self { what, lost: false }
-    }
-
-    pub(crate) fn lost(&mut self, error: &PlatError) {
-        if !std::mem::replace(&mut self.lost, true) {
-            let error = error.to_string();
-            log::warn!(target: "platform", dependency = self.what, error = error.as_str();
-                "dependency lost");
-        }
-    }
-
-    pub(crate) fn back(&mut self) {
-        if std::mem::replace(&mut self.lost, false) {
-            log::info!(target: "platform", dependency = self.what; "dependency back");
-        }
-    }
-}
--- /dev/null
+++ b/crates/node/src/news/belief.rs
@@ -0,0 +1,40 @@
+//! What is believed of listed upstreams.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use table::Belief;
+use table::Listed;
+
+use crate::App;
+
+/// Takes in the list of upstreams.
+pub(super) fn believe(app: &App, list: &BTreeMap<String, Arc<Listed>>, rev: i64) {
+    let now = app.clock.now();
+    let beliefs = {
+        let mut roster = app.roster.lock();
+        let beliefs = roster.share(list.values().cloned(), now);
+        // Nothing is to be forgotten of upstreams while none comes or goes.
+        if !beliefs.is_empty() {
+            app.plain.lock().prune(&roster);
+            app.fleet.lock().prune(&roster);
+        }
+        beliefs
+    };
+    for belief in &beliefs {
+        tell(belief, rev);
+    }
+    metrics::gauge!(crate::meter::AGE).set(0.0);
+    app.room.notify_waiters();
+}
+
+fn tell(belief: &Belief, rev: i64) {
+    let (one, what) = match belief {
+        Belief::Came(one) => (one, "upstream in"),
+        Belief::Leaving(one) => (one, "upstream leaving"),
+        Belief::Gone(one) => (one, "upstream out"),
+    };
+    let addr = one.addr.to_string();
+    log::info!(target: "news", upstream = &*one.id, service = &*one.service,
+        address = addr.as_str(), revision = rev; "{what}");
+}
