--- a/crates/crash/src/report.rs
+++ b/crates/crash/src/report.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: a request that crashes upstreams comes again at any instance within moments, and all
 //! instances may be started anew in between. What each one has seen is one small record, written at most
-//! once in [`PAUSE`] however many upstreams crash.
+//! once in a short while however many upstreams crash.
 
 use std::time::Duration;
 
