--- a/crates/poison/src/ledger.rs
+++ b/crates/poison/src/ledger.rs
@@ -29,12 +29,11 @@
 
 /// Time after a crash from which it is known what else was there, in milliseconds: what another instance has
 /// seen is told within 150 ms, read within 850, and passed on twice. Two requests that went from one upstream
-/// to the next together, at two instances, had three crashes each within 120 ms, and each instance knew of one.
+/// to the next together, at two instances, had three crashes each within 120 ms, and each instance knew of its own.
 pub const SETTLE: Millis = 1_500;
 
-/// Time for which a crash counts, in milliseconds: ten minutes, the longest that the platform keeps a
-/// lease. Callers have given up by then, and an upstream that was mended gets the request again without
-/// anybody's doing; if it was not, one more crash is enough.
+/// Time for which a crash counts, in milliseconds: ten minutes. Callers have given up by then, and an upstream
+/// that was mended gets the request again without anybody's doing; if it was not, one more crash is enough.
 pub const KEEP: Millis = 600_000;
 
 /// Most requests that are remembered. A fleet of 600 upstreams that crash at the same moment with a dozen
