Bring about a false word that a call has not run, in a test that fails

Cause: found while reading the diff: when an idempotent call's first attempt may have run and its second one gets no place in time, the refusal says not run.

--- a/crates/serve/tests/refusals.rs
+++ b/crates/serve/tests/refusals.rs
@@ -212,3 +212,34 @@
         assert_eq!(answer.problem().unwrap().kind, Type::NotFound);
     });
 }
+
+// Symptom: a lookup is refused with the promise that it has not run, and it has.
+// Sequence: an upstream runs it and its answer is lost; another call takes the place before the second attempt,
+// and the deadline passes while that waits.
+// Cause: the refusal looked at the attempt that was not begun, not at those before it.
+#[test]
+fn a_call_that_may_have_run_before_is_not_refused_as_not_run() {
+    block(async {
+        let make = Make { slots: 1, ..make() };
+        let rig = Rig::start(&make).await.unwrap();
+        let service = &rig.parts.services[0];
+        service.host.faults.change(|fault| {
+            fault.mute = true;
+            fault.delay = 100;
+        });
+        let lookup = || Asked::lookup(rig.addrs()[0], "aarhus");
+
+        let first = lookup().header("x-request-timeout-ms", "170");
+        let others = async {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let calls = [lookup(), lookup(), lookup()];
+            let _ = tokio::join!(calls[0].send(), calls[1].send(), calls[2].send());
+        };
+        let sending = first.send();
+        let (answer, ()) = tokio::join!(sending, others);
+
+        let problem = answer.unwrap().problem().unwrap();
+        assert!(service.part.served() > 0);
+        assert_eq!(problem.ran, Ran::Unknown, "{problem:?}");
+    });
+}
