Let a refusal speak of all attempts

Cause: when an idempotent call's first attempt may have run and its second one got no place in time, or could not connect, the refusal said not run. Change: what attempts say is joined; calls and completions refuse by all of them. Conclusion: the word is true for both.

--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -36,6 +36,25 @@
     Unknown,
 }
 
+impl Ran {
+    /// What two attempts at a request say of it together: it has not run where neither may have.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use route::Ran;
+    ///
+    /// assert_eq!(Ran::No.or(Ran::No), Ran::No);
+    /// assert_eq!(Ran::Unknown.or(Ran::No), Ran::Unknown);
+    /// ```
+    pub fn or(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::No, Self::No) => Self::No,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Nothing of the request has left this instance.
 #[derive(Debug)]
 pub enum Unsent {}
--- a/crates/serve/src/complete.rs
+++ b/crates/serve/src/complete.rs
@@ -148,9 +148,11 @@
         ..Ask::default()
     };
     let sent = sent(job, trace);
+    // Whether an attempt before may have run; a refusal speaks of all of them.
+    let mut before = Attempt::new().refuse();
     job.dispatcher.earn();
     loop {
-        sent.check(app, job.deadline, ran(trace)).await?;
+        sent.check(app, job.deadline, before).await?;
         ask.avoid.extend(sent.apart(app));
         let permit = match job
             .dispatcher
@@ -159,28 +161,22 @@
         {
             Ok(permit) => permit,
             Err(refusal) => {
-                // Of a completion that was begun, some has run already.
-                let begun = assembly.partial().tokens > 0;
-                let ran = if begun {
-                    Ran::Unknown
-                } else {
-                    Attempt::new().refuse()
-                };
-                return Err(Problem::new(refusal.kind, ran).after(refusal.after));
+                return Err(Problem::new(refusal.kind, before).after(refusal.after));
             }
         };
         let upstream = permit.spec.name.clone();
         trace.upstream = Some(upstream.clone());
         let order = order(job, &sent, trace);
         trace.attempts += 1;
-        let before = assembly.partial().tokens;
+        let had = assembly.partial().tokens;
         let end = generate::run(app, permit, &order, &mut assembly, sink).await;
-        job.passage.charge(assembly.partial().tokens - before);
+        job.passage.charge(assembly.partial().tokens - had);
         let (ran, why) = match end {
             End::Whole => break,
             End::Unwanted => return Err(Problem::new(Type::Late, Ran::Unknown)),
             End::Early(ran, why) => (ran, why),
         };
+        before = before.or(ran);
         trace.note(format!("attempt {} at {upstream}: {why}", trace.attempts));
         let failure = Failure {
             ran,
@@ -190,7 +186,7 @@
         };
         match job.dispatcher.retry(failure) {
             Next::Again(pause) => tokio::time::sleep(Duration::from_millis(pause)).await,
-            Next::Stop(stop) => return Err(forward::given_up(stop, ran, why.to_string())),
+            Next::Stop(stop) => return Err(forward::given_up(stop, before, why.to_string())),
         }
         ask.avoid.push(upstream);
     }
@@ -200,14 +196,6 @@
     }
 }
 
-/// Whether some of a completion may have run.
-fn ran(trace: &Trace) -> Ran {
-    match trace.attempts {
-        0 => Attempt::new().refuse(),
-        _ => Ran::Unknown,
-    }
-}
-
 /// What a completion asks for: the same for each attempt of a customer.
 fn sent(job: &Job, trace: &Trace) -> Sent {
     let Completion {
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -215,7 +215,8 @@
     let print = print(&job.entry, dispatcher, outbound);
     let id = trace.id.to_string();
     let sent = Sent { print, id };
-    let mut before = Ran::No;
+    // Whether an attempt before may have run; a refusal speaks of all of them.
+    let mut before = Attempt::new().refuse();
     dispatcher.earn();
     loop {
         let attempt = Attempt::new();
@@ -227,8 +228,8 @@
         {
             Ok(permit) => permit,
             Err(refusal) => {
-                let problem = Problem::new(refusal.kind, attempt.refuse());
-                return Err(problem.after(refusal.after));
+                let ran = before.or(attempt.refuse());
+                return Err(Problem::new(refusal.kind, ran).after(refusal.after));
             }
         };
         let upstream = permit.spec.name.clone();
@@ -240,9 +241,7 @@
             Err(failed) => failed,
         };
         drop(stay);
-        if ran == Ran::Unknown {
-            before = ran;
-        }
+        before = before.or(ran);
         trace.note(format!("attempt {} at {upstream}: {why}", trace.attempts));
         let failure = Failure {
             ran,
@@ -252,7 +251,7 @@
         };
         match dispatcher.retry(failure) {
             Next::Again(pause) => tokio::time::sleep(Duration::from_millis(pause)).await,
-            Next::Stop(stop) => return Err(given_up(stop, ran, why)),
+            Next::Stop(stop) => return Err(given_up(stop, before, why)),
         }
         ask.avoid.push(upstream);
     }
