Know samples and requests for scores that crash upstreams by what they have in common

Change: a request is known by what it asks for to the byte, and by what it has in common with others: a sample by path and headers, a request for a score by its path. Two ledgers, one record. What is common is cleared for as long as a crash counts by a single whole answer, so that sound work that shares a prompt is not held. Records of the version before are read. Ways weighed: path alone for all kinds of request (a call at a path that is seldom used would be refused for what another one did; calls come again with the same bytes, so they keep to those); bytes alone (as before).

--- /dev/null
+++ b/crates/crash/src/ledgers.rs
@@ -0,0 +1,99 @@
+//! What is known of crashes, by what requests ask for to the byte and by what they have in common.
+//!
+//! Load pattern: the samples of a step come by the hundred, each with bytes of its own, and some of them
+//! crash each engine. Known by its bytes alone, each of them ended three engines before it was held.
+
+use std::sync::Arc;
+
+use kernel::Millis;
+use poison::Change;
+use poison::Ledger;
+use poison::Mark;
+use poison::Seen;
+use poison::Verdict;
+
+/// The two ledgers.
+#[derive(Debug)]
+pub(crate) struct Ledgers {
+    own: Ledger,
+    kin: Ledger,
+}
+
+impl Default for Ledgers {
+    fn default() -> Self {
+        Self {
+            own: Ledger::default(),
+            kin: Ledger::kin(),
+        }
+    }
+}
+
+impl Ledgers {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.own.is_empty() && self.kin.is_empty()
+    }
+
+    /// What may be done with a request: the less of what either ledger allows.
+    pub(crate) fn verdict(&self, mark: Mark, now: Millis) -> Verdict {
+        let own = self.own.verdict(mark.own, now);
+        own.max(self.kin.verdict(mark.kin, now))
+    }
+
+    pub(crate) fn crashed(&mut self, mark: Mark, upstream: &Arc<str>, now: Millis) {
+        self.own.crashed(mark.own, upstream, now);
+        self.kin.crashed(mark.kin, upstream, now);
+    }
+
+    pub(crate) fn whole(&mut self, mark: Mark, now: Millis) {
+        self.own.whole(mark.own, now);
+        self.kin.whole(mark.kin, now);
+    }
+
+    pub(crate) fn heard(&mut self, seen: &Seen, now: Millis) {
+        self.own.heard(&seen.own, now);
+        self.kin.heard(&seen.kin, now);
+    }
+
+    pub(crate) fn prune(&mut self, now: Millis) {
+        self.own.prune(now);
+        self.kin.prune(now);
+    }
+
+    /// What is believed since the last call and was not before; of requests that have nothing in common with
+    /// others once.
+    pub(crate) fn changes(&mut self) -> Vec<Change> {
+        let mut changes = self.own.changes();
+        let kin = self.kin.changes();
+        let new = kin.into_iter().filter(|one| !changes.contains(one));
+        let new: Vec<_> = new.collect();
+        changes.extend(new);
+        changes
+    }
+
+    /// Requests that are quarantined; work with something in common counts once.
+    pub(crate) fn quarantined(&self) -> usize {
+        self.own.quarantined().max(self.kin.quarantined())
+    }
+
+    pub(crate) fn own(&self) -> Seen {
+        Seen {
+            own: self.own.own().clone(),
+            kin: self.kin.own().clone(),
+        }
+    }
+
+    pub(crate) fn enter(&mut self, mark: Mark, upstream: &Arc<str>) {
+        self.own.enter(mark.own, upstream);
+        self.kin.enter(mark.kin, upstream);
+    }
+
+    pub(crate) fn leave(&mut self, mark: Mark, upstream: &str) {
+        self.own.leave(mark.own, upstream);
+        self.kin.leave(mark.kin, upstream);
+    }
+
+    /// The upstreams at which other suspects of this instance are.
+    pub(crate) fn taken(&self, mark: Mark) -> Vec<Arc<str>> {
+        self.own.taken(mark.own).cloned().collect()
+    }
+}
--- a/crates/crash/src/lib.rs
+++ b/crates/crash/src/lib.rs
@@ -3,6 +3,7 @@
 //! What a request may do is decided by [`poison::Ledger`]. A [`Watch`] is that ledger as the parts of an
 //! instance share it; [`report`] keeps what it has seen at the platform.
 
+mod ledgers;
 pub mod report;
 mod watch;
 
--- a/crates/crash/src/report.rs
+++ b/crates/crash/src/report.rs
@@ -16,6 +16,7 @@
 use plat::Single;
 use plat::Txn;
 use poison::Report;
+use poison::Seen;
 use poison::ledger::KEEP;
 use tokio::time::sleep;
 
@@ -41,7 +42,7 @@
     mut reach: impl FnMut(Result<(), &PlatError>),
 ) {
     let mut single = Single::new(key);
-    let mut written = Report::default();
+    let mut written = Seen::default();
     loop {
         watch.news().await;
         sleep(PAUSE).await;
@@ -53,7 +54,7 @@
             match write(&mut single, plat, &report).await {
                 Ok(()) => {
                     reach(Ok(()));
-                    let (crashes, wholes) = (report.crashes.len(), report.wholes.len());
+                    let (crashes, wholes) = (report.own.crashes.len(), report.own.wholes.len());
                     log::info!(target: "crash", crashes, wholes; "crashes told");
                     written = report;
                     break;
@@ -67,7 +68,7 @@
     }
 }
 
-async fn write(single: &mut Single, plat: &Client, report: &Report) -> Result<(), PlatError> {
+async fn write(single: &mut Single, plat: &Client, report: &Seen) -> Result<(), PlatError> {
     let value = rmp_serde::to_vec(report).map_err(|_| PlatError::Garbled)?;
     single.write(plat, value).await
 }
@@ -91,20 +92,32 @@
     }
 }
 
+/// Reads a record; one of the version before says nothing of what requests have in common.
+fn decode(item: &Item) -> Result<Seen, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(&item.value).or_else(|_| {
+        let own = rmp_serde::from_slice(&item.value)?;
+        let kin = Report::default();
+        Ok(Seen { own, kin })
+    })
+}
+
 fn is_old(item: &Item, now: Millis) -> bool {
-    let Ok(report) = rmp_serde::from_slice::<Report>(&item.value) else {
+    let Ok(report) = decode(item) else {
         // What cannot be read may be of a newer version.
         return false;
     };
-    let crashes = report.crashes.iter().map(|crash| crash.at);
-    let wholes = report.wholes.iter().map(|whole| whole.at);
-    let newest = crashes.chain(wholes).max();
+    let times = |report: &Report| {
+        let crashes = report.crashes.iter().map(|crash| crash.at);
+        let wholes = report.wholes.iter().map(|whole| whole.at);
+        crashes.chain(wholes).max()
+    };
+    let newest = times(&report.own).max(times(&report.kin));
     newest.is_none_or(|newest| newest + KEEP < now)
 }
 
 /// Takes in the record of an instance.
 pub fn take(watch: &Watch, item: &Item) {
-    match rmp_serde::from_slice::<Report>(&item.value) {
+    match decode(item) {
         Ok(report) => watch.heard(&report),
         Err(error) => {
             let error = error.to_string();
--- a/crates/crash/src/watch.rs
+++ b/crates/crash/src/watch.rs
@@ -8,15 +8,16 @@
 use kernel::Millis;
 use parking_lot::Mutex;
 use poison::Change;
-use poison::Ledger;
-use poison::Print;
-use poison::Report;
+use poison::Mark;
+use poison::Seen;
 use poison::Verdict;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::ledgers::Ledgers;
+
 /// Requests that were at an upstream when it crashed.
 pub const CRASHES: &str = "snipeway_upstream_crashes_total";
 
@@ -44,41 +45,50 @@
 /// use std::sync::Arc;
 ///
 /// use crash::Watch;
-/// use poison::{Print, Verdict};
+/// use poison::{Mark, Print, Verdict};
 ///
 /// let watch = Arc::new(Watch::default());
-/// let print = || Print::new("GET", "shop.example", "/a", b"", b"");
-/// assert_eq!(watch.verdict(print), Verdict::Free);
-/// watch.crashed(print(), &"i-1".into());
-/// assert_eq!(watch.verdict(print), Verdict::Suspect);
-/// watch.whole(print);
-/// assert_eq!(watch.verdict(print), Verdict::Free);
+/// let mark = || Mark::from(Print::new("GET", "shop.example", "/a", b"", b""));
+/// assert_eq!(watch.verdict(mark), Verdict::Free);
+/// watch.crashed(mark(), &"i-1".into());
+/// assert_eq!(watch.verdict(mark), Verdict::Suspect);
+/// watch.whole(mark);
+/// assert_eq!(watch.verdict(mark), Verdict::Free);
 /// ```
-#[derive(Default)]
 pub struct Watch {
     clock: Clock,
-    ledger: Mutex<Ledger>,
+    ledger: Mutex<Ledgers>,
     /// Rings when there is something to tell.
     news: Notify,
 }
 
+impl Default for Watch {
+    fn default() -> Self {
+        Self {
+            clock: Clock::default(),
+            ledger: Mutex::default(),
+            news: Notify::new(),
+        }
+    }
+}
+
 impl Watch {
     /// What may be done with a request. Its digest is made only where anything is known of any.
-    pub fn verdict(&self, print: impl FnOnce() -> Print) -> Verdict {
+    pub fn verdict(&self, mark: impl FnOnce() -> Mark) -> Verdict {
         let ledger = self.ledger.lock();
         match ledger.is_empty() {
             true => Verdict::Free,
-            false => ledger.verdict(print(), self.clock.wall()),
+            false => ledger.verdict(mark(), self.clock.wall()),
         }
     }
 
     /// Waits until it is known whether a request may run, at most for `left` milliseconds; gives the time for
     /// which it may not. One that has no time to wait may: its caller must not be turned away for what another
     /// request has done.
-    pub async fn admit(&self, print: Print, left: Millis) -> Option<Millis> {
+    pub async fn admit(&self, mark: Mark, left: Millis) -> Option<Millis> {
         let until = self.clock.now() + left;
         loop {
-            match self.verdict(|| print) {
+            match self.verdict(|| mark) {
                 Verdict::Quarantined(left) => return Some(left),
                 Verdict::Unsettled(wait) if self.clock.now() + wait < until => {
                     sleep(Duration::from_millis(wait)).await;
@@ -89,8 +99,8 @@
     }
 
     /// Tells whether a request has to wait, or may not run.
-    pub fn holds(&self, print: impl FnOnce() -> Print) -> bool {
-        match self.verdict(print) {
+    pub fn holds(&self, mark: impl FnOnce() -> Mark) -> bool {
+        match self.verdict(mark) {
             Verdict::Free | Verdict::Suspect => false,
             Verdict::Unsettled(_) | Verdict::Quarantined(_) => true,
         }
@@ -98,51 +108,51 @@
 
     /// The upstreams that a request had better keep away from: suspects run apart from one another, so that
     /// the next crash tells the culprit from what was beside it.
-    pub fn apart(&self, print: impl FnOnce() -> Print) -> Vec<Arc<str>> {
+    pub fn apart(&self, mark: impl FnOnce() -> Mark) -> Vec<Arc<str>> {
         let ledger = self.ledger.lock();
         if ledger.is_empty() {
             return Vec::new();
         }
-        let print = print();
-        match ledger.verdict(print, self.clock.wall()) {
+        let mark = mark();
+        match ledger.verdict(mark, self.clock.wall()) {
             Verdict::Free => Vec::new(),
-            _ => ledger.taken(print).cloned().collect(),
+            _ => ledger.taken(mark),
         }
     }
 
     /// Notes that a request goes to an upstream, if it is a suspect.
     pub fn stay(
         self: &Arc<Self>,
-        print: impl FnOnce() -> Print,
+        mark: impl FnOnce() -> Mark,
         upstream: &Arc<str>,
     ) -> Option<Stay> {
         let mut ledger = self.ledger.lock();
         if ledger.is_empty() {
             return None;
         }
-        let print = print();
-        if ledger.verdict(print, self.clock.wall()) == Verdict::Free {
+        let mark = mark();
+        if ledger.verdict(mark, self.clock.wall()) == Verdict::Free {
             return None;
         }
-        ledger.enter(print, upstream);
+        ledger.enter(mark, upstream);
         Some(Stay {
             watch: self.clone(),
-            print,
+            mark,
             upstream: upstream.clone(),
         })
     }
 
     /// Notes that an upstream has answered a request whole.
-    pub fn whole(&self, print: impl FnOnce() -> Print) {
+    pub fn whole(&self, mark: impl FnOnce() -> Mark) {
         if self.ledger.lock().is_empty() {
             return;
         }
-        self.change(|ledger, now| ledger.whole(print(), now));
+        self.change(|ledger, now| ledger.whole(mark(), now));
         self.news.notify_one();
     }
 
     /// Changes what is known, and tells what is believed since.
-    fn change(&self, change: impl FnOnce(&mut Ledger, Millis)) {
+    fn change(&self, change: impl FnOnce(&mut Ledgers, Millis)) {
         let mut ledger = self.ledger.lock();
         change(&mut ledger, self.clock.wall());
         let changes = ledger.changes();
@@ -162,13 +172,13 @@
     pub async fn broke(
         self: &Arc<Self>,
         id: &str,
-        print: Print,
+        mark: Mark,
         upstream: &Arc<str>,
         addr: SocketAddr,
         left: impl FnOnce() -> bool + Send + 'static,
     ) {
-        let looking = self.look(id, print, upstream, addr, left);
-        let wait = match self.verdict(|| print) {
+        let looking = self.look(id, mark, upstream, addr, left);
+        let wait = match self.verdict(|| mark) {
             Verdict::Free => WAIT,
             _ => CLOSING + LOOK,
         };
@@ -179,7 +189,7 @@
     fn look(
         self: &Arc<Self>,
         id: &str,
-        print: Print,
+        mark: Mark,
         upstream: &Arc<str>,
         addr: SocketAddr,
         left: impl FnOnce() -> bool + Send + 'static,
@@ -193,37 +203,37 @@
                 (true, true) => "left",
                 (false, _) => "lives",
             };
-            let name = print.to_string();
-            log::info!(target: "crash", id = id.as_str(), print = name.as_str(),
+            let (own, kin) = (mark.own.to_string(), mark.kin.to_string());
+            log::info!(target: "crash", id = id.as_str(), print = own.as_str(), kin = kin.as_str(),
                 upstream = &*upstream, outcome; "connection broke");
             if outcome == "crashed" {
-                watch.crashed(print, &upstream);
+                watch.crashed(mark, &upstream);
             }
         })
     }
 
     /// Notes that an upstream has crashed while a request was there.
-    pub fn crashed(&self, print: Print, upstream: &Arc<str>) {
+    pub fn crashed(&self, mark: Mark, upstream: &Arc<str>) {
         metrics::counter!(CRASHES).increment(1);
-        self.change(|ledger, now| ledger.crashed(print, upstream, now));
+        self.change(|ledger, now| ledger.crashed(mark, upstream, now));
         self.news.notify_one();
     }
 
     /// Takes in what another instance has seen.
-    pub fn heard(&self, report: &Report) {
+    pub fn heard(&self, report: &Seen) {
         self.change(|ledger, now| ledger.heard(report, now));
     }
 
     /// Forgets what counts no more.
     pub fn tidy(&self) {
         if !self.ledger.lock().is_empty() {
-            self.change(Ledger::prune);
+            self.change(Ledgers::prune);
         }
     }
 
     /// What this instance has seen itself.
-    pub fn own(&self) -> Report {
-        self.ledger.lock().own().clone()
+    pub fn own(&self) -> Seen {
+        self.ledger.lock().own()
     }
 
     /// Waits until this instance may have seen something new.
@@ -247,12 +257,12 @@
 /// A suspect at an upstream, for as long as it is there.
 pub struct Stay {
     watch: Arc<Watch>,
-    print: Print,
+    mark: Mark,
     upstream: Arc<str>,
 }
 
 impl Drop for Stay {
     fn drop(&mut self) {
-        self.watch.ledger.lock().leave(self.print, &self.upstream);
+        self.watch.ledger.lock().leave(self.mark, &self.upstream);
     }
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,7 +6,7 @@
 use kernel::Map;
 use kernel::Millis;
 use kernel::Name;
-use poison::Report;
+use poison::Seen;
 
 use crate::Life;
 use crate::Member;
@@ -335,7 +335,7 @@
     }
 
     /// Reports to its peers what this instance has seen of crashes.
-    pub fn crashes(&mut self, at: u64, report: Report) {
+    pub fn crashes(&mut self, at: u64, report: Seen) {
         let from = self.me.name.clone();
         self.broadcast.add(Rumour::Crashes { from, at, report });
     }
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -19,7 +19,7 @@
 use place::Fleet;
 use place::Memory;
 use plat::Client;
-use poison::Print;
+use poison::Mark;
 use table::Listed;
 use table::Plan;
 use table::Roster;
@@ -144,13 +144,13 @@
     }
 
     /// Looks whether an upstream has crashed after the connection of a request broke there.
-    pub(crate) async fn broke(self: &Arc<Self>, id: &str, print: Print, one: &Listed) {
+    pub(crate) async fn broke(self: &Arc<Self>, id: &str, mark: Mark, one: &Listed) {
         let (app, start) = (self.clone(), one.id.clone());
         let left = move || {
             let roster = app.roster.lock();
             roster.get(&start).is_none_or(|one| one.leaving)
         };
-        self.crashes.broke(id, print, &one.id, one.addr, left).await;
+        self.crashes.broke(id, mark, &one.id, one.addr, left).await;
     }
 
     /// Notes that this instance's own entry was written.
--- a/crates/node/src/owner/drive/placing.rs
+++ b/crates/node/src/owner/drive/placing.rs
@@ -12,7 +12,7 @@
 use place::Job;
 use place::Round;
 use place::Want;
-use poison::Print;
+use poison::Mark;
 use table::Listed;
 use table::Plan;
 use table::Route;
@@ -90,12 +90,12 @@
         &self.work.spec.samples[todo.job.index as usize]
     }
 
-    fn print(&self, todo: &Todo) -> Print {
+    fn mark(&self, todo: &Todo) -> Mark {
         print::sample(&self.work.head.host, self.sample(todo))
     }
 
     fn is_held(&self, todo: &Todo) -> bool {
-        self.app.crashes.holds(|| self.print(todo))
+        self.app.crashes.holds(|| self.mark(todo))
     }
 
     /// Lets held samples go that may run again.
@@ -128,7 +128,7 @@
             taken: memory.taken(sample.prompt, draft.last),
             memory,
         };
-        let mut apart = self.app.crashes.apart(|| self.print(todo));
+        let mut apart = self.app.crashes.apart(|| self.mark(todo));
         apart.extend_from_slice(&todo.avoid);
         let any = Want { avoid: &[], ..want };
         let want = Want {
@@ -162,7 +162,7 @@
         };
         let work = self.work.clone();
         let index = todo.job.index;
-        let stay = self.app.crashes.stay(|| self.print(&todo), &engine.id);
+        let stay = self.app.crashes.stay(|| self.mark(&todo), &engine.id);
         self.runs.spawn(async move {
             let _stay = stay;
             let at = index as usize;
--- a/crates/node/src/print.rs
+++ b/crates/node/src/print.rs
@@ -4,6 +4,7 @@
 use http::header::AUTHORIZATION;
 use http::header::HOST;
 use http::request::Parts;
+use poison::Mark;
 use poison::Print;
 
 /// What a request asks for. Its caller is what the request itself says of who sends it: addresses differ
@@ -18,8 +19,25 @@
     Print::new(head.method.as_str(), &host, path, caller, body)
 }
 
-/// What a sample asks for.
-pub(crate) fn sample(host: &str, sample: &Sample) -> Print {
+/// How a request for a score is known. Steps bring such requests by the hundred, each with the text of its
+/// own sample, so those of one path are kin.
+pub(crate) fn score(head: &Parts, body: &[u8]) -> Mark {
+    Mark {
+        own: request(head, body),
+        kin: request(head, b""),
+    }
+}
+
+/// How a sample is known: samples of one path whose headers ask for the same are kin, whatever their bytes.
+pub(crate) fn sample(host: &str, sample: &Sample) -> Mark {
     let host = host.to_ascii_lowercase();
-    Print::new("POST", &host, &sample.path, b"", &sample.body)
+    let mut asked = Vec::new();
+    for (name, value) in &sample.headers {
+        // A line feed stands in neither.
+        asked.extend_from_slice(format!("{name}\n{value}\n").as_bytes());
+    }
+    Mark {
+        own: Print::new("POST", &host, &sample.path, b"", &sample.body),
+        kin: Print::new("POST", &host, &sample.path, b"kin", &asked),
+    }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -139,8 +139,8 @@
         if let Ended::Broken(why) = &ended
             && BROKE.contains(why)
         {
-            let print = print::sample(&self.host, sample);
-            self.app.broke(&sample.id, print, &self.engine).await;
+            let mark = print::sample(&self.host, sample);
+            self.app.broke(&sample.id, mark, &self.engine).await;
         }
         let took = self.app.clock.now() - begun;
         let outcome = match &ended {
--- a/crates/node/src/score.rs
+++ b/crates/node/src/score.rs
@@ -84,7 +84,7 @@
     body: Bytes,
     until: Millis,
 ) -> Answer {
-    let sent = Sent::own(app, head, scoring.id.clone(), body, until);
+    let sent = Sent::scoring(app, head, scoring.id.clone(), body, until);
     match forward::score(Arc::new(sent), route, LIMIT).await {
         Passed::Answer { answer, signature } if answer.status().is_success() => {
             Answer::Scored(signature)
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -14,7 +14,7 @@
 use kernel::Millis;
 use place::Memory;
 use place::Want;
-use poison::Print;
+use poison::Mark;
 use poison::Verdict;
 use table::Listed;
 
@@ -38,7 +38,9 @@
     pub(crate) id: Arc<str>,
     /// When its time is over.
     pub(crate) until: Millis,
-    print: OnceLock<Print>,
+    /// Whether it asks for the score of a sample.
+    scores: bool,
+    mark: OnceLock<Mark>,
 }
 
 impl Sent {
@@ -57,12 +59,13 @@
             body,
             id: caller.id.clone(),
             until: app.clock.now() + wait,
-            print: OnceLock::new(),
+            scores: false,
+            mark: OnceLock::new(),
         }
     }
 
-    /// Takes in a request of our own, which has time until then.
-    pub(crate) fn own(
+    /// Takes in a request for the score of a sample, which has time until then.
+    pub(crate) fn scoring(
         app: &Arc<App>,
         head: Parts,
         id: Arc<str>,
@@ -75,27 +78,29 @@
             body,
             id,
             until,
-            print: OnceLock::new(),
+            scores: true,
+            mark: OnceLock::new(),
         }
     }
 
-    /// What it asks for.
-    pub(crate) fn print(&self) -> Print {
-        *self
-            .print
-            .get_or_init(|| print::request(&self.head, &self.body))
+    /// How it is known when upstreams crash under it.
+    pub(crate) fn mark(&self) -> Mark {
+        *self.mark.get_or_init(|| match self.scores {
+            true => print::score(&self.head, &self.body),
+            false => print::request(&self.head, &self.body).into(),
+        })
     }
 
     /// What may be done with it.
     pub(crate) fn verdict(&self) -> Verdict {
-        self.app.crashes.verdict(|| self.print())
+        self.app.crashes.verdict(|| self.mark())
     }
 
     /// Waits until it is known whether it may run; gives the time for which it may not.
     pub(crate) async fn admit(&self) -> Option<Millis> {
         match self.verdict() {
             Verdict::Free => None,
-            _ => self.app.crashes.admit(self.print(), self.left()).await,
+            _ => self.app.crashes.admit(self.mark(), self.left()).await,
         }
     }
 
@@ -103,13 +108,13 @@
     /// ran: an upstream that fails now and then would clear each request that crashes others.
     pub(crate) fn answered(&self, status: StatusCode) {
         if !status.is_server_error() {
-            self.app.crashes.whole(|| self.print());
+            self.app.crashes.whole(|| self.mark());
         }
     }
 
     /// Looks whether an upstream has crashed after the connection broke there.
     pub(crate) async fn broke(&self, one: &Listed) {
-        self.app.broke(&self.id, self.print(), one).await;
+        self.app.broke(&self.id, self.mark(), one).await;
     }
 
     /// Time that an upstream may still use.
@@ -144,7 +149,7 @@
         let app = &self.app;
         let roster = app.roster.lock();
         let slots = roster.of(service).map(|one| one.slots).max().unwrap_or(0);
-        let mut apart = app.crashes.apart(|| self.print());
+        let mut apart = app.crashes.apart(|| self.mark());
         apart.extend_from_slice(used);
         let any = Want {
             service,
@@ -167,7 +172,7 @@
             .choose(&roster, &want, now)
             .or_else(|| plain.choose(&roster, &any, now))?;
         plain.begin(&one.id, 0);
-        let stay = app.crashes.stay(|| self.print(), &one.id);
+        let stay = app.crashes.stay(|| self.mark(), &one.id);
         let app = app.clone();
         Some(Place {
             app,
--- a/crates/poison/src/ledger.rs
+++ b/crates/poison/src/ledger.rs
@@ -52,8 +52,8 @@
 /// report of them may still be on its way.
 const SETTLED: Millis = 10_000;
 
-/// What may be done with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What may be done with a request; a later one allows less.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// It may run anywhere.
     Free,
@@ -83,13 +83,19 @@
     crashes: Vec<(Arc<str>, Millis)>,
     whole: Millis,
     quarantined: bool,
+    /// Time after a whole answer in which no crash counts either, in milliseconds.
+    cleared: Millis,
 }
 
 impl Case {
-    /// The crashes that count: none that are too old, and none before it ran whole.
+    /// The crashes that count: none that are too old, and none before it ran whole, or soon after.
     fn counted(&self, now: Millis) -> impl Iterator<Item = &(Arc<str>, Millis)> {
         let crashes = self.crashes.iter();
-        crashes.filter(move |(_, at)| *at > self.whole && now < *at + KEEP)
+        let cleared = match self.whole {
+            0 => 0,
+            whole => whole + self.cleared,
+        };
+        crashes.filter(move |(_, at)| *at > cleared && now < *at + KEEP)
     }
 
     fn total(&self, now: Millis) -> usize {
@@ -135,9 +141,21 @@
     /// The upstreams at which suspects of this instance are.
     places: Map<Arc<str>, Vec<Print>>,
     changes: Vec<Change>,
+    /// Time for which a whole answer clears, beside what was before it, in milliseconds.
+    cleared: Millis,
 }
 
 impl Ledger {
+    /// A ledger of what requests of different bytes have in common. A single whole answer clears that for as
+    /// long as a crash counts: many sound requests may share it with one that crashes upstreams, and nobody
+    /// may be turned away for what another one does.
+    pub fn kin() -> Self {
+        Self {
+            cleared: KEEP,
+            ..Self::default()
+        }
+    }
+
     /// Tells whether nothing is known, as it nearly always is: then no request needs a digest.
     pub fn is_empty(&self) -> bool {
         self.cases.is_empty()
@@ -263,7 +281,11 @@
         if !self.cases.contains_key(&crash.print) && self.cases.len() >= CASES {
             self.evict(now);
         }
-        let case = self.cases.entry(crash.print).or_default();
+        let cleared = self.cleared;
+        let case = self.cases.entry(crash.print).or_insert_with(|| Case {
+            cleared,
+            ..Case::default()
+        });
         if !case.add(&crash.upstream, at) {
             return false;
         }
@@ -289,7 +311,7 @@
     pub fn prune(&mut self, now: Millis) {
         self.judge(self.cases.keys().copied().collect(), now);
         self.cases
-            .retain(|_, case| case.total(now) > 0 || now < case.whole + SETTLED);
+            .retain(|_, case| case.total(now) > 0 || now < case.whole + SETTLED.max(case.cleared));
         self.own.crashes.retain(|crash| now < crash.at + KEEP);
         self.own.wholes.retain(|whole| now < whole.at + KEEP);
         self.settle();
--- a/crates/poison/src/print.rs
+++ b/crates/poison/src/print.rs
@@ -31,6 +31,23 @@
     }
 }
 
+/// How a request is known when upstreams crash under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    /// What it asks for, to the byte.
+    pub own: Print,
+    /// What it has in common with work of other bytes that crashes upstreams as it does: the samples of
+    /// one prompt, or requests for scores at one path.
+    pub kin: Print,
+}
+
+impl From<Print> for Mark {
+    /// A request that has nothing in common with others.
+    fn from(own: Print) -> Self {
+        Self { own, kin: own }
+    }
+}
+
 impl fmt::Display for Print {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/poison/src/report.rs
+++ b/crates/poison/src/report.rs
@@ -30,7 +30,17 @@
     pub at: Millis,
 }
 
-/// What one instance has seen itself: at most [`MOST`] of each kind, the newest last.
+/// What one instance has seen itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Seen {
+    /// By what requests ask for, to the byte.
+    pub own: Report,
+    /// By what requests have in common.
+    pub kin: Report,
+}
+
+/// What one instance has seen itself of requests known in one way: at most [`MOST`] of each kind, the newest last.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Report {
--- a/crates/serve/src/gossip.rs
+++ b/crates/serve/src/gossip.rs
@@ -15,7 +15,7 @@
 use http::header::CONTENT_TYPE;
 use http_body_util::Full;
 use net::SendError;
-use poison::Report;
+use poison::Seen;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use wire::peer;
@@ -100,7 +100,7 @@
 /// Probes peers until the instance leaves.
 pub async fn run(app: Arc<App>) {
     let mut told = Vec::new();
-    let mut crashes = Report::default();
+    let mut crashes = Seen::default();
     let mut turn = 0;
     loop {
         turn += 1;
@@ -118,7 +118,7 @@
 }
 
 /// Tells peers of crashes if there is something new.
-fn tell_crashes(app: &App, told: &mut Report) {
+fn tell_crashes(app: &App, told: &mut Seen) {
     app.crashes.tidy();
     let report = app.crashes.own();
     if report != *told {
--- a/crates/serve/src/steps/score.rs
+++ b/crates/serve/src/steps/score.rs
@@ -110,7 +110,7 @@
         print: Print::new("POST", scorer, SCORE, customer, how.as_bytes()),
         id: work.request.to_string(),
     };
-    if app.crashes.holds(|| sent.print) {
+    if app.crashes.holds(|| sent.print.into()) {
         return Err(ScoreError::Quarantined);
     }
     let deadline = app.clock.now() + LIMIT;
--- a/crates/serve/src/suspect.rs
+++ b/crates/serve/src/suspect.rs
@@ -34,7 +34,7 @@
     /// Refuses the request if it may not run; `ran` tells whether it may have before.
     pub(crate) async fn check(&self, app: &App, deadline: Millis, ran: Ran) -> Result<(), Problem> {
         let time = deadline.saturating_sub(app.clock.now());
-        let Some(left) = app.crashes.admit(self.print, time).await else {
+        let Some(left) = app.crashes.admit(self.print.into(), time).await else {
             return Ok(());
         };
         let problem = Problem::new(Type::Quarantined, ran);
@@ -46,14 +46,14 @@
 
     /// The upstreams at which other suspects are.
     pub(crate) fn apart(&self, app: &App) -> Vec<Name> {
-        let starts = app.crashes.apart(|| self.print);
+        let starts = app.crashes.apart(|| self.print.into());
         let names = starts.iter().filter_map(|start| start.split_once('@'));
         names.filter_map(|(name, _)| name.parse().ok()).collect()
     }
 
     /// Notes that the request goes to an upstream, if it is a suspect.
     pub(crate) fn stay(&self, app: &App, spec: &Spec) -> Option<Stay> {
-        app.crashes.stay(|| self.print, &start(app, spec))
+        app.crashes.stay(|| self.print.into(), &start(app, spec))
     }
 
     /// Looks whether an upstream has crashed after the connection broke there.
@@ -63,7 +63,7 @@
         let start = start(app, spec);
         let looking = app
             .crashes
-            .broke(&self.id, self.print, &start, spec.addr, left);
+            .broke(&self.id, self.print.into(), &start, spec.addr, left);
         looking.await;
     }
 
@@ -77,7 +77,7 @@
 
     /// Notes that an upstream has answered it whole.
     pub(crate) fn whole(&self, app: &App) {
-        app.crashes.whole(|| self.print);
+        app.crashes.whole(|| self.print.into());
     }
 }
 
