Run each request as the team that holds its key, and as nobody else

Cause: the product knew no keys. Change: crate team decides who may run and on whose behalf; the adapter turns a key into a digest where it reads the head, and puts the team's name in place of whatever a caller or a sample says of itself, on all paths. Steps are kept under names that differ between teams. An unknown key or route is final only on fresh news; fail_closed and revoke_ms are settings. Digest moves to kernel.

--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -64,6 +64,9 @@
     /// The sum of what its samples are expected to have, in what their senders count; each counts
     /// for one at least.
     pub work: u64,
+    /// The team that it belongs to; records of versions before teams have none.
+    #[serde(default)]
+    pub team: Option<Arc<str>>,
 }
 
 /// A sample to be generated.
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -9,18 +9,17 @@
 pub mod book;
 pub mod form;
 pub mod model;
-pub mod token;
 
 pub use amend::Change;
 pub use amend::Settle;
 pub use audit::Audit;
 pub use book::Book;
 pub use book::Stored;
+pub use kernel::Digest;
 pub use model::Contract;
 pub use model::Rule;
 pub use model::Unscored;
 pub use model::Weighs;
-pub use token::Digest;
 
 /// A revision of the platform's key-value service; higher is newer.
 pub type Revision = i64;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod rank;
 pub mod shard;
 pub mod time;
+pub mod token;
 
 pub use digest::digest;
 pub use id::AttemptId;
@@ -22,3 +23,4 @@
 pub use rank::rank;
 pub use shard::Shards;
 pub use time::Millis;
+pub use token::Digest;
--- a/crates/contract/src/token.rs
+++ b/crates/kernel/src/token.rs
@@ -14,7 +14,7 @@
 /// # Examples
 ///
 /// ```
-/// use contract::Digest;
+/// use kernel::Digest;
 ///
 /// let digest = Digest::of("till-7");
 /// assert!(digest.matches(&Digest::of("till-7")));
--- /dev/null
+++ b/crates/node/src/access.rs
@@ -0,0 +1,93 @@
+//! Who may ask for what, by the configuration in force and its age.
+//!
+//! What is decided is [`team::admit`]'s matter. The order of the checks: without any configuration a request
+//! is turned away unrun, then an unknown route is missing, then a key is looked at. Both of the latter are said
+//! only while the configuration is fresh.
+
+use kernel::Millis;
+use table::Plan;
+use table::Route;
+use team::Bounds;
+use team::Credential;
+use team::Denial;
+use team::Principal;
+
+use crate::App;
+use crate::dialect::Caller;
+use crate::refuse::Refusal;
+
+/// Part of the time in which a configuration has to be in force for which news count as fresh. Whoever passes
+/// them on may have had them for as long again.
+const FRESH: u64 = 2;
+
+/// Age of the configuration, in milliseconds since it was known to be the newest.
+pub(crate) fn age(app: &App) -> Option<Millis> {
+    app.roster.lock().age(app.clock.now())
+}
+
+fn bounds(app: &App) -> Bounds {
+    let settings = &app.settings;
+    Bounds {
+        sure: settings.apply / FRESH,
+        closed: settings.closed.then_some(settings.revoke),
+    }
+}
+
+/// What a caller is told whose route is not there: that it is missing, if a configuration that has it would be
+/// known here.
+pub(crate) fn missing(app: &App, age: Option<Millis>) -> Refusal {
+    match age {
+        Some(age) if age <= bounds(app).sure => Refusal::Missing,
+        _ => Refusal::Unrun,
+    }
+}
+
+/// On whose behalf a request of a route runs.
+pub(crate) fn of_route(
+    app: &App,
+    plan: &Plan,
+    route: &Route,
+    caller: &Caller,
+) -> Result<Principal, Refusal> {
+    decide(app, plan, route.open, caller)
+}
+
+/// On whose behalf somebody asks for a step that was submitted before.
+pub(crate) fn of_step(app: &App, caller: &Caller) -> Result<Principal, Refusal> {
+    let Some(plan) = app.plan.load_full() else {
+        // What was submitted without a key is found without one; with one nothing is known of its team.
+        return match caller.credential {
+            Credential::None => Ok(Principal::Any),
+            Credential::Malformed | Credential::Key(_) => Err(Refusal::Unrun),
+        };
+    };
+    decide(app, &plan, plan.has_open_steps(&caller.host), caller)
+}
+
+fn decide(app: &App, plan: &Plan, open: bool, caller: &Caller) -> Result<Principal, Refusal> {
+    let age = age(app);
+    let teams = plan.teams.as_ref();
+    let denial = match team::admit(teams, open, caller.credential, age, bounds(app)) {
+        Ok(principal) => return Ok(principal),
+        Err(denial) => denial,
+    };
+    let (why, refusal) = match denial {
+        Denial::Missing => ("no key", Refusal::Unauthorized),
+        Denial::Malformed => ("no proper key", Refusal::Unauthorized),
+        Denial::Unknown => ("nobody holds the key", Refusal::Unauthorized),
+        Denial::Unsure => ("the configuration may be too old", Refusal::Unrun),
+    };
+    log::info!(target: "front", id = &*caller.id, why, version = plan.version, age_ms = age,
+        outcome = refusal.name(); "key refused");
+    Err(refusal)
+}
+
+/// Tells whether the configuration is too old for requests that need a key, where operators want it so.
+pub(crate) fn is_closed(app: &App) -> bool {
+    let plan = app.plan.load();
+    let keys = plan.as_ref().is_some_and(|plan| plan.teams.is_some());
+    let Some(bound) = bounds(app).closed.filter(|_| keys) else {
+        return false;
+    };
+    age(app).is_none_or(|age| age > bound)
+}
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -28,6 +28,7 @@
 
 use crate::Dialect;
 use crate::Settings;
+use crate::access;
 use crate::board::Board;
 use crate::hint::Hint;
 use crate::member::Entered;
@@ -228,6 +229,6 @@
     /// them away.
     pub fn is_ready(&self) -> bool {
         let known = self.roster.lock().age(self.clock.now()).is_some();
-        !self.is_leaving() && known && self.plan.load().is_some()
+        !self.is_leaving() && known && self.plan.load().is_some() && !access::is_closed(self)
     }
 }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -20,6 +20,8 @@
 use place::Load;
 use table::Listed;
 use table::Plan;
+use team::Credential;
+use team::Principal;
 
 /// A message cannot be understood.
 #[derive(Clone, Debug)]
@@ -83,6 +85,16 @@
     Wrong(&'static str),
 }
 
+impl Asked {
+    /// Tells whether it concerns a step that was submitted before.
+    pub fn is_of_step(&self) -> bool {
+        matches!(
+            self,
+            Self::Read { .. } | Self::Body { .. } | Self::End { .. }
+        )
+    }
+}
+
 /// The parts of a caller's request that decisions need.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -96,6 +108,8 @@
     pub last: Option<Arc<str>>,
     /// What it asks for.
     pub asked: Asked,
+    /// What it brings to say who sends it.
+    pub credential: Credential,
 }
 
 /// A step as it is submitted.
@@ -240,14 +254,20 @@
     /// Writes results from a position on, as many as one answer may hold.
     fn page(&self, total: u32, from: usize, entries: &[Entry]) -> Vec<u8>;
 
-    /// The headers with which a caller's request goes on to an upstream, which may work on it for
-    /// `left` milliseconds.
-    fn forward(&self, head: &HeaderMap, upstream: &str, left: Option<Millis>) -> HeaderMap;
+    /// The headers with which a caller's request goes on to an upstream on somebody's behalf; the upstream
+    /// may work on it for `left` milliseconds.
+    fn forward(
+        &self,
+        head: &HeaderMap,
+        upstream: &str,
+        left: Option<Millis>,
+        principal: &Principal,
+    ) -> HeaderMap;
 
     /// The headers with which an upstream's answer goes back to the caller.
     fn back(&self, head: &HeaderMap) -> HeaderMap;
 
-    /// The request for a sample's tokens behind event `last`, which is 0 for the first.
+    /// The request for a sample's tokens behind event `last`, which is 0 for the first, on somebody's behalf.
     ///
     /// # Errors
     ///
@@ -258,6 +278,7 @@
         host: &str,
         upstream: &Listed,
         last: u64,
+        principal: &Principal,
     ) -> Result<Request<Full<Bytes>>, DialectError>;
 
     /// The head of the request for a sample's score.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -18,6 +18,7 @@
 use table::Listed;
 use table::Plan;
 use table::Route;
+use team::Principal;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -64,8 +65,10 @@
     head: &Parts,
     caller: &Caller,
     body: Bytes,
+    principal: Principal,
 ) -> Reply {
-    let sent = Arc::new(Sent::new(app, head, caller, body, route.timeout));
+    let sent = Sent::new(app, head, caller, body, route.timeout, principal);
+    let sent = Arc::new(sent);
     let left = Duration::from_millis(sent.left());
     let mut tries = Tries::new(sent, route, Manner::Caller);
     let passed = match timeout(left, tries.answer()).await {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,6 +9,7 @@
 use table::Kind;
 
 use crate::App;
+use crate::access;
 use crate::dialect::Asked;
 use crate::dialect::Caller;
 use crate::forward;
@@ -55,15 +56,35 @@
     caller: Caller,
     body: Body,
 ) -> (&'static str, Reply) {
+    if caller.asked.is_of_step() {
+        return of_step(app, &caller).await;
+    }
     match &caller.asked {
-        Asked::Read { step, from, wait } => ("read", steps::read(app, step, *from, *wait).await),
-        Asked::Body { step, sample } => ("body", steps::body(app, step, sample).await),
-        Asked::End { step } => ("end", steps::end(app, step).await),
         Asked::Wrong(why) => {
             log::info!(target: "front", id = &*caller.id, why; "improper request");
             ("wrong", Refusal::Wrong.reply())
         }
-        Asked::Route => routed(app, head, caller, body).await,
+        _ => routed(app, head, caller, body).await,
+    }
+}
+
+/// Answers what is asked of a step that was submitted before.
+async fn of_step(app: &Arc<App>, caller: &Caller) -> (&'static str, Reply) {
+    let principal = match access::of_step(app, caller) {
+        Ok(principal) => principal,
+        Err(refusal) => return ("key", refusal.reply()),
+    };
+    match &caller.asked {
+        Asked::Read { step, from, wait } => {
+            let reply = steps::read(app, step, *from, *wait, &principal).await;
+            ("read", reply)
+        }
+        Asked::Body { step, sample } => {
+            let reply = steps::body(app, step, sample, &principal).await;
+            ("body", reply)
+        }
+        Asked::End { step } => ("end", steps::end(app, step, &principal).await),
+        Asked::Wrong(_) | Asked::Route => ("wrong", Refusal::Wrong.reply()),
     }
 }
 
@@ -74,8 +95,15 @@
         return ("none", Refusal::Unrun.reply());
     };
     let Some(route) = plan.find(&caller.host, head.uri.path()).cloned() else {
-        log::info!(target: "front", id = &*caller.id, version = plan.version; "no such route");
-        return ("none", Refusal::Missing.reply());
+        let age = access::age(app);
+        let refusal = access::missing(app, age);
+        log::info!(target: "front", id = &*caller.id, version = plan.version, age_ms = age,
+            outcome = refusal.name(); "no such route");
+        return ("none", refusal.reply());
+    };
+    let principal = match access::of_route(app, &plan, &route, &caller) {
+        Ok(principal) => principal,
+        Err(refusal) => return ("key", refusal.reply()),
     };
     let body = match net::body::read(body, plan.body).await {
         Ok(body) => body,
@@ -85,19 +113,19 @@
     match route.kind {
         Kind::Rollout => (
             "submit",
-            steps::accept::submit(app, &head, &caller, &body).await,
+            steps::accept::submit(app, &head, &caller, &body, &principal).await,
         ),
         Kind::Idempotent => (
             "call",
-            forward::call(app, &route, &head, &caller, body).await,
+            forward::call(app, &route, &head, &caller, body, principal).await,
         ),
         Kind::Once => (
             "once",
-            forward::call(app, &route, &head, &caller, body).await,
+            forward::call(app, &route, &head, &caller, body, principal).await,
         ),
         Kind::Stream => (
             "stream",
-            stream::pass(app, &route, &head, &caller, body).await,
+            stream::pass(app, &route, &head, &caller, body, principal).await,
         ),
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`news`] follows the configuration and the list of upstreams.
 //! - [`control`] is the leader that orders loads and takes up steps whose owner is gone.
 
+mod access;
 pub mod app;
 pub mod board;
 pub mod control;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -27,6 +27,7 @@
 use kernel::Set;
 use parking_lot::Mutex;
 use table::Route;
+use team::Principal;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -35,6 +36,7 @@
 use self::drive::Drive;
 use crate::App;
 use crate::hint;
+use crate::print;
 use crate::shelf::Page;
 
 /// Time for which results are gathered into one write: a write is a call that the platform counts, and
@@ -179,13 +181,26 @@
             .cloned()
     }
 
+    /// On whose behalf the step runs.
+    pub(crate) fn principal(&self, app: &App) -> Principal {
+        let plan = app.plan.load();
+        let configured = plan.as_ref().is_some_and(|plan| plan.teams.is_some());
+        Principal::kept(self.head.team.as_ref(), configured)
+    }
+
+    /// A number that differs between samples whose requests differ, or are of different teams: no team gets
+    /// anything of another one's text.
+    fn print(&self, sample: &Sample) -> u64 {
+        print::left(self.head.team.as_deref(), sample)
+    }
+
     /// Hands over what the step has left over of samples with some prints, once it has ended.
     pub fn hand(&self, model: &str, samples: &[u64]) -> Vec<(u64, Draft)> {
         if !self.has_ended() || *self.head.model != *model {
             return Vec::new();
         }
         let all = self.spec.samples.iter().zip(&self.drafts);
-        let prints = all.map(|(sample, draft)| (sample.print(), draft));
+        let prints = all.map(|(sample, draft)| (self.print(sample), draft));
         let left = prints.filter(|(print, _)| samples.contains(print));
         let left = left.map(|(print, draft)| (print, draft.lock().clone()));
         let left: Vec<_> = left.filter(|(_, draft)| draft.last > 0).collect();
@@ -213,7 +228,7 @@
         let ledger = self.ledger.lock();
         let mut taken = 0;
         for (index, sample) in self.spec.samples.iter().enumerate() {
-            let Some(draft) = left.remove(&sample.print()) else {
+            let Some(draft) = left.remove(&self.print(sample)) else {
                 continue;
             };
             let mut have = self.drafts[index].lock();
@@ -266,7 +281,7 @@
     let mut known = app.again.lock();
     let mut again = Set::default();
     for (index, sample) in spec.samples.iter_mut().enumerate() {
-        let Some(events) = known.take(sample.print(), now) else {
+        let Some(events) = known.take(print::left(head.team.as_deref(), sample), now) else {
             continue;
         };
         again.insert(index as u32);
@@ -295,7 +310,7 @@
         let index = index as usize;
         let draft = work.drafts[index].lock();
         again.note(
-            work.spec.samples[index].print(),
+            work.print(&work.spec.samples[index]),
             draft.last,
             draft.whole,
             now,
@@ -379,7 +394,8 @@
     if single {
         return;
     }
-    let samples: Vec<_> = work.spec.samples.iter().map(Sample::print).collect();
+    let samples = work.spec.samples.iter();
+    let samples: Vec<_> = samples.map(|sample| work.print(sample)).collect();
     let mut drafts = Vec::new();
     app.works.each(|map| {
         for other in map.values() {
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -210,7 +210,10 @@
         let until = work.opened + ttl;
         self.scores.spawn(async move {
             let score = match &work.spec.samples[index as usize].scoring {
-                Some(scoring) => score::score(&app, scoring, most, until).await,
+                Some(scoring) => {
+                    let principal = work.principal(&app);
+                    score::score(&app, scoring, &principal, most, until).await
+                }
                 None => None,
             };
             Scored { index, score }
--- a/crates/node/src/owner/drive/placing.rs
+++ b/crates/node/src/owner/drive/placing.rs
@@ -91,7 +91,8 @@
     }
 
     fn mark(&self, todo: &Todo) -> Mark {
-        print::sample(&self.work.head.host, self.sample(todo))
+        let head = &self.work.head;
+        print::sample(&head.host, head.team.as_deref(), self.sample(todo))
     }
 
     fn is_held(&self, todo: &Todo) -> bool {
@@ -154,6 +155,7 @@
             app: self.app.clone(),
             step: self.work.step.clone(),
             host: self.work.head.host.clone(),
+            principal: self.work.principal(self.app),
             service,
             model: self.work.head.model.clone(),
             least: self.work.head.least,
--- a/crates/node/src/refuse.rs
+++ b/crates/node/src/refuse.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::RETRY_AFTER;
+use http::header::WWW_AUTHENTICATE;
 use kernel::Millis;
 use net::Reply;
 use net::body;
@@ -14,7 +15,10 @@
 /// for a place to become free or a restarted instance to know its configuration.
 const BACK: &str = "0.25";
 
-/// Milliseconds.
+/// The scheme in which a caller brings its key.
+const SCHEME: &str = "Token";
+
+/// Milliseconds in a second.
 const SECOND: Millis = 1_000;
 
 /// Why a caller does not get what it asked for.
@@ -30,6 +34,8 @@
     Late,
     /// There is no such route, step or sample.
     Missing,
+    /// It brings no key that anybody holds.
+    Unauthorized,
     /// The request is not proper.
     Wrong,
     /// The body is too long.
@@ -45,6 +51,7 @@
             Self::Unknown => "unknown",
             Self::Late => "late",
             Self::Missing => "missing",
+            Self::Unauthorized => "unauthorized",
             Self::Wrong => "wrong",
             Self::Long => "long",
         }
@@ -56,6 +63,7 @@
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::Missing => StatusCode::NOT_FOUND,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::Wrong => StatusCode::BAD_REQUEST,
             Self::Long => StatusCode::PAYLOAD_TOO_LARGE,
         }
@@ -64,6 +72,10 @@
     /// The answer.
     pub fn reply(self) -> Reply {
         let mut reply = body::reply(self.status(), "text/plain", self.name());
+        if self == Self::Unauthorized {
+            let scheme = HeaderValue::from_static(SCHEME);
+            reply.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+        }
         if let Some(back) = self.back() {
             reply.headers_mut().insert(RETRY_AFTER, back);
         }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -13,7 +13,9 @@
 use kernel::Millis;
 use parking_lot::Mutex;
 use place::Want;
+use poison::Mark;
 use table::Listed;
+use team::Principal;
 use tokio::time::timeout;
 
 use crate::App;
@@ -70,6 +72,8 @@
     pub step: Arc<str>,
     /// The host of the step's route.
     pub host: Arc<str>,
+    /// On whose behalf the step runs.
+    pub principal: Principal,
     /// The service.
     pub service: Arc<str>,
     /// The model.
@@ -123,7 +127,7 @@
         let ended = self.attempt(sample, draft, &place).await;
         if ended == Ended::Whole {
             draft.lock().whole = true;
-            self.app.crashes.whole(|| print::sample(&self.host, sample));
+            self.app.crashes.whole(|| self.mark(sample));
             let events = draft.lock().last;
             self.app.fleet.lock().whole(sample.expected, events);
         }
@@ -139,7 +143,7 @@
         if let Ended::Broken(why) = &ended
             && BROKE.contains(why)
         {
-            let mark = print::sample(&self.host, sample);
+            let mark = self.mark(sample);
             self.app.broke(&sample.id, mark, &self.engine).await;
         }
         let took = self.app.clock.now() - begun;
@@ -158,10 +162,16 @@
         ended
     }
 
+    fn mark(&self, sample: &Sample) -> Mark {
+        let team = self.principal.team();
+        print::sample(&self.host, team.map(|team| &**team), sample)
+    }
+
     async fn attempt(&self, sample: &Sample, draft: &Mutex<Draft>, place: &Place<'_>) -> Ended {
         let last = draft.lock().last;
         let dialect = &self.app.dialect;
-        let request = match dialect.sample(sample, &self.host, &self.engine, last) {
+        let request = match dialect.sample(sample, &self.host, &self.engine, last, &self.principal)
+        {
             Ok(request) => request,
             Err(error) => {
                 let why = error.to_string();
--- a/crates/node/src/score.rs
+++ b/crates/node/src/score.rs
@@ -11,9 +11,9 @@
 use batch::score::Tries;
 use bytes::Bytes;
 use http::StatusCode;
-use http::request::Parts;
 use kernel::Millis;
 use table::Route;
+use team::Principal;
 use tokio::time::sleep;
 
 use crate::App;
@@ -33,6 +33,7 @@
 pub(crate) async fn score(
     app: &Arc<App>,
     scoring: &Scoring,
+    principal: &Principal,
     most: u32,
     until: Millis,
 ) -> Option<Arc<str>> {
@@ -55,7 +56,15 @@
         let mut answer = Answer::Nothing;
         if let Some(route) = route(app, scoring) {
             tries.allow(route.attempts);
-            answer = ask(app, scoring, &route, head.clone(), body.clone(), until).await;
+            let sent = Sent::scoring(
+                app,
+                head.clone(),
+                scoring.id.clone(),
+                body.clone(),
+                until,
+                principal.clone(),
+            );
+            answer = ask(sent, &route).await;
         }
         asked += 1;
         match tries.next(answer) {
@@ -76,15 +85,7 @@
     plan.as_ref()?.find(&scoring.host, &scoring.path).cloned()
 }
 
-async fn ask(
-    app: &Arc<App>,
-    scoring: &Scoring,
-    route: &Route,
-    head: Parts,
-    body: Bytes,
-    until: Millis,
-) -> Answer {
-    let sent = Sent::scoring(app, head, scoring.id.clone(), body, until);
+async fn ask(sent: Sent, route: &Route) -> Answer {
     match forward::score(Arc::new(sent), route, LIMIT).await {
         Passed::Answer { answer, signature } if answer.status().is_success() => {
             Answer::Scored(signature)
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -17,6 +17,7 @@
 use poison::Mark;
 use poison::Verdict;
 use table::Listed;
+use team::Principal;
 
 use crate::App;
 use crate::dialect::Caller;
@@ -38,6 +39,8 @@
     pub(crate) id: Arc<str>,
     /// When its time is over.
     pub(crate) until: Millis,
+    /// On whose behalf it runs.
+    pub(crate) principal: Principal,
     /// Whether it asks for the score of a sample.
     scores: bool,
     mark: OnceLock<Mark>,
@@ -51,6 +54,7 @@
         caller: &Caller,
         body: Bytes,
         timeout: Millis,
+        principal: Principal,
     ) -> Self {
         let wait = caller.deadline.unwrap_or(timeout).min(timeout);
         Self {
@@ -59,6 +63,7 @@
             body,
             id: caller.id.clone(),
             until: app.clock.now() + wait,
+            principal,
             scores: false,
             mark: OnceLock::new(),
         }
@@ -71,6 +76,7 @@
         id: Arc<str>,
         body: Bytes,
         until: Millis,
+        principal: Principal,
     ) -> Self {
         Self {
             app: app.clone(),
@@ -78,6 +84,7 @@
             body,
             id,
             until,
+            principal,
             scores: true,
             mark: OnceLock::new(),
         }
@@ -86,8 +93,8 @@
     /// How it is known when upstreams crash under it.
     pub(crate) fn mark(&self) -> Mark {
         *self.mark.get_or_init(|| match self.scores {
-            true => print::score(&self.head, &self.body),
-            false => print::request(&self.head, &self.body).into(),
+            true => print::score(&self.head, &self.principal, &self.body),
+            false => print::request(&self.head, &self.principal, &self.body).into(),
         })
     }
 
@@ -131,8 +138,12 @@
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = uri;
         let dialect = &self.app.dialect;
-        *request.headers_mut() =
-            dialect.forward(&self.head.headers, &one.start.name, Some(self.left()));
+        *request.headers_mut() = dialect.forward(
+            &self.head.headers,
+            &one.start.name,
+            Some(self.left()),
+            &self.principal,
+        );
         if let Some(last) = last {
             let last = HeaderValue::from_str(last).ok()?;
             request.headers_mut().insert(LAST_EVENT, last);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -60,6 +60,12 @@
     pub grace: Millis,
     /// Time within which two machines must not both give orders, in milliseconds.
     pub turn: Millis,
+    /// Time within which a configuration has to be in force everywhere, in milliseconds.
+    pub apply: Millis,
+    /// Whether requests that need a key are turned away while the configuration may be too old.
+    pub closed: bool,
+    /// Age of the configuration from which it is too old then, in milliseconds.
+    pub revoke: Millis,
     /// Shortest lease that the platform grants, in milliseconds.
     pub shortest: Millis,
     /// Time for which the results of a step can be read, counted from its opening.
@@ -104,8 +110,14 @@
     let grace = times.or("grace_s", "seconds", 8.0);
     let turn = times.or("turn_ms", "milliseconds", 3_000);
     let keep = times.or("keep_s", "seconds", 120.0);
+    let apply = times.or("apply_ms", "milliseconds", 2_000);
     doc.put(times);
 
+    let mut keys = doc.take("keys");
+    let closed = keys.or("fail_closed", "true or false", false);
+    let revoke = keys.or("revoke_ms", "milliseconds", 5_000);
+    doc.put(keys);
+
     let mut weights = doc.take("weights");
     let part = weights.or("part", "a part of the engines, as 0.2", PART);
     doc.put(weights);
@@ -134,6 +146,9 @@
         platform: platform.unwrap_or((unset, 0).into()),
         grace: millis(grace),
         turn,
+        apply,
+        closed,
+        revoke,
         shortest,
         keep: millis(keep),
         part: part.clamp(0.0, 1.0),
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -17,6 +17,7 @@
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
+use team::Principal;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -35,11 +36,36 @@
 /// Longest time that a read waits for a result, in milliseconds.
 const LONGEST: Millis = 1_000;
 
-/// Answers with the results of a step from a position on.
-pub async fn read(app: &Arc<App>, step: &Arc<str>, from: usize, wait: Millis) -> Reply {
+/// The names under which a step may be kept that somebody asks for, the likeliest first. One that was accepted
+/// for nobody in particular, or before there were teams, is anybody's.
+fn names(step: &Arc<str>, principal: &Principal) -> Vec<Arc<str>> {
     if !keys::is_name(step) {
-        return Refusal::Missing.reply();
+        return Vec::new();
+    }
+    match principal {
+        Principal::Team(_) => vec![principal.scope(step), step.clone()],
+        Principal::Any | Principal::Anonymous => vec![step.clone()],
+    }
+}
+
+/// Answers with the results of a step from a position on.
+pub async fn read(
+    app: &Arc<App>,
+    step: &Arc<str>,
+    from: usize,
+    wait: Millis,
+    principal: &Principal,
+) -> Reply {
+    for name in names(step, principal) {
+        let reply = read_kept(app, &name, from, wait).await;
+        if reply.status() != StatusCode::NOT_FOUND {
+            return reply;
+        }
     }
+    Refusal::Missing.reply()
+}
+
+async fn read_kept(app: &Arc<App>, step: &Arc<str>, from: usize, wait: Millis) -> Reply {
     let wait = wait.min(LONGEST);
     if let Some(work) = app.works.get(step)
         && let Some(page) = work.page(app, from, wait).await
@@ -105,10 +131,22 @@
 }
 
 /// Answers with the body of a sample's request.
-pub async fn body(app: &Arc<App>, step: &Arc<str>, sample: &Arc<str>) -> Reply {
-    if !keys::is_name(step) {
-        return Refusal::Missing.reply();
+pub async fn body(
+    app: &Arc<App>,
+    step: &Arc<str>,
+    sample: &Arc<str>,
+    principal: &Principal,
+) -> Reply {
+    for name in names(step, principal) {
+        let reply = body_kept(app, &name, sample).await;
+        if reply.status() != StatusCode::NOT_FOUND {
+            return reply;
+        }
     }
+    Refusal::Missing.reply()
+}
+
+async fn body_kept(app: &Arc<App>, step: &Arc<str>, sample: &Arc<str>) -> Reply {
     let found = match app.works.get(step) {
         Some(work) => Ok(work.body(sample)),
         None => find_body(app, step, sample).await,
@@ -155,10 +193,17 @@
 }
 
 /// Ends a step.
-pub async fn end(app: &Arc<App>, step: &Arc<str>) -> Reply {
-    if !keys::is_name(step) {
-        return Refusal::Missing.reply();
+pub async fn end(app: &Arc<App>, step: &Arc<str>, principal: &Principal) -> Reply {
+    for name in names(step, principal) {
+        let reply = end_kept(app, &name).await;
+        if reply.status() != StatusCode::NOT_FOUND {
+            return reply;
+        }
     }
+    Refusal::Missing.reply()
+}
+
+async fn end_kept(app: &Arc<App>, step: &Arc<str>) -> Reply {
     let known = app.works.get(step).is_some() || app.shelves.get(step).is_some();
     if !known && hint::owner(app, step).await.is_none() {
         match app.plat.get(&keys::head(step)).await {
--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -20,6 +20,7 @@
 use plat::Txn;
 use serde::Deserialize;
 use serde::Serialize;
+use team::Principal;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -82,8 +83,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Submission {
-    /// Its name.
+    /// The name under which it is kept.
     pub id: Arc<str>,
+    /// The team that it belongs to.
+    pub team: Option<Arc<str>>,
     /// The host under which it was submitted.
     pub host: Arc<str>,
     /// The path under which it was submitted.
@@ -96,7 +99,13 @@
 }
 
 /// Accepts a step, here or at the instance that takes the steps of its route.
-pub async fn submit(app: &Arc<App>, head: &Parts, caller: &Caller, bytes: &Bytes) -> Reply {
+pub async fn submit(
+    app: &Arc<App>,
+    head: &Parts,
+    caller: &Caller,
+    bytes: &Bytes,
+    principal: &Principal,
+) -> Reply {
     if app.is_leaving() {
         return Refusal::Unrun.reply();
     }
@@ -104,7 +113,8 @@
         return Refusal::Wrong.reply();
     }
     let submission = Submission {
-        id: caller.id.clone(),
+        id: principal.scope(&caller.id),
+        team: principal.team().cloned(),
         host: caller.host.clone(),
         path: head.uri.path().into(),
         left: caller.deadline,
@@ -195,6 +205,7 @@
         wanted: submitted.wanted,
         total: submitted.samples.len() as u32,
         work: samples.map(|one| u64::from(one.expected.max(1))).sum(),
+        team: submission.team.clone(),
     }
 }
 
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -18,6 +18,7 @@
 use net::body::Sender;
 use table::Plan;
 use table::Route;
+use team::Principal;
 use tokio::time::timeout;
 
 use crate::App;
@@ -61,9 +62,10 @@
     head: &Parts,
     caller: &Caller,
     body: Bytes,
+    principal: Principal,
 ) -> Reply {
     let mut stream = Stream {
-        sent: Sent::new(app, head, caller, body, route.timeout),
+        sent: Sent::new(app, head, caller, body, route.timeout, principal),
         route: route.clone(),
         last: caller.last.clone(),
         used: Vec::new(),
--- a/crates/table/src/plan.rs
+++ b/crates/table/src/plan.rs
@@ -4,6 +4,7 @@
 
 use kernel::Map;
 use kernel::Millis;
+use team::Teams;
 
 /// What may be repeated on a route, and how its answers come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +49,8 @@
     pub single: bool,
     /// Whether a stream that broke may be taken up again behind its last event.
     pub resumable: bool,
+    /// Whether its requests need no key, where there are teams.
+    pub open: bool,
     /// The services that run its requests.
     pub shares: Vec<Share>,
 }
@@ -84,7 +87,7 @@
 /// let route = |prefix: &str| Route {
 ///     name: prefix.into(), host: "shop.example".into(), prefix: prefix.into(),
 ///     kind: Kind::Idempotent, timeout: 1_000, attempts: 2, ttl: 0,
-///     single: false, resumable: false, shares: Vec::new(),
+///     single: false, resumable: false, open: false, shares: Vec::new(),
 /// };
 /// let plan = Plan::new(7, vec![route("/a/"), route("/a/b/")], Vec::new(), 1 << 20);
 /// let found = plan.find("Shop.example:80", "/a/b/c");
@@ -99,6 +102,8 @@
     services: Map<Arc<str>, Arc<Service>>,
     /// Most bytes of a request's body.
     pub body: usize,
+    /// The teams; without any word of them nobody needs a key.
+    pub teams: Option<Teams>,
 }
 
 impl Plan {
@@ -113,9 +118,23 @@
             routes,
             services: services.map(|one| (one.name.clone(), one)).collect(),
             body,
+            teams: None,
         }
     }
 
+    /// Adds the teams.
+    pub fn with_teams(self, teams: Option<Teams>) -> Self {
+        Self { teams, ..self }
+    }
+
+    /// Tells whether a host has a route that takes steps and needs no key.
+    pub fn has_open_steps(&self, host: &str) -> bool {
+        let host = host.split(':').next().unwrap_or(host);
+        let open = |route: &&Arc<Route>| route.open && route.kind == Kind::Rollout;
+        let mut open = self.routes.iter().filter(open);
+        open.any(|route| route.host.eq_ignore_ascii_case(host))
+    }
+
     /// Finds the route of a request.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.split(':').next().unwrap_or(host);
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -95,6 +95,7 @@
         ttl: 0,
         single: false,
         resumable: false,
+        open: false,
         shares: vec![share("a", 90), share("b", 10)],
     };
 
