Report how many requests of each team ran, window by window

Change: crate usage counts each request once, where it was first sent to an upstream that may have run it; entries tell a keeper of their failure domain within 0.3 s; the leader adds up what the keepers have, writes the figures down under the revision before, and only then sends them, with its fencing number. A successor repeats what is written. A leader that cannot reach the address gives its office up if another control instance reaches it. Windows go by a clock that is not moved when the wall clock is set.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Duration,
+    /// Milliseconds since 1970 when the process began.
+    epoch: Millis,
 }
 
 fn boot() -> Duration {
@@ -31,10 +33,16 @@
     Duration::new(time.tv_sec.max(0) as u64, time.tv_nsec.max(0) as u32)
 }
 
+fn wall() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as Millis)
+}
+
 impl Default for Clock {
     fn default() -> Self {
         let start = boot();
-        Self { start }
+        let epoch = wall();
+        Self { start, epoch }
     }
 }
 
@@ -46,7 +54,19 @@
 
     /// Milliseconds since 1970.
     pub fn wall(&self) -> Millis {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        since.map_or(0, |since| since.as_millis() as Millis)
+        wall()
+    }
+
+    /// Milliseconds since 1970 by the wall clock when the process began and the monotonic clock since. A wall
+    /// clock that is set while the process runs does not move it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let clock = clock::Clock::default();
+    /// assert!(clock.steady().abs_diff(clock.wall()) < 1_000);
+    /// ```
+    pub fn steady(&self) -> Millis {
+        self.epoch + self.now()
     }
 }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -88,6 +88,12 @@
     matches!(opening, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Tells whether an address accepts connections.
+pub async fn accepts(addr: SocketAddr, limit: Duration) -> bool {
+    let opening = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
+    matches!(opening, Ok(Ok(_)))
+}
+
 /// An HTTP client with a pool of connections.
 #[derive(Clone, Debug)]
 pub struct Client {
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -25,6 +25,9 @@
 use table::Roster;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use usage::Keeper;
+use usage::Meter;
+use usage::Windows;
 
 use crate::Dialect;
 use crate::Settings;
@@ -64,6 +67,10 @@
     pub fleet: Mutex<Fleet>,
     /// Which requests crash upstreams.
     pub crashes: Arc<Watch>,
+    /// What this instance has counted of the requests of teams, if they are reported.
+    pub meter: Option<Mutex<Meter>>,
+    /// What entry instances have told this one of what they counted.
+    pub keeper: Mutex<Keeper>,
     /// Rings when a place may have become free or an upstream has changed.
     pub room: Notify,
     /// The instances that have entered, this one among them.
@@ -103,9 +110,15 @@
             // Two starts of one instance are never within the same millisecond.
             start: clock.wall(),
         };
+        let windows = settings
+            .accounts
+            .map(|accounts| Windows::new(accounts.window));
+        let meter = windows.map(|windows| Mutex::new(Meter::new(windows, clock.steady())));
         Arc::new(Self {
             settings,
             clock,
+            meter,
+            keeper: Mutex::default(),
             dialect,
             plat,
             http: net::Client::idle(IDLE),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,6 +1,7 @@
 //! Work that one instance at a time does for all: orders to engines, steps whose owner is gone,
 //! and records that are not needed any more.
 
+mod accounts;
 pub mod office;
 pub mod orders;
 pub mod orphans;
@@ -28,6 +29,31 @@
 /// Most bytes of such an answer.
 const MOST: usize = 1 << 20;
 
+/// Time for which an instance does not stand again that has given the office up for another one: longer than
+/// the others need to notice and to wait for its last order.
+const REST: Duration = Duration::from_secs(8);
+
+/// Why an instance leads no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Over {
+    /// Its record belongs to somebody else.
+    Lost,
+    /// It is leaving.
+    Leaving,
+    /// It does not reach what another instance reaches.
+    Unable,
+}
+
+impl Over {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Lost => "replaced",
+            Self::Leaving => "leaving",
+            Self::Unable => "cannot reach what others reach",
+        }
+    }
+}
+
 /// Takes part in control until the instance has left.
 pub async fn run(app: Arc<App>) {
     while !app.is_leaving() {
@@ -51,14 +77,25 @@
             sleep(TICK).await;
         }
     };
-    let leaves = tokio::select! {
-        () = office.keep(app) => false,
-        () = orders => true,
+    let reports = async {
+        match accounts::Reports::new(app, &office) {
+            Some(reports) => reports.run().await,
+            None => std::future::pending().await,
+        }
     };
-    if leaves {
+    let over = tokio::select! {
+        () = office.keep(app) => Over::Lost,
+        () = orders => Over::Leaving,
+        accounts::Unable::Unreached = reports => Over::Unable,
+    };
+    if over != Over::Lost {
         office.resign(app).await;
     }
-    log::warn!(target: "control", fence; "leader no more");
+    log::warn!(target: "control", fence, why = over.name(); "leader no more");
+    if over == Over::Unable {
+        // The others stand meanwhile; one that reaches what this one does not is among them.
+        sleep(REST).await;
+    }
 }
 
 /// Why an engine's state is not known.
--- /dev/null
+++ b/crates/node/src/control/accounts.rs
@@ -0,0 +1,277 @@
+//! Reporting the requests of teams, window by window.
+//!
+//! What can go wrong: a report whose answer was lost is sent again by a successor that has collected other
+//! figures, and the platform has two for one window. Each report is therefore written down under the revision
+//! of the one before, and sent only when that write is known to hold.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use batch::record;
+use futures_util::future::join_all;
+use kernel::Millis;
+use kernel::Set;
+use plat::Done;
+use plat::Guard;
+use plat::PlatError;
+use plat::Put;
+use plat::Txn;
+use tokio::time::sleep;
+use usage::Ledger;
+use usage::Next;
+use usage::Report;
+use usage::Share;
+use usage::Windows;
+
+use super::office::Office;
+use crate::App;
+use crate::dialect::Account;
+use crate::dialect::Accounted;
+use crate::meter;
+use crate::peer;
+use crate::reach::Reach;
+use crate::settings::Accounts;
+
+/// The key of what was reported.
+const KEY: &str = "snipeway/usage";
+
+/// Pause between two tries, and between two looks at instances that have not closed a window.
+const AGAIN: Duration = Duration::from_millis(300);
+
+/// Time that a report has to be answered.
+const LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Most bytes of an answer.
+const MOST: usize = 64 << 10;
+
+/// Time after the end of a window from which instances that have not closed it are asked themselves, in
+/// milliseconds: their keeper may have been restarted and know nothing.
+const DIRECT: Millis = 900;
+
+/// Part of the time that a report may take for which it waits for instances that are silent.
+const PATIENCE: f64 = 0.6;
+
+/// Time for which reports fail before it is asked whether another instance reaches the address, in milliseconds.
+const UNREACHED: Millis = 2_000;
+
+/// Why the holder of the duty gives it up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unable {
+    /// Another instance reaches the address that takes reports, and this one does not.
+    Unreached,
+}
+
+/// The holder's reports.
+pub(super) struct Reports<'a> {
+    app: &'a Arc<App>,
+    office: &'a Office,
+    to: Accounts,
+    windows: Windows,
+    ledger: Option<(Ledger, i64)>,
+    /// The last window that the platform has taken from this holder.
+    taken: u64,
+    /// Since when reports have failed.
+    failing: Option<Millis>,
+    reach: Reach,
+}
+
+impl<'a> Reports<'a> {
+    /// Makes a holder that has reported nothing yet; [`None`] where nothing is reported.
+    pub(super) fn new(app: &'a Arc<App>, office: &'a Office) -> Option<Self> {
+        let to = app.settings.accounts?;
+        Some(Self {
+            app,
+            office,
+            to,
+            windows: Windows::new(to.window),
+            ledger: None,
+            taken: 0,
+            failing: None,
+            reach: Reach::new("address of reports"),
+        })
+    }
+
+    /// Reports window after window, until another instance had better do it.
+    pub(super) async fn run(mut self) -> Unable {
+        loop {
+            let pause = match self.turn().await {
+                Ok(pause) => pause,
+                Err(error) => {
+                    self.ledger = None;
+                    let error = error.to_string();
+                    log::debug!(target: "accounts", error = error.as_str(); "record of reports not reached");
+                    AGAIN
+                }
+            };
+            if self.is_unable().await {
+                return Unable::Unreached;
+            }
+            sleep(pause).await;
+        }
+    }
+
+    async fn turn(&mut self) -> Result<Duration, PlatError> {
+        let now = self.app.clock.steady();
+        if !self.has_teams() || !self.office.may_order(self.app.clock.now()) {
+            return Ok(AGAIN);
+        }
+        let (mut ledger, rev) = match self.ledger.take() {
+            Some(held) => held,
+            None => self.read(now).await?,
+        };
+        // Everything that is written down is sent before anything new is.
+        let sent = self.send(&ledger).await;
+        if !sent {
+            self.ledger = Some((ledger, rev));
+            return Ok(AGAIN);
+        }
+        let window = match ledger.next(self.windows, now) {
+            Next::Wait(wait) => {
+                self.ledger = Some((ledger, rev));
+                return Ok(Duration::from_millis(wait).min(AGAIN));
+            }
+            Next::Collect(window) => window,
+        };
+        let Some(report) = self.collect(&ledger, window, now).await else {
+            self.ledger = Some((ledger, rev));
+            return Ok(AGAIN);
+        };
+        let requests: u64 = report.counts.iter().map(|(_, count)| count).sum();
+        log::info!(target: "accounts", window, teams = report.counts.len(), requests,
+            age_ms = now.saturating_sub(self.windows.end(window)); "window added up");
+        ledger.enter(report);
+        let rev = self.write(&ledger, rev).await?;
+        self.ledger = Some((ledger, rev));
+        Ok(Duration::ZERO)
+    }
+
+    fn has_teams(&self) -> bool {
+        let plan = self.app.plan.load();
+        plan.as_ref().is_some_and(|plan| plan.teams.is_some())
+    }
+
+    async fn read(&self, now: Millis) -> Result<(Ledger, i64), PlatError> {
+        let Some(item) = self.app.plat.get(KEY).await? else {
+            return Ok((Ledger::begin(self.windows, now), 0));
+        };
+        let ledger = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
+        Ok((ledger, item.rev))
+    }
+
+    /// Writes what is reported. When the answer is lost, the record is read before anything is sent.
+    async fn write(&self, ledger: &Ledger, rev: i64) -> Result<i64, PlatError> {
+        let value = record::encode(ledger).map_err(|_| PlatError::Garbled)?;
+        let txn = Txn {
+            guards: vec![Guard::on(KEY, rev)],
+            puts: vec![Put::new(KEY, value)],
+            deletes: Vec::new(),
+        };
+        match self.app.plat.txn(&txn).await? {
+            Done::At(rev) => Ok(rev),
+            // Another holder has written, or an earlier write was carried out late.
+            Done::Conflict => Err(PlatError::Silent),
+        }
+    }
+
+    /// Collects the figures of a window from all who may have some.
+    async fn collect(&self, ledger: &Ledger, window: u64, now: Millis) -> Option<Report> {
+        let members = self.app.members.lock().clone();
+        let live = members.iter().filter(|one| one.reads);
+        let live: Set<_> = live
+            .map(|one| (one.owner.instance.clone(), one.owner.start))
+            .collect();
+        let keepers = members.iter().filter(|one| !one.reads);
+        let asks = keepers.map(|one| peer::shares(self.app, one.addr, window));
+        let told = join_all(asks).await;
+        let mut shares: Vec<Share> = told.into_iter().flatten().flatten().collect();
+        shares.extend(crate::tally::shares(self.app, window));
+        let age = now.saturating_sub(self.windows.end(window));
+        if age >= DIRECT {
+            let missing = Ledger::missing(&shares, &live);
+            let silent = members
+                .iter()
+                .filter(|one| missing.iter().any(|(name, _)| *name == one.owner.instance));
+            let asks = silent.map(|one| peer::shares(self.app, one.addr, window));
+            shares.extend(join_all(asks).await.into_iter().flatten().flatten());
+        }
+        let late = age as f64 >= self.to.late as f64 * PATIENCE;
+        ledger.add_up(window, shares, &live, late)
+    }
+
+    /// Sends what is written down and was not taken from this holder; tells whether all of it was.
+    async fn send(&mut self, ledger: &Ledger) -> bool {
+        for report in ledger.reports() {
+            if report.window <= self.taken {
+                continue;
+            }
+            match self.report(report).await {
+                Some(Accounted::Taken | Accounted::Refused) => self.taken = report.window,
+                Some(Accounted::Busy | Accounted::Fenced) | None => return false,
+            }
+        }
+        true
+    }
+
+    async fn report(&mut self, report: &Report) -> Option<Accounted> {
+        let now = self.app.clock.now();
+        // Asked right before each report: the process may have been paused since the last renewal.
+        if !self.office.may_order(now) {
+            return None;
+        }
+        let account = Account {
+            addr: self.to.address,
+            report,
+            holder: &self.app.me.instance,
+            fence: self.office.fence(),
+        };
+        let request = match self.app.dialect.account(&account) {
+            Ok(request) => request,
+            Err(error) => {
+                let error = error.to_string();
+                log::error!(target: "accounts", window = report.window, error = error.as_str(); "no report");
+                return Some(Accounted::Refused);
+            }
+        };
+        let answer = self.app.http.fetch(request, LIMIT, MOST).await;
+        let came = match &answer {
+            Ok(answer) => {
+                self.failing = None;
+                self.reach.back();
+                Some(self.app.dialect.accounted(answer.status()))
+            }
+            Err(_) => {
+                self.failing.get_or_insert(now);
+                self.reach.lost(&PlatError::Unreachable);
+                None
+            }
+        };
+        let outcome = match came {
+            Some(Accounted::Taken) => "taken",
+            Some(Accounted::Busy) => "busy",
+            Some(Accounted::Fenced) => "fenced",
+            Some(Accounted::Refused) => "refused",
+            None => "unanswered",
+        };
+        metrics::counter!(meter::ACCOUNTS, "result" => outcome).increment(1);
+        let end = self.windows.end(report.window);
+        log::info!(target: "accounts", window = report.window, fence = account.fence, outcome,
+            age_ms = self.app.clock.steady().saturating_sub(end); "window reported");
+        came
+    }
+
+    /// Tells whether another instance that may hold the duty reaches the address and this one does not.
+    async fn is_unable(&self) -> bool {
+        let Some(since) = self.failing else {
+            return false;
+        };
+        if self.app.clock.now() < since + UNREACHED || crate::tally::reaches(self.app).await {
+            return false;
+        }
+        let members = self.app.members.lock().clone();
+        let others = members
+            .iter()
+            .filter(|one| !one.reads && one.owner.instance != self.app.me.instance);
+        let asks = others.map(|one| peer::reaches(self.app, one.addr));
+        join_all(asks).await.contains(&true)
+    }
+}
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -22,6 +22,7 @@
 use table::Plan;
 use team::Credential;
 use team::Principal;
+use usage::Report;
 
 /// A message cannot be understood.
 #[derive(Clone, Debug)]
@@ -212,6 +213,32 @@
     Refused,
 }
 
+/// The report of the requests of one window.
+#[derive(Clone, Copy, Debug)]
+pub struct Account<'a> {
+    /// The address that takes it.
+    pub addr: SocketAddr,
+    /// The figures.
+    pub report: &'a Report,
+    /// Who holds the duty.
+    pub holder: &'a str,
+    /// The fencing number of whoever holds it.
+    pub fence: i64,
+}
+
+/// What came of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Accounted {
+    /// It was taken, now or before.
+    Taken,
+    /// Too many calls were made at once; it may be sent again.
+    Busy,
+    /// Somebody with a higher fencing number has reported before.
+    Fenced,
+    /// It is refused.
+    Refused,
+}
+
 /// Translates between a platform's messages and the product's types.
 pub trait Dialect: Send + Sync + 'static {
     /// Where the store keeps what others write.
@@ -313,4 +340,14 @@
 
     /// Reads what came of an order.
     fn ordered(&self, status: StatusCode) -> Ordered;
+
+    /// The request that reports how many requests of each team began to run in a window.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`].
+    fn account(&self, account: &Account<'_>) -> Result<Request<Full<Bytes>>, DialectError>;
+
+    /// Reads what came of a report.
+    fn accounted(&self, status: StatusCode) -> Accounted;
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -258,6 +258,7 @@
         return Came::Unrun;
     };
     let begun = sent.app.clock.now();
+    let number = sent.send();
     let limit = Duration::from_millis(part);
     let answer = sent.app.http.fetch(request, limit, ANSWER).await;
     let took = sent.app.clock.now() - begun;
@@ -266,6 +267,9 @@
     if broke {
         sent.broke(one).await;
     }
+    if matches!(came, Came::Unrun) {
+        sent.unrun(number);
+    }
     let outcome = match &came {
         Came::Answer(..) => "answered",
         Came::Unrun => "unrun",
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod start;
 pub mod steps;
 pub mod stream;
+mod tally;
 mod through;
 
 pub use app::App;
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -28,6 +28,9 @@
 /// Orders to engines, by result.
 pub const ORDERS: &str = "snipeway_orders_total";
 
+/// Reports of the requests of teams, by result.
+pub const ACCOUNTS: &str = "snipeway_usage_reports_total";
+
 /// Calls of the platform, by kind.
 pub const PLATFORM: &str = "snipeway_platform_calls_total";
 
@@ -61,6 +64,7 @@
     metrics::describe_gauge!(crash::QUARANTINED, "requests that crash upstreams");
     metrics::describe_counter!(STEPS, "steps by what became of them here");
     metrics::describe_counter!(ORDERS, "orders to engines by result");
+    metrics::describe_counter!(ACCOUNTS, "reports of the requests of teams by result");
     metrics::describe_gauge!(PLATFORM, "calls of the platform by kind");
     metrics::describe_gauge!(
         DROPPED,
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use batch::Owner;
 use batch::record;
 use bytes::Bytes;
 use http::Request;
@@ -21,6 +22,8 @@
 use plat::PlatError;
 use serde::Deserialize;
 use serde::Serialize;
+use usage::Share;
+use usage::Tally;
 
 use crate::App;
 use crate::board::Have;
@@ -71,6 +74,12 @@
     News { have: Have, wait: Millis },
     /// A call of the platform.
     Relay(Call),
+    /// What an entry instance has counted, for its keeper.
+    Tally { owner: Owner, tally: Tally },
+    /// What is known of the requests of a window.
+    Shares(u64),
+    /// Whether the address that takes reports can be reached.
+    Reaches,
 }
 
 /// An answer.
@@ -87,6 +96,8 @@
     /// There is no newer read, since the platform does not answer.
     Blind,
     Relay(Result<Answer, PlatError>),
+    Shares(Vec<Share>),
+    Reaches(bool),
 }
 
 /// Answers a question.
@@ -144,6 +155,12 @@
             news => Told::News(news),
         },
         Ask::Relay(_) if app.plat.is_turned_away() => Told::Relay(Err(PlatError::Unreachable)),
+        Ask::Tally { owner, tally } => {
+            app.keeper.lock().take((owner.instance, owner.start), tally);
+            Told::Noted
+        }
+        Ask::Shares(window) => Told::Shares(crate::tally::shares(app, window)),
+        Ask::Reaches => Told::Reaches(crate::tally::reaches(app).await),
         // Never through a third one: two that are turned away would ask each other forever.
         Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
     }
@@ -284,6 +301,30 @@
     }
 }
 
+/// Tells a keeper what this instance has counted; whether it has heard.
+pub async fn tally(app: &App, keeper: SocketAddr, tally: Tally) -> bool {
+    let owner = app.me.clone();
+    ask(app, keeper, &Ask::Tally { owner, tally }, LIMIT)
+        .await
+        .is_some()
+}
+
+/// Asks another instance what it knows of the requests of a window.
+pub async fn shares(app: &App, to: SocketAddr, window: u64) -> Option<Vec<Share>> {
+    match ask(app, to, &Ask::Shares(window), LIMIT).await? {
+        Told::Shares(shares) => Some(shares),
+        _ => None,
+    }
+}
+
+/// Asks another instance whether it reaches the address that takes reports.
+pub async fn reaches(app: &App, to: SocketAddr) -> bool {
+    matches!(
+        ask(app, to, &Ask::Reaches, LIMIT).await,
+        Some(Told::Reaches(true))
+    )
+}
+
 /// What was heard from whoever reads the platform.
 pub enum Heard {
     /// A newer read.
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -12,12 +12,15 @@
 use http::request::Parts;
 use http_body_util::Full;
 use kernel::Millis;
+use parking_lot::Mutex;
 use place::Memory;
 use place::Want;
 use poison::Mark;
 use poison::Verdict;
 use table::Listed;
 use team::Principal;
+use usage::Meter;
+use usage::Run;
 
 use crate::App;
 use crate::dialect::Caller;
@@ -41,6 +44,8 @@
     pub(crate) until: Millis,
     /// On whose behalf it runs.
     pub(crate) principal: Principal,
+    /// Its tries, for the report of its team's requests; nothing once it counts.
+    run: Mutex<Option<Run>>,
     /// Whether it asks for the score of a sample.
     scores: bool,
     mark: OnceLock<Mark>,
@@ -64,6 +69,7 @@
             id: caller.id.clone(),
             until: app.clock.now() + wait,
             principal,
+            run: Mutex::new(Some(Run::default())),
             scores: false,
             mark: OnceLock::new(),
         }
@@ -85,6 +91,7 @@
             id,
             until,
             principal,
+            run: Mutex::new(Some(Run::default())),
             scores: true,
             mark: OnceLock::new(),
         }
@@ -124,6 +131,38 @@
         self.app.broke(&self.id, self.mark(), one).await;
     }
 
+    /// The meter and the team for which the request counts, if it does: requests for scores do not.
+    fn counted(&self) -> Option<(&Mutex<Meter>, &Arc<str>)> {
+        let meter = self.app.meter.as_ref().filter(|_| !self.scores)?;
+        Some((meter, self.principal.team()?))
+    }
+
+    /// Notes that it is sent to an upstream; gives the number of the try.
+    pub(crate) fn send(&self) -> usize {
+        let now = self.app.clock.steady();
+        let mut run = self.run.lock();
+        let Some(run) = run.as_mut() else { return 0 };
+        if let Some((meter, _)) = self.counted().filter(|_| run.is_fresh()) {
+            meter.lock().begin(run, now);
+        }
+        run.send(now)
+    }
+
+    /// Notes that an upstream has not run a try and never will.
+    pub(crate) fn unrun(&self, at: usize) {
+        if let Some(run) = self.run.lock().as_mut() {
+            run.unrun(at);
+        }
+    }
+
+    /// Counts it for its team, once; its window may close then.
+    pub(crate) fn settle(&self) {
+        let run = self.run.lock().take();
+        if let (Some(run), Some((meter, team))) = (run, self.counted()) {
+            meter.lock().end(&run, team);
+        }
+    }
+
     /// Time that an upstream may still use.
     pub(crate) fn left(&self) -> Millis {
         self.until.saturating_sub(self.app.clock.now() + WAY)
@@ -193,6 +232,13 @@
     }
 }
 
+impl Drop for Sent {
+    /// A request whose caller has left in its midst has run all the same.
+    fn drop(&mut self) {
+        self.settle();
+    }
+}
+
 /// Counts a request at an upstream for as long as it lives, also when the caller leaves.
 pub(crate) struct Place {
     app: Arc<App>,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -35,6 +35,17 @@
     }
 }
 
+/// Where and how often the requests of teams are reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Accounts {
+    /// The address that takes the reports.
+    pub address: SocketAddr,
+    /// The length of a window, in milliseconds.
+    pub window: Millis,
+    /// Time after the end of a window by which its report has to be there, in milliseconds.
+    pub late: Millis,
+}
+
 /// The settings of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -66,6 +77,8 @@
     pub closed: bool,
     /// Age of the configuration from which it is too old then, in milliseconds.
     pub revoke: Millis,
+    /// Where and how often the requests of teams are reported, if they are.
+    pub accounts: Option<Accounts>,
     /// Shortest lease that the platform grants, in milliseconds.
     pub shortest: Millis,
     /// Time for which the results of a step can be read, counted from its opening.
@@ -118,6 +131,12 @@
     let revoke = keys.or("revoke_ms", "milliseconds", 5_000);
     doc.put(keys);
 
+    let mut accounts = doc.take("accounts");
+    let account = accounts.get::<SocketAddr>("address", "an IP address and a port");
+    let window = accounts.or("window_s", "seconds", 5.0);
+    let late = accounts.or("late_s", "seconds", 10.0);
+    doc.put(accounts);
+
     let mut weights = doc.take("weights");
     let part = weights.or("part", "a part of the engines, as 0.2", PART);
     doc.put(weights);
@@ -149,6 +168,11 @@
         apply,
         closed,
         revoke,
+        accounts: account.map(|address| Accounts {
+            address,
+            window: millis(window),
+            late: millis(late),
+        }),
         shortest,
         keep: millis(keep),
         part: part.clamp(0.0, 1.0),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -133,6 +133,9 @@
         tokio::spawn(tidy(app.clone()));
         tokio::spawn(tell_crashes(app.clone()));
         tokio::spawn(count(app.clone()));
+        if app.settings.role == Role::Entry {
+            tokio::spawn(crate::tally::tell(app.clone()));
+        }
         log::info!(target: "start", instance = &*app.me.instance, start = app.me.start,
             domain = &*app.settings.domain; "started");
         Ok(Self { app, drain, front })
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::request::Parts;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use kernel::Millis;
 use net::Reply;
@@ -71,7 +73,11 @@
         used: Vec::new(),
     };
     match stream.open(None).await {
-        Came::Stream(answer, place) => stream.answer(*answer, place).await,
+        Came::Stream(answer, place) => {
+            // It has begun to run; how long it lasts does not matter for its team's report.
+            stream.sent.settle();
+            stream.answer(*answer, place).await
+        }
         Came::Unrun => Refusal::Unrun.reply(),
         Came::Quarantined(left) => Refusal::Quarantined(left).reply(),
         Came::Unknown => Refusal::Unknown.reply(),
@@ -116,13 +122,18 @@
         let Some(request) = self.sent.request(one, last) else {
             return Came::Unrun;
         };
-        let left = self.sent.left();
-        let sent = self
-            .sent
-            .app
-            .http
-            .send(request, Duration::from_millis(left));
-        let answer = match sent.await {
+        let number = self.sent.send();
+        let came = self.tried(request, place).await;
+        if matches!(came, Came::Unrun) {
+            self.sent.unrun(number);
+        }
+        came
+    }
+
+    async fn tried(&self, request: Request<Full<Bytes>>, place: Place) -> Came {
+        let one = &place.one;
+        let left = Duration::from_millis(self.sent.left());
+        let answer = match self.sent.app.http.send(request, left).await {
             Ok(answer) => answer,
             Err(error) => {
                 self.sent
--- /dev/null
+++ b/crates/node/src/tally.rs
@@ -0,0 +1,81 @@
+//! What this instance knows of the requests of teams.
+//!
+//! An entry instance tells a keeper of its failure domain what it counts, a part of a second after it changed and
+//! when a window closes, so that little is lost when it is killed. See [`usage`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::rank;
+use tokio::time::sleep;
+use usage::Share;
+use usage::Tally;
+
+use crate::App;
+use crate::member::Member;
+use crate::peer;
+use crate::settings::Role;
+
+/// Time between two looks at whether there is something to tell. What was counted since is lost with a killed
+/// instance.
+const PUSH: Duration = Duration::from_millis(300);
+
+/// Time that the address which takes reports has to accept a connection: within a region it takes milliseconds.
+const REACH: Duration = Duration::from_millis(250);
+
+/// Keepers that are tried in turn.
+const TRIED: usize = 3;
+
+/// Tells keepers what this instance counts.
+pub(crate) async fn tell(app: Arc<App>) {
+    let Some(meter) = &app.meter else { return };
+    let mut told = Tally::default();
+    loop {
+        sleep(PUSH).await;
+        let tally = meter.lock().tally(app.clock.steady());
+        if tally == told {
+            continue;
+        }
+        for keeper in keepers(&app) {
+            if peer::tally(&app, keeper, tally.clone()).await {
+                told = tally;
+                break;
+            }
+        }
+    }
+}
+
+/// The instances that keep what this one counts: those of its failure domain first.
+fn keepers(app: &App) -> Vec<SocketAddr> {
+    let members = app.members.lock();
+    let all = members.iter().filter(|one| !one.reads);
+    let mut all: Vec<&Member> = all.collect();
+    let far = |one: &&Member| *one.domain != *app.settings.domain;
+    all.sort_by_key(|one| (far(one), rank(&one.owner.instance, &app.me.instance)));
+    all.truncate(TRIED);
+    all.into_iter().map(|one| one.addr).collect()
+}
+
+/// What this instance knows of the requests of a window: what it was told, and what it has counted.
+pub(crate) fn shares(app: &App, window: u64) -> Vec<Share> {
+    let mut shares = app.keeper.lock().shares(window);
+    if let Some(meter) = app
+        .meter
+        .as_ref()
+        .filter(|_| app.settings.role == Role::Entry)
+    {
+        let tally = meter.lock().tally(app.clock.steady());
+        let me = (app.me.instance.clone(), app.me.start);
+        shares.push(tally.share(me, window));
+    }
+    shares
+}
+
+/// Tells whether the address that takes reports can be reached.
+pub(crate) async fn reaches(app: &App) -> bool {
+    match app.settings.accounts {
+        Some(accounts) => net::client::accepts(accounts.address, REACH).await,
+        None => false,
+    }
+}
--- /dev/null
+++ b/crates/usage/src/keeper.rs
@@ -0,0 +1,99 @@
+//! What a keeper has of the entry instances of its failure domain.
+//!
+//! Load pattern: an entry instance is killed in the midst of a window. What it had told its keeper by then
+//! still counts; what it counts is told within a part of a second.
+
+use std::sync::Arc;
+
+use kernel::Map;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Counts;
+use crate::Tally;
+
+/// Windows after which nothing is asked of an entry instance any more that has told nothing since.
+const OLD: u64 = 24;
+
+/// Starts of entry instances that are remembered: some kilobytes each.
+const MOST: usize = 1_024;
+
+/// One start of an entry instance.
+pub type Source = (Arc<str>, u64);
+
+/// What one start of an entry instance has counted in a window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Share {
+    /// Who has counted it.
+    pub source: Source,
+    /// Whether the window is closed there.
+    pub closed: bool,
+    /// Its requests.
+    pub counts: Counts,
+}
+
+/// What entry instances have told.
+///
+/// # Examples
+///
+/// ```
+/// use usage::{Keeper, Tally};
+///
+/// let mut keeper = Keeper::default();
+/// let tally = Tally { through: 7, windows: vec![(7, vec![("a".into(), 2)])] };
+/// keeper.take(("e1".into(), 1), tally);
+/// assert_eq!(keeper.shares(7)[0].counts, [("a".into(), 2)]);
+/// assert!(!keeper.shares(8)[0].closed);
+/// ```
+#[derive(Debug, Default)]
+pub struct Keeper {
+    tallies: Map<Source, Tally>,
+}
+
+impl Keeper {
+    /// Takes in what an entry instance tells; an older word, which has less, changes nothing.
+    pub fn take(&mut self, source: Source, tally: Tally) {
+        if !self.tallies.contains_key(&source) && self.tallies.len() >= MOST {
+            self.prune(tally.through);
+        }
+        let held = self.tallies.entry(source).or_default();
+        if size(&tally) >= size(held) {
+            *held = tally;
+        }
+    }
+
+    fn prune(&mut self, newest: u64) {
+        self.tallies
+            .retain(|_, tally| tally.through + OLD >= newest);
+    }
+
+    /// What is known of a window, by who has counted it.
+    pub fn shares(&self, window: u64) -> Vec<Share> {
+        let all = self.tallies.iter();
+        let fresh = all.filter(|(_, tally)| tally.through + OLD >= window);
+        fresh
+            .map(|(source, tally)| tally.share(source.clone(), window))
+            .collect()
+    }
+}
+
+impl Tally {
+    /// What it says of one window.
+    pub fn share(&self, source: Source, window: u64) -> Share {
+        let found = self.windows.iter().find(|(number, _)| *number == window);
+        Share {
+            source,
+            closed: self.through >= window,
+            counts: found.map(|(_, counts)| counts.clone()).unwrap_or_default(),
+        }
+    }
+}
+
+/// How much a tally says: windows only close, new ones only begin, and counts only grow.
+fn size(tally: &Tally) -> (u64, u64, u64) {
+    let counts = tally.windows.iter().flat_map(|(_, counts)| counts);
+    let newest = tally.windows.last().map_or(0, |(window, _)| *window);
+    let sum = counts.map(|(_, count)| count).sum();
+    (tally.through, newest, sum)
+}
--- /dev/null
+++ b/crates/usage/src/ledger.rs
@@ -0,0 +1,148 @@
+//! What the holder of the duty has reported, and what it reports next.
+//!
+//! A figure that was sent once is never followed by another one for the same window: each report is written down
+//! before it is sent, and whoever takes the duty over sends what is written, to the byte.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use kernel::Map;
+use kernel::Millis;
+use kernel::Set;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Counts;
+use crate::Share;
+use crate::Windows;
+use crate::keeper::Source;
+
+/// Reports that are kept: those of a minute or two of the shortest windows, longer than any may be late by.
+const KEPT: usize = 24;
+
+/// Time after the end of a window in which requests of it may still end, in milliseconds: some round trips.
+const SETTLE: Millis = 150;
+
+/// The requests of one window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Report {
+    /// The window.
+    pub window: u64,
+    /// Its requests.
+    pub counts: Counts,
+}
+
+/// What is to be done next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing is due for so many milliseconds.
+    Wait(Millis),
+    /// The figures of this window are to be collected.
+    Collect(u64),
+}
+
+/// What was reported.
+///
+/// # Examples
+///
+/// ```
+/// use usage::{Ledger, Next, Windows};
+///
+/// let ledger = Ledger::begin(Windows::new(5_000), 12_000);
+/// assert_eq!(ledger.next(Windows::new(5_000), 14_000), Next::Wait(1_150));
+/// assert_eq!(ledger.next(Windows::new(5_000), 15_200), Next::Collect(2));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Ledger {
+    /// The window that is due next.
+    next: u64,
+    /// The newest reports, the oldest first.
+    reports: Vec<Report>,
+}
+
+impl Ledger {
+    /// Begins with the window of a time: nothing was served before.
+    pub fn begin(windows: Windows, now: Millis) -> Self {
+        Self {
+            next: windows.of(now),
+            reports: Vec::new(),
+        }
+    }
+
+    /// The reports, the oldest first.
+    pub fn reports(&self) -> &[Report] {
+        &self.reports
+    }
+
+    /// What is due. After a long time without any holder, windows are left out of which nobody knows anything
+    /// any more.
+    pub fn next(&self, windows: Windows, now: Millis) -> Next {
+        let oldest = windows.of(now).saturating_sub(KEPT as u64);
+        let window = self.next.max(oldest);
+        match (windows.end(window) + SETTLE).checked_sub(now) {
+            Some(wait @ 1..) => Next::Wait(wait),
+            Some(0) | None => Next::Collect(window),
+        }
+    }
+
+    /// Adds up the shares of a window. `live` are the instances that have to be heard of; [`None`] when one has
+    /// not closed the window and it is not `late` yet.
+    pub fn add_up(
+        &self,
+        window: u64,
+        shares: Vec<Share>,
+        live: &Set<Source>,
+        late: bool,
+    ) -> Option<Report> {
+        let mut best: Map<Source, Share> = Map::default();
+        for share in shares {
+            let held = best.get(&share.source);
+            if held.is_none_or(|held| weight(held) < weight(&share)) {
+                best.insert(share.source.clone(), share);
+            }
+        }
+        let closed = |source| best.get(source).is_some_and(|share| share.closed);
+        if !late && !live.iter().all(closed) {
+            return None;
+        }
+        let mut sum: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        for (team, count) in best.into_values().flat_map(|share| share.counts) {
+            *sum.entry(team).or_default() += count;
+        }
+        let counts = sum.into_iter().collect();
+        Some(Report { window, counts })
+    }
+
+    /// The live instances that have not closed a window yet, as far as shares tell.
+    pub fn missing(shares: &[Share], live: &Set<Source>) -> Vec<Source> {
+        let closed = |source: &&Source| {
+            let mut told = shares.iter().filter(|share| share.source == **source);
+            told.any(|share| share.closed)
+        };
+        live.iter()
+            .filter(|source| !closed(source))
+            .cloned()
+            .collect()
+    }
+
+    /// Takes a report in, which is then to be written before it is sent. One of a window that was reported
+    /// changes nothing.
+    pub fn enter(&mut self, report: Report) {
+        if report.window < self.next {
+            return;
+        }
+        self.next = report.window + 1;
+        self.reports.push(report);
+        if self.reports.len() > KEPT {
+            self.reports.remove(0);
+        }
+    }
+}
+
+/// How much a share says; counts only grow.
+fn weight(share: &Share) -> (u64, bool) {
+    let sum = share.counts.iter().map(|(_, count)| count).sum();
+    (sum, share.closed)
+}
--- /dev/null
+++ b/crates/usage/src/meter.rs
@@ -0,0 +1,158 @@
+//! What one entry instance counts.
+//!
+//! A request counts once, in the window in which it was first sent to an upstream that may have run it,
+//! however often it is tried. A window is closed when it is over and no request that was sent in it is under way.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use kernel::Map;
+use kernel::Millis;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Counts;
+use crate::Windows;
+
+/// Windows that are kept: more than a report may be late by, and bounded when nobody takes them.
+const KEPT: u64 = 12;
+
+/// The tries of one request.
+///
+/// # Examples
+///
+/// ```
+/// let mut run = usage::Run::default();
+/// let first = run.send(100);
+/// run.send(250);
+/// run.unrun(first);
+/// assert_eq!(run.began(), Some(250));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Run {
+    /// When it was sent, unless that is known not to have run.
+    sent: Vec<Option<Millis>>,
+    /// The window that it holds open.
+    window: Option<u64>,
+}
+
+impl Run {
+    /// Tells whether it was never sent.
+    pub fn is_fresh(&self) -> bool {
+        self.sent.is_empty()
+    }
+
+    /// Notes that it is sent; gives the number of the try.
+    pub fn send(&mut self, at: Millis) -> usize {
+        self.sent.push(Some(at));
+        self.sent.len() - 1
+    }
+
+    /// Notes that an upstream has not run a try and never will.
+    pub fn unrun(&mut self, at: usize) {
+        if let Some(sent) = self.sent.get_mut(at) {
+            *sent = None;
+        }
+    }
+
+    /// When it began to run; [`None`] when no upstream has run it.
+    pub fn began(&self) -> Option<Millis> {
+        self.sent.iter().flatten().copied().min()
+    }
+}
+
+/// What an entry instance has counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Tally {
+    /// The last window that is closed.
+    pub through: u64,
+    /// The newest windows with their requests.
+    pub windows: Vec<(u64, Counts)>,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    counts: Map<Arc<str>, u64>,
+    under_way: u32,
+}
+
+/// Counts the requests of an entry instance.
+///
+/// # Examples
+///
+/// ```
+/// use usage::{Meter, Run, Windows};
+///
+/// let mut meter = Meter::new(Windows::new(5_000), 10_000);
+/// let mut run = Run::default();
+/// meter.begin(&mut run, 12_000);
+/// run.send(12_000);
+/// assert_eq!(meter.tally(15_100).through, 1);
+/// meter.end(&run, &"a".into());
+/// let tally = meter.tally(15_100);
+/// assert_eq!((tally.through, tally.windows), (2, vec![(2, vec![("a".into(), 1)])]));
+/// ```
+#[derive(Debug)]
+pub struct Meter {
+    of: Windows,
+    windows: BTreeMap<u64, Window>,
+    through: u64,
+}
+
+impl Meter {
+    /// Makes a meter that has counted nothing before `now`.
+    pub fn new(of: Windows, now: Millis) -> Self {
+        Self {
+            of,
+            windows: BTreeMap::new(),
+            through: of.of(now).saturating_sub(1),
+        }
+    }
+
+    /// Notes that a request is about to be sent: its window stays open until it ends.
+    pub fn begin(&mut self, run: &mut Run, now: Millis) {
+        // A clock that was set back must not open what is closed.
+        let window = self.of.of(now).max(self.through + 1);
+        run.window = Some(window);
+        self.windows.entry(window).or_default().under_way += 1;
+    }
+
+    /// Notes that a request of a team has ended.
+    pub fn end(&mut self, run: &Run, team: &Arc<str>) {
+        let Some(held) = run.window else { return };
+        if let Some(window) = self.windows.get_mut(&held) {
+            window.under_way = window.under_way.saturating_sub(1);
+        }
+        let Some(began) = run.began() else { return };
+        let window = self.of.of(began).max(held);
+        let counts = &mut self.windows.entry(window).or_default().counts;
+        *counts.entry(team.clone()).or_default() += 1;
+    }
+
+    /// What was counted so far.
+    pub fn tally(&mut self, now: Millis) -> Tally {
+        let busy = self.windows.iter().find(|(_, window)| window.under_way > 0);
+        let busy = busy.map_or(u64::MAX, |(window, _)| *window);
+        let over = self.of.of(now).saturating_sub(1);
+        self.through = self.through.max(over.min(busy.saturating_sub(1)));
+        while self.windows.len() as u64 > KEPT {
+            self.windows.pop_first();
+        }
+        let windows = self.windows.iter();
+        let counted = windows.filter(|(_, window)| !window.counts.is_empty());
+        Tally {
+            through: self.through,
+            windows: counted
+                .map(|(number, window)| (*number, sorted(&window.counts)))
+                .collect(),
+        }
+    }
+}
+
+fn sorted(counts: &Map<Arc<str>, u64>) -> Counts {
+    let all = counts.iter().map(|(team, count)| (team.clone(), *count));
+    let mut all: Vec<_> = all.collect();
+    all.sort();
+    all
+}
--- /dev/null
+++ b/crates/usage/tests/usage.rs
@@ -0,0 +1,299 @@
+//! Counting requests by window, and reporting each window once.
+
+use std::sync::Arc;
+
+use kernel::Set;
+use proptest::prelude::*;
+use usage::Counts;
+use usage::Keeper;
+use usage::Ledger;
+use usage::Meter;
+use usage::Next;
+use usage::Run;
+use usage::Share;
+use usage::Tally;
+use usage::Windows;
+use yare::parameterized;
+
+const LENGTH: u64 = 5_000;
+
+fn windows() -> Windows {
+    Windows::new(LENGTH)
+}
+
+fn team(name: &str) -> Arc<str> {
+    name.into()
+}
+
+fn counts(all: &[(&str, u64)]) -> Counts {
+    all.iter()
+        .map(|(name, count)| (team(name), *count))
+        .collect()
+}
+
+fn share(source: &str, closed: bool, all: &[(&str, u64)]) -> Share {
+    Share {
+        source: (source.into(), 1),
+        closed,
+        counts: counts(all),
+    }
+}
+
+fn live(all: &[&str]) -> Set<(Arc<str>, u64)> {
+    all.iter().map(|name| ((*name).into(), 1)).collect()
+}
+
+// A request that was tried three times counted three times, one that was turned away unrun once, and one whose caller
+// had left not at all.
+#[parameterized(
+    answered = { &[(10_100, false)], Some((2, 1)) },
+    refused = { &[(10_100, true)], None },
+    refused_then_answered = { &[(10_100, true), (10_300, false)], Some((2, 1)) },
+    tried_twice = { &[(10_100, false), (10_300, false)], Some((2, 1)) },
+    nowhere_sent = { &[], None },
+    ran_in_the_next_window = { &[(14_990, true), (15_010, false)], Some((3, 1)) },
+)]
+fn a_request_counts_once_where_it_began_to_run(
+    tries: &[(u64, bool)],
+    expected: Option<(u64, u64)>,
+) {
+    let mut meter = Meter::new(windows(), 10_000);
+    let mut run = Run::default();
+    meter.begin(&mut run, 10_050);
+
+    for (at, unrun) in tries {
+        let number = run.send(*at);
+        if *unrun {
+            run.unrun(number);
+        }
+    }
+    meter.end(&run, &team("a"));
+
+    let tally = meter.tally(20_100);
+    let found = tally
+        .windows
+        .first()
+        .map(|(window, counts)| (*window, counts[0].1));
+    assert_eq!((tally.through, found), (3, expected));
+}
+
+// A window was reported while a request of it was still at its upstream.
+#[test]
+fn a_window_stays_open_while_a_request_of_it_is_under_way() {
+    let mut meter = Meter::new(windows(), 10_000);
+    let (mut slow, mut quick) = (Run::default(), Run::default());
+    meter.begin(&mut slow, 12_000);
+    slow.send(12_000);
+    meter.begin(&mut quick, 15_500);
+    quick.send(15_500);
+    meter.end(&quick, &team("a"));
+
+    let before = meter.tally(21_000).through;
+    meter.end(&slow, &team("a"));
+    let after = meter.tally(21_000);
+
+    assert_eq!((before, after.through), (1, 3));
+    assert_eq!(
+        after.windows,
+        [(2, counts(&[("a", 1)])), (3, counts(&[("a", 1)]))]
+    );
+}
+
+// The wall clock was set back by two seconds, and requests were counted in a window that was reported.
+#[test]
+fn a_clock_that_is_set_back_opens_no_window_that_is_closed() {
+    let mut meter = Meter::new(windows(), 10_000);
+    assert_eq!(meter.tally(15_100).through, 2);
+    let mut run = Run::default();
+
+    meter.begin(&mut run, 13_000);
+    run.send(13_000);
+    meter.end(&run, &team("a"));
+
+    assert_eq!(meter.tally(15_200).windows, [(3, counts(&[("a", 1)]))]);
+}
+
+#[test]
+fn a_meter_that_nobody_asks_stays_bounded() {
+    let mut meter = Meter::new(windows(), 0);
+
+    for at in 0..500 {
+        let mut run = Run::default();
+        meter.begin(&mut run, at * LENGTH);
+        run.send(at * LENGTH);
+        meter.end(&run, &team("a"));
+        meter.tally(at * LENGTH);
+    }
+
+    assert!(meter.tally(500 * LENGTH).windows.len() <= 12);
+}
+
+// A late word of an entry instance, which had counted less, took the place of a newer one.
+#[test]
+fn an_older_tally_changes_nothing() {
+    let mut keeper = Keeper::default();
+    let tally = |through, count| Tally {
+        through,
+        windows: vec![(7, counts(&[("a", count)]))],
+    };
+
+    keeper.take(("e1".into(), 1), tally(7, 5));
+    keeper.take(("e1".into(), 1), tally(6, 9));
+    keeper.take(("e1".into(), 1), tally(7, 4));
+
+    assert_eq!(keeper.shares(7), [share("e1", true, &[("a", 5)])]);
+}
+
+#[test]
+fn a_keeper_stays_bounded_over_many_starts() {
+    let mut keeper = Keeper::default();
+
+    for start in 0..20_000 {
+        let tally = Tally {
+            through: start / 10,
+            windows: Vec::new(),
+        };
+        keeper.take(("e1".into(), start), tally);
+    }
+
+    assert!(keeper.shares(2_000).len() <= 300);
+}
+
+// An instance was killed: what its keeper had of it counts, beside its next start, and nobody waits for it.
+#[test]
+fn what_a_killed_instance_had_told_counts() {
+    let ledger = Ledger::begin(windows(), 10_000);
+    let mut killed = share("e1", false, &[("a", 3)]);
+    killed.source.1 = 0;
+    let shares = vec![
+        killed,
+        share("e1", true, &[("a", 1)]),
+        share("e2", true, &[("b", 2)]),
+    ];
+
+    let report = ledger
+        .add_up(2, shares, &live(&["e1", "e2"]), false)
+        .unwrap();
+
+    assert_eq!(report.counts, counts(&[("a", 4), ("b", 2)]));
+}
+
+// Two keepers had the same instance, since it changed between them; it was counted twice.
+#[test]
+fn an_instance_that_two_keepers_know_counts_once() {
+    let ledger = Ledger::begin(windows(), 10_000);
+    let shares = vec![
+        share("e1", false, &[("a", 2)]),
+        share("e1", true, &[("a", 5)]),
+    ];
+
+    let report = ledger.add_up(2, shares, &live(&["e1"]), false).unwrap();
+
+    assert_eq!(report.counts, counts(&[("a", 5)]));
+}
+
+#[parameterized(
+    heard_of_all = { &[("e1", true), ("e2", true)], false, true },
+    one_open = { &[("e1", true), ("e2", false)], false, false },
+    one_silent = { &[("e1", true)], false, false },
+    one_silent_and_late = { &[("e1", true)], true, true },
+)]
+fn a_report_waits_for_all_that_live_until_it_is_late(
+    told: &[(&str, bool)],
+    late: bool,
+    expected: bool,
+) {
+    let ledger = Ledger::begin(windows(), 10_000);
+    let shares: Vec<_> = told
+        .iter()
+        .map(|(name, closed)| share(name, *closed, &[]))
+        .collect();
+    let live = live(&["e1", "e2"]);
+
+    let report = ledger.add_up(2, shares.clone(), &live, late);
+
+    assert_eq!(report.is_some(), expected);
+    assert_eq!(
+        Ledger::missing(&shares, &live).is_empty(),
+        expected && !late
+    );
+}
+
+// A window without requests is reported too: what is missing cannot be told from what was lost.
+#[test]
+fn windows_follow_one_another_without_a_gap() {
+    let mut ledger = Ledger::begin(windows(), 10_000);
+    let mut windows_seen = Vec::new();
+
+    for now in (10_000..40_000).step_by(500) {
+        if let Next::Collect(window) = ledger.next(windows(), now) {
+            let report = ledger
+                .add_up(window, Vec::new(), &Set::default(), false)
+                .unwrap();
+            ledger.enter(report);
+            windows_seen.push(window);
+        }
+    }
+
+    assert_eq!(windows_seen, [2, 3, 4, 5, 6]);
+}
+
+// A successor that had collected other figures reported a window once more with those.
+#[test]
+fn a_window_is_reported_with_one_figure() {
+    let mut ledger = Ledger::begin(windows(), 10_000);
+    let report = |count| usage::Report {
+        window: 2,
+        counts: counts(&[("a", count)]),
+    };
+
+    ledger.enter(report(5));
+    ledger.enter(report(6));
+
+    assert_eq!(ledger.reports(), [report(5)]);
+}
+
+proptest! {
+    // However requests, tallies and the ends of windows interleave, each request counts in one window at most, once,
+    // and no window changes after it was said to be closed.
+    #[test]
+    fn a_closed_window_never_changes(steps in prop::collection::vec((0_u8..4, 0_u64..900), 1..120)) {
+        let mut meter = Meter::new(windows(), 100_000);
+        let mut now = 100_000;
+        let mut open: Vec<Run> = Vec::new();
+        let mut ended = 0;
+        let mut closed: Vec<(u64, Counts)> = Vec::new();
+        for (what, time) in steps {
+            now += time;
+            match what {
+                0 => {
+                    let mut run = Run::default();
+                    meter.begin(&mut run, now);
+                    run.send(now);
+                    open.push(run);
+                }
+                1 if !open.is_empty() => {
+                    let run = open.remove(time as usize % open.len());
+                    meter.end(&run, &team("a"));
+                    ended += 1;
+                }
+                _ => {
+                    let tally = meter.tally(now);
+                    for (window, counts) in &closed {
+                        let held = tally.windows.iter().find(|(number, _)| number == window);
+                        if tally.windows.first().is_some_and(|(first, _)| first <= window) {
+                            prop_assert_eq!(held.map(|(_, counts)| counts), Some(counts));
+                        }
+                    }
+                    closed = tally.windows.into_iter().filter(|(window, _)| *window <= tally.through).collect();
+                }
+            }
+        }
+        let tally = meter.tally(now);
+        let sum: u64 = tally.windows.iter().flat_map(|(_, counts)| counts).map(|(_, count)| count).sum();
+        prop_assert!(sum <= ended);
+        if tally.windows.len() < 12 {
+            prop_assert_eq!(sum, ended);
+        }
+    }
+}
