Order upstreams that are wanted, and want none unless told

Cause: deployments let upstreams be ordered; nothing here could, nor knew which may be taken away at any moment. Change: crate capacity decides how many are wanted and keeps what was asked for; the leader writes it down before it asks, repeats it to the byte, never asks below what runs or above what is allowed. Setting [capacity] fill, 0. Ways: none (as before); as many as the samples of two steps of each model fill. Conclusion: steps end with their longest sample, which more upstreams make no shorter; none is kept, the setting stays for operators.

--- a/crates/bench/src/place.rs
+++ b/crates/bench/src/place.rs
@@ -37,6 +37,7 @@
         domain: ["nord", "syd"][at % 2].into(),
         slots: SLOTS,
         leaving: false,
+        spot: false,
         weights: vec![("large".into(), 7), ("small".into(), 3 + at as u64 % 2)],
     }
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -2,6 +2,7 @@
 //! and records that are not needed any more.
 
 mod accounts;
+mod capacity;
 pub mod office;
 pub mod orders;
 pub mod orphans;
@@ -83,9 +84,17 @@
             None => std::future::pending().await,
         }
     };
+    let supplies = async {
+        match capacity::Supplies::new(app, &office) {
+            Some(supplies) => supplies.run(&targets).await,
+            None => std::future::pending().await,
+        }
+    };
     let over = tokio::select! {
         () = office.keep(app) => Over::Lost,
         () = orders => Over::Leaving,
+        // They end with the office alone.
+        () = supplies => Over::Lost,
         accounts::Unable::Unreached = reports => Over::Unable,
     };
     if over != Over::Lost {
--- /dev/null
+++ b/crates/node/src/control/capacity.rs
@@ -0,0 +1,238 @@
+//! Ordering upstreams.
+//!
+//! How many are wanted is [`capacity::wishes`]'s matter. What is wanted is written down first, and a successor goes
+//! on from what is written.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ::capacity::Bounds;
+use ::capacity::Ledger;
+use ::capacity::Order;
+use ::capacity::Present;
+use ::capacity::Tries;
+use ::capacity::Wish;
+use ::capacity::wishes;
+use batch::record;
+use kernel::Millis;
+use plat::Done;
+use plat::Guard;
+use plat::PlatError;
+use plat::Put;
+use plat::Txn;
+use table::Plan;
+use table::Service;
+use tokio::time::sleep;
+
+use super::office::Office;
+use super::targets::Targets;
+use crate::App;
+use crate::dialect::Granted;
+use crate::dialect::Supply;
+use crate::meter;
+use crate::settings::Accounts;
+
+/// The key of what was asked for.
+const KEY: &str = "snipeway/capacity";
+
+/// Pause between two looks at what is needed.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Time that an order has to be answered.
+const LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Most bytes of an answer.
+const MOST: usize = 64 << 10;
+
+/// Steps of one model that the number of its samples at one time is made of: the one that runs, and the one that
+/// its trainer asks for meanwhile.
+const STEPS: u64 = 2;
+
+/// The leader's orders of upstreams.
+pub(super) struct Supplies<'a> {
+    app: &'a Arc<App>,
+    office: &'a Office,
+    to: Accounts,
+    held: Option<(Ledger, i64)>,
+    tries: Tries,
+}
+
+impl<'a> Supplies<'a> {
+    /// Makes a leader that has ordered nothing yet; [`None`] where nothing can be ordered.
+    pub(super) fn new(app: &'a Arc<App>, office: &'a Office) -> Option<Self> {
+        let to = app.settings.accounts?;
+        Some(Self {
+            app,
+            office,
+            to,
+            held: None,
+            tries: Tries::default(),
+        })
+    }
+
+    /// Orders what is needed for as long as this instance leads.
+    pub(super) async fn run(mut self, targets: &Targets) {
+        loop {
+            sleep(LOOK).await;
+            if let Err(error) = self.turn(targets).await {
+                self.held = None;
+                let error = error.to_string();
+                log::debug!(target: "capacity", error = error.as_str(); "record of orders not reached");
+            }
+        }
+    }
+
+    async fn turn(&mut self, targets: &Targets) -> Result<(), PlatError> {
+        let Some(plan) = self.app.plan.load_full() else {
+            return Ok(());
+        };
+        let scaled = plan.services().any(|service| service.scaling.is_some());
+        if !scaled || !self.office.may_order(self.app.clock.now()) {
+            return Ok(());
+        }
+        let (mut ledger, rev) = match self.held.take() {
+            Some(held) => held,
+            None => self.read().await?,
+        };
+        let mut changed = false;
+        for order in self.wanted(&plan, &ledger, targets) {
+            changed |= ledger.enter(order);
+        }
+        let rev = match changed {
+            true => self.write(&ledger, rev).await?,
+            false => rev,
+        };
+        for order in ledger.orders() {
+            self.ask(&plan, order).await;
+        }
+        self.held = Some((ledger, rev));
+        Ok(())
+    }
+
+    fn wanted(&self, plan: &Plan, ledger: &Ledger, targets: &Targets) -> Vec<Order> {
+        let aims = targets.aims(self.app.clock.now());
+        let mut orders = Vec::new();
+        for service in plan.services() {
+            let (Some(bounds), Some(engine)) = (&service.scaling, &service.engine) else {
+                continue;
+            };
+            let models = engine.models.iter().filter_map(|model| aims.get(model));
+            let wish = Wish {
+                requests: models.map(|aim| aim.samples / STEPS).sum(),
+                slots: engine.slots,
+                fill: self.app.settings.fill,
+            };
+            let present = self.present(&service.name, bounds);
+            orders.extend(wishes(
+                &service.name,
+                bounds,
+                &present,
+                ledger.orders(),
+                wish,
+            ));
+        }
+        orders
+    }
+
+    /// The upstreams of a service in each failure domain in which there may be some.
+    fn present(&self, service: &str, bounds: &Bounds) -> Vec<Present> {
+        let roster = self.app.roster.lock();
+        let mut all: Vec<_> = bounds
+            .prices
+            .iter()
+            .map(|(domain, _)| Present {
+                domain: domain.clone(),
+                kept: 0,
+                spot: 0,
+            })
+            .collect();
+        for one in roster.of(service).filter(|one| !one.leaving) {
+            let Some(at) = all.iter_mut().find(|present| present.domain == one.domain) else {
+                continue;
+            };
+            match one.spot {
+                true => at.spot += 1,
+                false => at.kept += 1,
+            }
+        }
+        all
+    }
+
+    async fn ask(&mut self, plan: &Plan, order: &Order) {
+        let now = self.app.clock.now();
+        let subject = &order.subject;
+        let service = plan.service(&subject.service);
+        let Some(bounds) = service.and_then(|service: &Arc<Service>| service.scaling.as_ref())
+        else {
+            return;
+        };
+        let present = self.present(&subject.service, bounds);
+        let here = present.iter().find(|one| one.domain == subject.domain);
+        let count = here.map_or(0, |one| if subject.spot { one.spot } else { one.kept });
+        // Asked right before each order: the process may have been paused since the last renewal.
+        if !self.tries.is_due(order, count, now) || !self.office.may_order(now) {
+            return;
+        }
+        let granted = self.send(order).await;
+        let now: Millis = self.app.clock.now();
+        let outcome = match granted {
+            Some(Granted::Taken) => "taken",
+            Some(Granted::Scarce) => "none to be had",
+            Some(Granted::Busy) => "busy",
+            Some(Granted::Fenced) => "fenced",
+            Some(Granted::Refused) => "refused",
+            None => "unanswered",
+        };
+        match granted {
+            Some(Granted::Taken) => self.tries.taken(subject, bounds.boot, now),
+            Some(Granted::Scarce | Granted::Refused) => self.tries.scarce(subject, now),
+            Some(Granted::Busy | Granted::Fenced) | None => self.tries.unanswered(subject, now),
+        }
+        metrics::counter!(meter::SUPPLIES, "result" => outcome).increment(1);
+        log::info!(target: "capacity", service = &*subject.service, domain = &*subject.domain,
+            wanted = order.count, present = count, fence = self.office.fence(), outcome;
+            "upstreams ordered");
+    }
+
+    async fn send(&self, order: &Order) -> Option<Granted> {
+        let supply = Supply {
+            addr: self.to.address,
+            order,
+            holder: &self.app.me.instance,
+            fence: self.office.fence(),
+        };
+        let request = match self.app.dialect.supply(&supply) {
+            Ok(request) => request,
+            Err(error) => {
+                let error = error.to_string();
+                log::error!(target: "capacity", error = error.as_str(); "no order");
+                return Some(Granted::Refused);
+            }
+        };
+        let answer = self.app.http.fetch(request, LIMIT, MOST).await.ok()?;
+        Some(self.app.dialect.granted(answer.status()))
+    }
+
+    async fn read(&self) -> Result<(Ledger, i64), PlatError> {
+        let Some(item) = self.app.plat.get(KEY).await? else {
+            return Ok((Ledger::default(), 0));
+        };
+        let ledger = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
+        Ok((ledger, item.rev))
+    }
+
+    /// Writes what is wanted. When the answer is lost, the record is read before anything is asked for.
+    async fn write(&self, ledger: &Ledger, rev: i64) -> Result<i64, PlatError> {
+        let value = record::encode(ledger).map_err(|_| PlatError::Garbled)?;
+        let txn = Txn {
+            guards: vec![Guard::on(KEY, rev)],
+            puts: vec![Put::new(KEY, value)],
+            deletes: Vec::new(),
+        };
+        match self.app.plat.txn(&txn).await? {
+            Done::At(rev) => Ok(rev),
+            // Another leader has written, or an earlier write was carried out late.
+            Done::Conflict => Err(PlatError::Silent),
+        }
+    }
+}
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -239,6 +239,34 @@
     Refused,
 }
 
+/// An order for a number of upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct Supply<'a> {
+    /// The address that takes it.
+    pub addr: SocketAddr,
+    /// The order.
+    pub order: &'a capacity::Order,
+    /// Who holds the duty.
+    pub holder: &'a str,
+    /// The fencing number of whoever holds it.
+    pub fence: i64,
+}
+
+/// What came of an order for upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Granted {
+    /// It is being carried out.
+    Taken,
+    /// There are none to be had at the moment.
+    Scarce,
+    /// Too many calls were made at once; it may be given again.
+    Busy,
+    /// Somebody with a higher fencing number has ordered before.
+    Fenced,
+    /// It is refused.
+    Refused,
+}
+
 /// Translates between a platform's messages and the product's types.
 pub trait Dialect: Send + Sync + 'static {
     /// Where the store keeps what others write.
@@ -350,4 +378,14 @@
 
     /// Reads what came of a report.
     fn accounted(&self, status: StatusCode) -> Accounted;
+
+    /// The request that orders a number of upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DialectError`].
+    fn supply(&self, supply: &Supply<'_>) -> Result<Request<Full<Bytes>>, DialectError>;
+
+    /// Reads what came of an order for upstreams.
+    fn granted(&self, status: StatusCode) -> Granted;
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -85,6 +85,8 @@
     pub keep: Millis,
     /// Part of a service's engines that load at the same time.
     pub part: f64,
+    /// Part of the samples that may have to run at the same time for which upstreams are ordered.
+    pub fill: f64,
     /// What is logged.
     pub logs: logs::Settings,
 }
@@ -93,6 +95,11 @@
 /// of the engines at full speed, and more at once would each take longer.
 const PART: f64 = 0.2;
 
+/// Part of the samples that may have to run at the same time for which upstreams are ordered, where they may be.
+/// None unless an operator says so: each is paid for by the second, and steps end with their longest sample,
+/// which more upstreams make no shorter.
+const FILL: f64 = 0.0;
+
 /// Milliseconds in a second.
 const SECOND: f64 = 1_000.0;
 
@@ -137,6 +144,10 @@
     let late = accounts.or("late_s", "seconds", 10.0);
     doc.put(accounts);
 
+    let mut capacity = doc.take("capacity");
+    let fill = capacity.or("fill", "a part of the samples, as 0.8", FILL);
+    doc.put(capacity);
+
     let mut weights = doc.take("weights");
     let part = weights.or("part", "a part of the engines, as 0.2", PART);
     doc.put(weights);
@@ -176,6 +187,7 @@
         shortest,
         keep: millis(keep),
         part: part.clamp(0.0, 1.0),
+        fill: fill.max(0.0),
         logs: logs::Settings {
             level,
             form: logs::Form::Json,
--- a/crates/place/src/round.rs
+++ b/crates/place/src/round.rs
@@ -60,7 +60,7 @@
 /// let listed = |name: &str| Listed {
 ///     id: name.into(), start: Start { name: name.into(), born: None, beats: 1 },
 ///     service: "fit".into(), addr: ([127, 0, 0, 1], 1).into(), domain: "nord".into(),
-///     slots: 1, leaving: false, weights: vec![("m".into(), 1)],
+///     slots: 1, leaving: false, spot: false, weights: vec![("m".into(), 1)],
 /// };
 /// let want = Want {
 ///     service: "fit", model: Some("m"), least: 1, queue: 0, domain: "nord", kin: None,
--- a/crates/place/tests/place.rs
+++ b/crates/place/tests/place.rs
@@ -28,6 +28,7 @@
         domain: "nord".into(),
         slots,
         leaving: false,
+        spot: false,
         weights: vec![("m".into(), version)],
     }
 }
--- a/crates/table/src/plan.rs
+++ b/crates/table/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use capacity::Bounds;
 use kernel::Map;
 use kernel::Millis;
 use team::Teams;
@@ -69,12 +70,14 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Its name.
     pub name: Arc<str>,
     /// What its upstreams are, when they are model engines.
     pub engine: Option<Engine>,
+    /// How many upstreams may be ordered, if they may.
+    pub scaling: Option<Bounds>,
 }
 
 /// One version of the configuration.
@@ -94,7 +97,7 @@
 /// assert_eq!(found.map(|route| &*route.prefix), Some("/a/b/"));
 /// assert!(plan.find("shop.example", "/x").is_none());
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// Its version; a higher one replaces a lower one.
     pub version: u64,
--- a/crates/table/src/roster.rs
+++ b/crates/table/src/roster.rs
@@ -34,6 +34,8 @@
     pub slots: u32,
     /// Whether it is about to leave.
     pub leaving: bool,
+    /// Whether it costs less and may be taken away at any moment.
+    pub spot: bool,
     /// The models that it has, with the version of their weights.
     pub weights: Vec<(Arc<str>, u64)>,
 }
@@ -58,7 +60,7 @@
 ///
 /// let listed = Listed {
 ///     id: "i-1".into(), start: Start { name: "i-1".into(), born: None, beats: 1 }, service: "fit".into(), addr: ([127, 0, 0, 1], 1).into(),
-///     domain: "nord".into(), slots: 8, leaving: false, weights: Vec::new(),
+///     domain: "nord".into(), slots: 8, leaving: false, spot: false, weights: Vec::new(),
 /// };
 /// let mut roster = Roster::default();
 /// roster.read(vec![listed], 0);
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -24,6 +24,7 @@
         domain: "nord".into(),
         slots: 8,
         leaving: false,
+        spot: false,
         weights: Vec::new(),
     }
 }
