--- a/crates/usage/src/meter.rs
+++ b/crates/usage/src/meter.rs
@@ -14,9 +14,12 @@
 use crate::Counts;
 use crate::Windows;
 
-/// Windows that are kept: more than a report may be late by, and bounded when nobody takes them.
+/// Closed windows that are kept: those of longer than a report may be late by.
 const KEPT: u64 = 12;
 
+/// Most windows that are kept, closed or not: requests that take far longer than a window hold each of them open.
+const MOST: usize = 256;
+
 /// The tries of one request.
 ///
 /// # Examples
@@ -135,10 +138,14 @@
         let busy = self.windows.iter().find(|(_, window)| window.under_way > 0);
         let busy = busy.map_or(u64::MAX, |(window, _)| *window);
         let over = self.of.of(now).saturating_sub(1);
-        self.through = self.through.max(over.min(busy.saturating_sub(1)));
-        while self.windows.len() as u64 > KEPT {
+        // Only what was told as closed before is dropped. A window that slow requests had held open for longer
+        // than the others are kept would else be dropped before anybody had its figures.
+        let first = (self.through + 1).saturating_sub(KEPT);
+        self.windows = self.windows.split_off(&first);
+        while self.windows.len() > MOST {
             self.windows.pop_first();
         }
+        self.through = self.through.max(over.min(busy.saturating_sub(1)));
         let windows = self.windows.iter();
         let counted = windows.filter(|(_, window)| !window.counts.is_empty());
         Tally {
