Let followers wait for a source that is as slow as the platform

Cause: at 300 machines and 3,000 upstreams a leaving upstream was known up to 5.5 s late at half of the instances (lines of a site file of our own). A whole read took 2.5 s, so sources had nothing in time, and each of 300 followers read for itself, 19 calls in 10 s each; together they took the store's link, which made reads slow. Change: a follower whose own last read took half a second or more asks a source that answers, and has nothing yet, three times more before it reads. One that does not answer, or says that the platform does not, is treated as before.

--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -59,6 +59,15 @@
 /// from asking for themselves.
 pub const FRESH: Millis = 1_000;
 
+/// Time that a read of its own takes from which a follower does not read at once when its source is late, in
+/// milliseconds. So slow a read means a long list or a busy platform, and then the source is late for the
+/// same reason. With 3,000 upstreams each read is a megabyte; 300 followers that all read beside their sources took
+/// the platform's whole link, and a leaving upstream was known 5 s late.
+const SLOW: Millis = 500;
+
+/// Rounds for which such a follower goes on asking before it reads.
+const ROUNDS: u32 = 3;
+
 /// Time for which a reader that had nothing in time is not asked again, in milliseconds.
 const SHUN: Millis = 3_000;
 
@@ -114,6 +123,7 @@
         let begun = app.clock.now();
         match follower.hear(&app).await {
             Heard::News(news) => {
+                follower.late = 0;
                 app.set_blind(false);
                 let now = app.clock.now();
                 app.post(|board| board.merge(&news, now));
@@ -125,12 +135,15 @@
                 app.set_blind(true);
                 continue;
             }
-            Heard::Blind | Heard::Nothing => (),
+            Heard::Late if follower.trusts() => continue,
+            Heard::Blind | Heard::Late | Heard::Nothing => (),
         }
+        let reading = app.clock.now();
         match read(&app, &mut follower).await {
             Ok(()) => reach.back(),
             Err(error) => reach.lost(&error),
         }
+        follower.took = app.clock.now() - reading;
         let used = Duration::from_millis(app.clock.now() - begun);
         tokio::time::sleep(LIST.saturating_sub(used).max(LEAST)).await;
     }
@@ -166,6 +179,10 @@
     shunned: Millis,
     /// Rounds in a row in which the platform answered nobody.
     blind: u32,
+    /// Time that its last read of its own took, in milliseconds.
+    took: Millis,
+    /// Rounds in a row in which its source was late.
+    late: u32,
 }
 
 impl Follower {
@@ -184,10 +201,14 @@
             true => Heard::Nothing,
             false => self.ask(app, main, wait).await,
         };
-        if matches!(heard, Heard::Nothing) && !shunned {
+        if matches!(heard, Heard::Late) && self.is_patient() {
+            return heard;
+        }
+        if matches!(heard, Heard::Late | Heard::Nothing) && !shunned {
             self.shunned = app.clock.now() + SHUN;
         }
-        if let (Heard::Nothing | Heard::Blind, Some(spare)) = (&heard, sources.spare) {
+        if let (Heard::Late | Heard::Nothing | Heard::Blind, Some(spare)) = (&heard, sources.spare)
+        {
             let wait = match shunned {
                 true => WAIT + STEP,
                 // It has heard of it as well by now, and reads.
@@ -218,7 +239,7 @@
             Heard::News(news) => self.last = Some((addr, news.count)),
             // It may have been started anew, and counts from one.
             Heard::Nothing => self.last = None,
-            Heard::Blind => (),
+            Heard::Late | Heard::Blind => (),
         }
         heard
     }
@@ -316,6 +337,18 @@
         }
     }
 
+    /// Tells whether a source that is late had better be asked again than the platform.
+    fn is_patient(&self) -> bool {
+        self.took >= SLOW && self.late < ROUNDS
+    }
+
+    /// Tells whether to go on asking a source that was late, and counts the round.
+    fn trusts(&mut self) -> bool {
+        let patient = self.is_patient();
+        self.late = if patient { self.late + 1 } else { 0 };
+        patient
+    }
+
     /// Tells whether to go on waiting while the platform answers nobody.
     fn waits(&mut self) -> bool {
         self.blind = (self.blind + 1) % BLIND;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -331,7 +331,9 @@
     News(News),
     /// The platform does not answer it.
     Blind,
-    /// It had none in time, or did not answer.
+    /// It answers, and had none in time.
+    Late,
+    /// It did not answer.
     Nothing,
 }
 
@@ -340,6 +342,7 @@
     match ask(app, addr, &Ask::News { have, wait }, wait + NEWS).await {
         Some(Told::News(Some(news))) => Heard::News(news),
         Some(Told::Blind) => Heard::Blind,
+        Some(Told::News(None)) => Heard::Late,
         _ => Heard::Nothing,
     }
 }
