Pass on news that took long to read, and look at the configuration meanwhile

Cause: the age of news counted from the beginning of a read. One that took a second or more was too old to be passed on when it ended, so no source ever had anything for its followers, and all read for themselves. The configuration was read once a round, however long the list took. Change: the age counts from the end of the read; while a list is read, the configuration is read every 0.85 s.

--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -363,16 +363,28 @@
     done
 }
 
-async fn try_read(app: &App, follower: &mut Follower) -> Result<(), PlatError> {
-    let places = app.dialect.places();
-    let at = app.clock.now();
-    let plan = app.plat.get(places.plan).await?;
+async fn read_plan(app: &App, follower: &mut Follower) -> Result<(), PlatError> {
+    let plan = app.plat.get(app.dialect.places().plan).await?;
     if app.post(|board| board.plan(plan)) {
         follower.catch_up(app);
     }
+    Ok(())
+}
+
+async fn try_read(app: &App, follower: &mut Follower) -> Result<(), PlatError> {
+    let places = app.dialect.places();
+    read_plan(app, follower).await?;
     // Whoever is ready must know which requests crash upstreams, also after a start. Read one after the other
     // they would make each round longer by a call, which takes a third of a second at a store that is busy.
-    let (crashes, range) = tokio::join!(app.plat.list(CRASHES), app.plat.list(places.upstreams));
+    let lists = async { tokio::join!(app.plat.list(CRASHES), app.plat.list(places.upstreams)) };
+    tokio::pin!(lists);
+    let (crashes, range) = loop {
+        tokio::select! {
+            read = &mut lists => break read,
+            // A list of thousands takes seconds at a busy platform, and a configuration must be in force by then.
+            () = tokio::time::sleep(LIST) => read_plan(app, follower).await?,
+        }
+    };
     let (crashes, mut range) = (crashes?, range?);
     crash::report::sweep(&app.plat, &crashes.items, app.clock.wall()).await;
     range.items.extend(crashes.items);
@@ -382,6 +394,9 @@
         true => member::list(app).await.ok(),
         false => None,
     };
+    // Counted from the end of the read: one that takes longer than news may be old would never be passed on, and
+    // everybody would read.
+    let at = app.clock.now();
     app.post(|board| {
         board.read(range.items, range.rev, at);
         if let Some(members) = members {
