Keep what the leader writes down in one place, and name orders of upstreams apart from what is decided

Cause: reports and orders of upstreams read and wrote their records alike, twice; a module had the name of the crate that it uses. Change: control::kept, control::supply. No behaviour.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -2,10 +2,11 @@
 //! and records that are not needed any more.
 
 mod accounts;
-mod capacity;
+mod kept;
 pub mod office;
 pub mod orders;
 pub mod orphans;
+mod supply;
 pub mod targets;
 
 use std::sync::Arc;
@@ -85,7 +86,7 @@
         }
     };
     let supplies = async {
-        match capacity::Supplies::new(app, &office) {
+        match supply::Supplies::new(app, &office) {
             Some(supplies) => supplies.run(&targets).await,
             None => std::future::pending().await,
         }
--- a/crates/node/src/control/accounts.rs
+++ b/crates/node/src/control/accounts.rs
@@ -7,15 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::record;
 use futures_util::future::join_all;
 use kernel::Millis;
 use kernel::Set;
-use plat::Done;
-use plat::Guard;
 use plat::PlatError;
-use plat::Put;
-use plat::Txn;
 use tokio::time::sleep;
 use usage::Ledger;
 use usage::Next;
@@ -23,6 +18,8 @@
 use usage::Share;
 use usage::Windows;
 
+use super::kept;
+use super::kept::Kept;
 use super::office::Office;
 use crate::App;
 use crate::dialect::Account;
@@ -67,7 +64,7 @@
     office: &'a Office,
     to: Accounts,
     windows: Windows,
-    ledger: Option<(Ledger, i64)>,
+    ledger: Option<Kept<Ledger>>,
     /// The last window that the platform has taken from this holder.
     taken: u64,
     /// Since when reports have failed.
@@ -117,7 +114,10 @@
         }
         let (mut ledger, rev) = match self.ledger.take() {
             Some(held) => held,
-            None => self.read(now).await?,
+            None => {
+                let held = kept::read(self.app, KEY).await?;
+                held.unwrap_or_else(|| (Ledger::begin(self.windows, now), 0))
+            }
         };
         // Everything that is written down is sent before anything new is.
         let sent = self.send(&ledger).await;
@@ -140,7 +140,7 @@
         log::info!(target: "accounts", window, teams = report.counts.len(), requests,
             age_ms = now.saturating_sub(self.windows.end(window)); "window added up");
         ledger.enter(report);
-        let rev = self.write(&ledger, rev).await?;
+        let rev = kept::write(self.app, KEY, &ledger, rev).await?;
         self.ledger = Some((ledger, rev));
         Ok(Duration::ZERO)
     }
@@ -150,29 +150,6 @@
         plan.as_ref().is_some_and(|plan| plan.teams.is_some())
     }
 
-    async fn read(&self, now: Millis) -> Result<(Ledger, i64), PlatError> {
-        let Some(item) = self.app.plat.get(KEY).await? else {
-            return Ok((Ledger::begin(self.windows, now), 0));
-        };
-        let ledger = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
-        Ok((ledger, item.rev))
-    }
-
-    /// Writes what is reported. When the answer is lost, the record is read before anything is sent.
-    async fn write(&self, ledger: &Ledger, rev: i64) -> Result<i64, PlatError> {
-        let value = record::encode(ledger).map_err(|_| PlatError::Garbled)?;
-        let txn = Txn {
-            guards: vec![Guard::on(KEY, rev)],
-            puts: vec![Put::new(KEY, value)],
-            deletes: Vec::new(),
-        };
-        match self.app.plat.txn(&txn).await? {
-            Done::At(rev) => Ok(rev),
-            // Another holder has written, or an earlier write was carried out late.
-            Done::Conflict => Err(PlatError::Silent),
-        }
-    }
-
     /// Collects the figures of a window from all who may have some.
     async fn collect(&self, ledger: &Ledger, window: u64, now: Millis) -> Option<Report> {
         let members = self.app.members.lock().clone();
--- a/crates/node/src/control/capacity.rs
+++ b/crates/node/src/control/supply.rs
@@ -6,24 +6,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ::capacity::Bounds;
-use ::capacity::Ledger;
-use ::capacity::Order;
-use ::capacity::Present;
-use ::capacity::Tries;
-use ::capacity::Wish;
-use ::capacity::wishes;
-use batch::record;
+use capacity::Bounds;
+use capacity::Ledger;
+use capacity::Order;
+use capacity::Present;
+use capacity::Tries;
+use capacity::Wish;
+use capacity::wishes;
 use kernel::Millis;
-use plat::Done;
-use plat::Guard;
 use plat::PlatError;
-use plat::Put;
-use plat::Txn;
 use table::Plan;
 use table::Service;
 use tokio::time::sleep;
 
+use super::kept;
+use super::kept::Kept;
 use super::office::Office;
 use super::targets::Targets;
 use crate::App;
@@ -53,7 +50,7 @@
     app: &'a Arc<App>,
     office: &'a Office,
     to: Accounts,
-    held: Option<(Ledger, i64)>,
+    held: Option<Kept<Ledger>>,
     tries: Tries,
 }
 
@@ -92,14 +89,14 @@
         }
         let (mut ledger, rev) = match self.held.take() {
             Some(held) => held,
-            None => self.read().await?,
+            None => kept::read(self.app, KEY).await?.unwrap_or_default(),
         };
         let mut changed = false;
         for order in self.wanted(&plan, &ledger, targets) {
             changed |= ledger.enter(order);
         }
         let rev = match changed {
-            true => self.write(&ledger, rev).await?,
+            true => kept::write(self.app, KEY, &ledger, rev).await?,
             false => rev,
         };
         for order in ledger.orders() {
@@ -212,27 +209,4 @@
         let answer = self.app.http.fetch(request, LIMIT, MOST).await.ok()?;
         Some(self.app.dialect.granted(answer.status()))
     }
-
-    async fn read(&self) -> Result<(Ledger, i64), PlatError> {
-        let Some(item) = self.app.plat.get(KEY).await? else {
-            return Ok((Ledger::default(), 0));
-        };
-        let ledger = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
-        Ok((ledger, item.rev))
-    }
-
-    /// Writes what is wanted. When the answer is lost, the record is read before anything is asked for.
-    async fn write(&self, ledger: &Ledger, rev: i64) -> Result<i64, PlatError> {
-        let value = record::encode(ledger).map_err(|_| PlatError::Garbled)?;
-        let txn = Txn {
-            guards: vec![Guard::on(KEY, rev)],
-            puts: vec![Put::new(KEY, value)],
-            deletes: Vec::new(),
-        };
-        match self.app.plat.txn(&txn).await? {
-            Done::At(rev) => Ok(rev),
-            // Another leader has written, or an earlier write was carried out late.
-            Done::Conflict => Err(PlatError::Silent),
-        }
-    }
 }
