Count what an instance serves right after its start

An entry that has just started is not among those that the leader knows to live, and may know no keeper itself, so the window of its first requests was added up 0.15 s after its end without them. Change: an entry with something to tell and no keeper reads who has entered; windows are added up 0.7 s after their end; an instance that told something of the two windows before and is not known to live is waited for, 1.5 s at most.

--- a/crates/node/src/control/accounts.rs
+++ b/crates/node/src/control/accounts.rs
@@ -172,7 +172,7 @@
             shares.extend(join_all(asks).await.into_iter().flatten().flatten());
         }
         let late = age as f64 >= self.to.late as f64 * PATIENCE;
-        ledger.add_up(window, shares, &live, late)
+        ledger.add_up(window, shares, &live, age, late)
     }
 
     /// Sends what is written down and was not taken from this holder; tells whether all of it was.
--- a/crates/node/src/tally.rs
+++ b/crates/node/src/tally.rs
@@ -13,6 +13,7 @@
 use usage::Tally;
 
 use crate::App;
+use crate::member;
 use crate::member::Member;
 use crate::peer;
 use crate::settings::Role;
@@ -37,6 +38,9 @@
         if tally == told {
             continue;
         }
+        if keepers(&app).is_empty() {
+            meet(&app).await;
+        }
         for keeper in keepers(&app) {
             if peer::tally(&app, keeper, tally.clone()).await {
                 told = tally;
@@ -46,6 +50,18 @@
     }
 }
 
+/// Reads who has entered. An instance that has just started may serve requests before it knows anybody, and
+/// nobody would know what it counted when the window is reported.
+async fn meet(app: &App) {
+    match member::list(app).await {
+        Ok(members) => app.met(members),
+        Err(error) => {
+            let error = error.to_string();
+            log::debug!(target: "accounts", error = error.as_str(); "no keeper known");
+        }
+    }
+}
+
 /// The instances that keep what this one counts: those of its failure domain first.
 fn keepers(app: &App) -> Vec<SocketAddr> {
     let members = app.members.lock();
--- a/crates/usage/src/keeper.rs
+++ b/crates/usage/src/keeper.rs
@@ -15,6 +15,9 @@
 /// Windows after which nothing is asked of an entry instance any more that has told nothing since.
 const OLD: u64 = 24;
 
+/// Windows before one within which an instance has closed one that is taken to live still.
+const RECENT: u64 = 2;
+
 /// Starts of entry instances that are remembered: some kilobytes each.
 const MOST: usize = 1_024;
 
@@ -29,6 +32,8 @@
     pub source: Source,
     /// Whether the window is closed there.
     pub closed: bool,
+    /// Whether it has told of the windows right before.
+    pub recent: bool,
     /// Its requests.
     pub counts: Counts,
 }
@@ -85,6 +90,7 @@
         Share {
             source,
             closed: self.through >= window,
+            recent: self.through + RECENT >= window,
             counts: found.map(|(_, counts)| counts.clone()).unwrap_or_default(),
         }
     }
--- a/crates/usage/src/ledger.rs
+++ b/crates/usage/src/ledger.rs
@@ -20,8 +20,13 @@
 /// Reports that are kept: those of a minute or two of the shortest windows, longer than any may be late by.
 const KEPT: usize = 24;
 
-/// Time after the end of a window in which requests of it may still end, in milliseconds: some round trips.
-const SETTLE: Millis = 150;
+/// Time after the end of a window before its figures are collected, in milliseconds: entry instances tell what
+/// they count each 300 ms, and one that has just started is not among those that are known to live.
+const SETTLE: Millis = 700;
+
+/// Time after the end of a window for which an instance that is not known to live, and has told something of the
+/// windows before, is waited for, in milliseconds: it has started a moment ago, or was killed.
+const UNKNOWN: Millis = 1_500;
 
 /// The requests of one window.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,8 +55,8 @@
 /// use usage::{Ledger, Next, Windows};
 ///
 /// let ledger = Ledger::begin(Windows::new(5_000), 12_000);
-/// assert_eq!(ledger.next(Windows::new(5_000), 14_000), Next::Wait(1_150));
-/// assert_eq!(ledger.next(Windows::new(5_000), 15_200), Next::Collect(2));
+/// assert_eq!(ledger.next(Windows::new(5_000), 14_000), Next::Wait(1_700));
+/// assert_eq!(ledger.next(Windows::new(5_000), 15_700), Next::Collect(2));
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -88,12 +93,13 @@
     }
 
     /// Adds up the shares of a window. `live` are the instances that have to be heard of; [`None`] when one has
-    /// not closed the window and it is not `late` yet.
+    /// not closed the window and it is not `late` yet. The window ended `age` milliseconds ago.
     pub fn add_up(
         &self,
         window: u64,
         shares: Vec<Share>,
         live: &Set<Source>,
+        age: Millis,
         late: bool,
     ) -> Option<Report> {
         let mut best: Map<Source, Share> = Map::default();
@@ -104,7 +110,9 @@
             }
         }
         let closed = |source| best.get(source).is_some_and(|share| share.closed);
-        if !late && !live.iter().all(closed) {
+        let heard = best.values().all(|share| share.closed || !share.recent);
+        let settled = live.iter().all(closed) && (heard || age >= UNKNOWN);
+        if !late && !settled {
             return None;
         }
         let mut sum: BTreeMap<Arc<str>, u64> = BTreeMap::new();
--- a/crates/usage/tests/usage.rs
+++ b/crates/usage/tests/usage.rs
@@ -35,6 +35,7 @@
     Share {
         source: (source.into(), 1),
         closed,
+        recent: true,
         counts: counts(all),
     }
 }
@@ -172,11 +173,28 @@
         share("e2", true, &[("b", 2)]),
     ];
 
+    let live = live(&["e1", "e2"]);
+    let early = ledger.add_up(2, shares.clone(), &live, 700, false);
+    let report = ledger.add_up(2, shares, &live, 1_500, false).unwrap();
+
+    assert_eq!(early, None);
+    assert_eq!(report.counts, counts(&[("a", 4), ("b", 2)]));
+}
+
+// An instance had started a moment ago, and the leader did not know yet that it lives: the window was reported without
+// what it had counted in the last part of a second (18 and 9 requests of 20 and 10).
+#[test]
+fn an_instance_that_is_not_known_yet_is_waited_for() {
+    let ledger = Ledger::begin(windows(), 10_000);
+    let (known, new) = (share("e1", true, &[]), share("e2", false, &[("a", 2)]));
+
+    let early = ledger.add_up(2, vec![known.clone(), new], &live(&["e1"]), 700, false);
+    let told = vec![known, share("e2", true, &[("a", 5)])];
     let report = ledger
-        .add_up(2, shares, &live(&["e1", "e2"]), false)
+        .add_up(2, told, &live(&["e1"]), 1_000, false)
         .unwrap();
 
-    assert_eq!(report.counts, counts(&[("a", 4), ("b", 2)]));
+    assert_eq!((early, report.counts), (None, counts(&[("a", 5)])));
 }
 
 // Two keepers had the same instance, since it changed between them; it was counted twice.
@@ -188,7 +206,9 @@
         share("e1", true, &[("a", 5)]),
     ];
 
-    let report = ledger.add_up(2, shares, &live(&["e1"]), false).unwrap();
+    let report = ledger
+        .add_up(2, shares, &live(&["e1"]), 700, false)
+        .unwrap();
 
     assert_eq!(report.counts, counts(&[("a", 5)]));
 }
@@ -211,7 +231,7 @@
         .collect();
     let live = live(&["e1", "e2"]);
 
-    let report = ledger.add_up(2, shares.clone(), &live, late);
+    let report = ledger.add_up(2, shares.clone(), &live, 1_500, late);
 
     assert_eq!(report.is_some(), expected);
     assert_eq!(
@@ -229,7 +249,7 @@
     for now in (10_000..40_000).step_by(500) {
         if let Next::Collect(window) = ledger.next(windows(), now) {
             let report = ledger
-                .add_up(window, Vec::new(), &Set::default(), false)
+                .add_up(window, Vec::new(), &Set::default(), 700, false)
                 .unwrap();
             ledger.enter(report);
             windows_seen.push(window);
