Report what was counted before an outage, a change of the holder, or a start

Causes, each shown by what was reported: a leader that knew only itself did not ask a control instance that had started after it, to which an entry had told its counts; entries were ready before any keeper knew them; the first holder had written nothing down, so its successor began with its own first window; entries dropped windows after 12 though 24 are reported; after an outage in which all entries lapsed nobody was asked. Change: who has entered is read for each window, and whose entry lapsed is asked for a minute; an entry is ready when a keeper knows it, or after 1.5 s; the first holder writes down where it begins; 24 windows are kept.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -43,6 +43,14 @@
 /// upstream the opening of a new one, which may hold a place there.
 const IDLE: Duration = Duration::from_secs(10);
 
+/// Time after its start from which an instance is ready though no keeper has heard of it, in milliseconds: some
+/// tries.
+const KEEPER: Millis = 1_500;
+
+/// Time for which an instance is remembered whose entry is gone, in milliseconds: longer than an outage in which
+/// entries lapse and the seconds until they are back.
+const FORMER: Millis = 60_000;
+
 /// What all parts of an instance share.
 pub struct App {
     /// The settings.
@@ -75,6 +83,8 @@
     pub room: Notify,
     /// The instances that have entered, this one among them.
     pub members: Mutex<Vec<Member>>,
+    /// The instances that had entered some time ago, and when they were last seen.
+    former: Mutex<Map<Arc<str>, (Member, Millis)>>,
     /// Connections to other instances.
     pub peers: net::Client,
     /// What is known of the configuration and the list of upstreams, for others that follow.
@@ -96,6 +106,8 @@
     leaving: AtomicBool,
     /// Whether the platform did not answer the last read for others.
     blind: AtomicBool,
+    /// Whether a keeper has heard of what this instance counts.
+    kept: AtomicBool,
     /// When the instances that have entered were last heard of.
     met: AtomicU64,
     entered: Mutex<Option<Entered>>,
@@ -130,6 +142,7 @@
             crashes: Arc::default(),
             room: Notify::new(),
             members: Mutex::default(),
+            former: Mutex::default(),
             peers: net::Client::idle(IDLE),
             board: Mutex::default(),
             news: watch::Sender::default(),
@@ -141,6 +154,7 @@
             helper: Mutex::default(),
             leaving: AtomicBool::new(false),
             blind: AtomicBool::new(false),
+            kept: AtomicBool::new(false),
             met: AtomicU64::new(0),
             entered: Mutex::default(),
         })
@@ -219,8 +233,22 @@
 
     /// Notes the instances that have entered.
     pub fn met(&self, members: Vec<Member>) {
+        let now = self.clock.now();
+        let mut former = self.former.lock();
+        former.retain(|_, (_, seen)| now < *seen + FORMER);
+        for one in &members {
+            former.insert(one.owner.instance.clone(), (one.clone(), now));
+        }
+        drop(former);
         *self.members.lock() = members;
-        self.met.store(self.clock.now(), Ordering::Relaxed);
+        self.met.store(now, Ordering::Relaxed);
+    }
+
+    /// The instances that have entered, and those whose entries are gone since a while. All entries lapse in a long
+    /// outage of the platform, though those who wrote them live.
+    pub fn acquainted(&self) -> Vec<Member> {
+        let former = self.former.lock();
+        former.values().map(|(one, _)| one.clone()).collect()
     }
 
     /// When the instances that have entered were last heard of.
@@ -238,10 +266,23 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Notes that a keeper has heard of what this instance counts.
+    pub fn set_kept(&self) {
+        self.kept.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether a keeper knows of this instance, if one has to: what an instance counts that nobody knows is
+    /// missing in its window. Callers do not wait for long when no keeper can be reached.
+    fn is_kept(&self) -> bool {
+        let known = self.meter.is_none() || self.kept.load(Ordering::Relaxed);
+        known || self.clock.now() >= KEEPER
+    }
+
     /// Tells whether callers should come here: an instance without configuration could only turn
     /// them away.
     pub fn is_ready(&self) -> bool {
         let known = self.roster.lock().age(self.clock.now()).is_some();
-        !self.is_leaving() && known && self.plan.load().is_some() && !access::is_closed(self)
+        let able = known && self.plan.load().is_some() && !access::is_closed(self);
+        able && self.is_kept() && !self.is_leaving()
     }
 }
--- a/crates/node/src/control/accounts.rs
+++ b/crates/node/src/control/accounts.rs
@@ -24,6 +24,7 @@
 use crate::App;
 use crate::dialect::Account;
 use crate::dialect::Accounted;
+use crate::member;
 use crate::meter;
 use crate::peer;
 use crate::reach::Reach;
@@ -114,10 +115,7 @@
         }
         let (mut ledger, rev) = match self.ledger.take() {
             Some(held) => held,
-            None => {
-                let held = kept::read(self.app, KEY).await?;
-                held.unwrap_or_else(|| (Ledger::begin(self.windows, now), 0))
-            }
+            None => self.open(now).await?,
         };
         // Everything that is written down is sent before anything new is.
         let sent = self.send(&ledger).await;
@@ -145,6 +143,17 @@
         Ok(Duration::ZERO)
     }
 
+    /// Reads what was reported. The first holder of all writes down with which window it begins: a successor would
+    /// else begin with its own, and leave out those before.
+    async fn open(&self, now: Millis) -> Result<Kept<Ledger>, PlatError> {
+        if let Some(held) = kept::read(self.app, KEY).await? {
+            return Ok(held);
+        }
+        let ledger = Ledger::begin(self.windows, now);
+        let rev = kept::write(self.app, KEY, &ledger, 0).await?;
+        Ok((ledger, rev))
+    }
+
     fn has_teams(&self) -> bool {
         let plan = self.app.plan.load();
         plan.as_ref().is_some_and(|plan| plan.teams.is_some())
@@ -152,8 +161,14 @@
 
     /// Collects the figures of a window from all who may have some.
     async fn collect(&self, ledger: &Ledger, window: u64, now: Millis) -> Option<Report> {
-        let members = self.app.members.lock().clone();
-        let live = members.iter().filter(|one| one.reads);
+        // What is known may be seconds old, and an entry that has just started may have told a control instance that
+        // has just started as well.
+        if let Ok(members) = member::list(self.app).await {
+            self.app.met(members);
+        }
+        let members = self.app.acquainted();
+        let entered = self.app.members.lock().clone();
+        let live = entered.iter().filter(|one| one.reads);
         let live: Set<_> = live
             .map(|one| (one.owner.instance.clone(), one.owner.start))
             .collect();
@@ -164,7 +179,9 @@
         shares.extend(crate::tally::shares(self.app, window));
         let age = now.saturating_sub(self.windows.end(window));
         if age >= DIRECT {
-            let missing = Ledger::missing(&shares, &live);
+            let known = members.iter().filter(|one| one.reads);
+            let known = known.map(|one| (one.owner.instance.clone(), one.owner.start));
+            let missing = Ledger::missing(&shares, &known.collect());
             let silent = members
                 .iter()
                 .filter(|one| missing.iter().any(|(name, _)| *name == one.owner.instance));
--- a/crates/node/src/tally.rs
+++ b/crates/node/src/tally.rs
@@ -10,7 +10,6 @@
 use kernel::rank;
 use tokio::time::sleep;
 use usage::Share;
-use usage::Tally;
 
 use crate::App;
 use crate::member;
@@ -31,11 +30,12 @@
 /// Tells keepers what this instance counts.
 pub(crate) async fn tell(app: Arc<App>) {
     let Some(meter) = &app.meter else { return };
-    let mut told = Tally::default();
+    // The first word has nothing to tell but that this instance is there.
+    let mut told = None;
     loop {
-        sleep(PUSH).await;
         let tally = meter.lock().tally(app.clock.steady());
-        if tally == told {
+        if told.as_ref() == Some(&tally) {
+            sleep(PUSH).await;
             continue;
         }
         if keepers(&app).is_empty() {
@@ -43,10 +43,12 @@
         }
         for keeper in keepers(&app) {
             if peer::tally(&app, keeper, tally.clone()).await {
-                told = tally;
+                told = Some(tally);
+                app.set_kept();
                 break;
             }
         }
+        sleep(PUSH).await;
     }
 }
 
--- a/crates/usage/src/meter.rs
+++ b/crates/usage/src/meter.rs
@@ -14,8 +14,8 @@
 use crate::Counts;
 use crate::Windows;
 
-/// Closed windows that are kept: those of longer than a report may be late by.
-const KEPT: u64 = 12;
+/// Closed windows that are kept: as many as are still reported after a time without a holder.
+const KEPT: u64 = 24;
 
 /// Most windows that are kept, closed or not: requests that take far longer than a window hold each of them open.
 const MOST: usize = 256;
