Say when samples begin, and how old the word of their step is then

Nothing in the lines told apart the ways in which samples of ended steps can run. Now each sample that is sent is a line, `sample begun`, with the time since its step was last known not to have ended; `step begun` says why a step is run at an instance, `end heard of` when its owner knew of the end, and a question that was not answered is a line too. No decision changes.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -72,6 +72,8 @@
     ledger: Mutex<Ledger>,
     listed: watch::Sender<usize>,
     confirmed: AtomicU64,
+    /// When the platform was last asked that said that the step has not ended.
+    heard: AtomicU64,
     ended: AtomicBool,
     lost: AtomicBool,
     /// Whether another step goes on with what this one has left over.
@@ -97,6 +99,7 @@
             ledger: Mutex::new(ledger),
             listed: watch::Sender::new(0),
             confirmed: AtomicU64::new(app.clock.now()),
+            heard: AtomicU64::new(app.clock.now()),
             ended: AtomicBool::new(false),
             lost: AtomicBool::new(false),
             handed: AtomicBool::new(false),
@@ -132,6 +135,17 @@
         self.confirmed.load(Ordering::Relaxed)
     }
 
+    /// Notes that the step had not ended at a time.
+    fn hear(&self, at: Millis) {
+        self.heard.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Time since the step was last known not to have ended.
+    fn unheard(&self, app: &App) -> Millis {
+        let heard = self.heard.load(Ordering::Relaxed);
+        app.clock.now().saturating_sub(heard)
+    }
+
     /// The body of a sample's request.
     pub fn body(&self, sample: &str) -> Option<Vec<u8>> {
         let found = self.spec.samples.iter().find(|one| &*one.id == sample);
@@ -265,8 +279,9 @@
     }
 }
 
-/// Begins to run a step that was accepted here.
-pub fn begin(app: &Arc<App>, step: &Arc<str>, head: Head, mut spec: Spec, rev: i64) {
+/// Begins to run a step that was accepted here; `why` goes into the log.
+pub fn begin(app: &Arc<App>, step: &Arc<str>, head: Head, mut spec: Spec, rev: i64, why: &str) {
+    log::info!(target: "owner", id = &**step, revision = rev, why; "step begun");
     let again = recall(app, &head, &mut spec);
     let mut work = Work::new(app, step, head, spec, rev, app.clock.now());
     work.again = again;
@@ -333,6 +348,7 @@
 pub fn resume(app: &Arc<App>, step: &Arc<str>, head: Head, spec: Spec, rev: i64, left: Left) {
     let age = app.clock.wall().saturating_sub(head.opened);
     let opened = app.clock.now().saturating_sub(age.saturating_sub(SKEW));
+    log::info!(target: "owner", id = &**step, revision = rev, why = "taken over"; "step begun");
     let work = Work::new(app, step, head, spec, rev, opened);
     {
         let mut ledger = work.ledger.lock();
--- a/crates/node/src/owner/checks.rs
+++ b/crates/node/src/owner/checks.rs
@@ -43,8 +43,15 @@
         let (app, work) = (app.clone(), work.clone());
         self.asks.spawn(async move {
             match app.plat.get(&keys::end(&work.step)).await {
-                Ok(found) => found.is_some(),
-                Err(_) => {
+                Ok(Some(_)) => true,
+                Ok(None) => {
+                    work.hear(now);
+                    false
+                }
+                Err(error) => {
+                    let why = error.to_string();
+                    log::info!(target: "owner", id = &*work.step, why = why.as_str(),
+                        heard_ms = work.unheard(&app); "not known whether the step has ended");
                     // It is asked again; results are written under the condition that it has not.
                     sleep(AGAIN).await;
                     false
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -132,7 +132,11 @@
                 Some(Ok(ran)) = self.runs.join_next() => self.take(ran),
                 Some(Ok(scored)) = self.scores.join_next() => self.scored(scored),
                 Some(Ok(written)) = self.writes.join_next() => self.note(written).await,
-                Some(ended) = self.checks.ended() => if ended { self.work.end() },
+                Some(ended) = self.checks.ended() => if ended {
+                    log::info!(target: "owner", id = &*self.work.step,
+                        heard_ms = self.work.unheard(self.app); "end heard of");
+                    self.work.end();
+                },
                 Some(()) = self.looks.ended() => (),
                 () = self.work.bell.notified() => (),
                 () = self.app.room.notified() => (),
@@ -278,6 +282,7 @@
         match written {
             Written::Kept(sent) => {
                 self.work.confirm(sent);
+                self.work.hear(sent);
                 let mut ledger = self.work.ledger.lock();
                 ledger.written();
                 let count = ledger.listed().len();
--- a/crates/node/src/owner/drive/placing.rs
+++ b/crates/node/src/owner/drive/placing.rs
@@ -164,6 +164,9 @@
         };
         let work = self.work.clone();
         let index = todo.job.index;
+        log::info!(target: "owner", id = &*self.sample(&todo).id, step = &*work.step,
+            upstream = &*engine.id, first = work.drafts[index as usize].lock().last,
+            heard_ms = work.unheard(self.app); "sample begun");
         let stay = self.app.crashes.stay(|| self.mark(&todo), &engine.id);
         self.runs.spawn(async move {
             let _stay = stay;
--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -226,7 +226,7 @@
                 log::info!(target: "steps", id = &*id, samples = head.total, work = head.work, least = head.least,
                     model = &*head.model, revision = rev, took_ms = age; "step accepted");
                 metrics::counter!(meter::STEPS, "outcome" => "accepted").increment(1);
-                owner::begin(&app, &id, head, spec, rev);
+                owner::begin(&app, &id, head, spec, rev, "accepted");
                 return Accepted::Kept;
             }
             Ok(Done::Conflict) => match app.plat.get(&keys::head(&id)).await {
@@ -261,7 +261,7 @@
         Ok(kept) if kept.owner == app.me && app.works.get(id).is_none() => {
             log::info!(target: "steps", id = &**id, revision = item.rev;
                 "step accepted by a write whose answer was lost");
-            owner::begin(app, id, head, spec, item.rev);
+            owner::begin(app, id, head, spec, item.rev, "lost answer");
         }
         Ok(_) => log::info!(target: "steps", id = &**id; "step known already"),
         Err(error) => {
