Keep the end of a step in its head, and begin none anew

Callers saw samples of steps run that they had ended seconds before, and results gone that they had read. A submission that came again found the head of the step with the name of the instance that was asked. Unless the step was still in its memory, which it is for three seconds after its end, that instance took the head for its own write without an answer and began the step. The end was a key beside the head that nobody read on this way.

The class of fault: what is remembered for a while decides whether something that lasts may begin. Now one module, claim, decides that by the head alone. Ending a step writes into its head, so one read tells whose it is and whether it has ended, and every write that carries the head's revision fails after the end: results, taking over, ending twice. Whatever runs a step needs a claim::Open, and only two writes give one: the first one of the head, and taking over the head as it was read. A head with our own name that is not run here, because an answer was lost or the step is whole and forgotten, is taken over like that of an instance that is gone, so that what is listed stays. Of two in memory the one with the higher revision runs. Steps ended by the version before are not taken over.

--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -67,6 +67,10 @@
     /// The team that it belongs to; records of versions before teams have none.
     #[serde(default)]
     pub team: Option<Arc<str>>,
+    /// The revision that it had when it was ended, once it has ended. It stands last and is left out before, so
+    /// that versions without it read the heads of open steps.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<i64>,
 }
 
 /// A sample to be generated.
--- /dev/null
+++ b/crates/node/src/claim.rs
@@ -0,0 +1,221 @@
+//! The head of a step at the platform, which decides whether the step may begin or go on.
+//!
+//! It names the instance that runs the step, and says whether the step has ended. Whatever runs a step needs an
+//! [`Open`] for it, and there are two ways to one: the write that accepts the step, which succeeds while there
+//! is no head, and the one that takes it over, which succeeds while the head is as it was read. Ending a step
+//! changes its head, so both fail once it has ended, and so does each write of results.
+
+use batch::Head;
+use batch::Owner;
+use batch::Spec;
+use batch::keys;
+use batch::record;
+use kernel::Millis;
+use plat::Done;
+use plat::Guard;
+use plat::Item;
+use plat::PlatError;
+use plat::Put;
+use plat::Txn;
+
+use crate::App;
+
+/// Bytes of samples that one write holds beside the head; more is written before it.
+const TOGETHER: usize = 4 << 20;
+
+/// Proof that a step was open, and this instance's, when the platform was asked.
+#[derive(Debug)]
+pub struct Open {
+    rev: i64,
+    asked: Millis,
+}
+
+impl Open {
+    /// The revision of the head.
+    pub fn rev(&self) -> i64 {
+        self.rev
+    }
+
+    /// When the platform was asked.
+    pub fn asked(&self) -> Millis {
+        self.asked
+    }
+}
+
+/// What a step's head says to an instance that wrote it with some revision.
+#[derive(Debug)]
+pub enum Standing {
+    /// The step is open, and still that instance's.
+    Open(Open),
+    /// It has ended.
+    Ended,
+    /// Somebody else runs it, or its records are gone.
+    Lost,
+}
+
+/// What came of accepting a step.
+pub enum Accepted {
+    /// It is this instance's.
+    Open(Open),
+    /// It was accepted before.
+    Known(Item),
+    /// It was accepted before, and its records are gone by now.
+    Gone,
+}
+
+/// What came of taking a step over.
+#[derive(Debug)]
+pub enum Taken {
+    /// It is this instance's.
+    Open(Open),
+    /// It has ended, somebody else took it, or its records are gone.
+    Not,
+}
+
+/// A step that has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Who ran it.
+    pub owner: Owner,
+    /// The revision that its head had.
+    pub rev: i64,
+}
+
+/// Writes a step that is not known yet, once.
+///
+/// # Errors
+///
+/// Returns [`PlatError`]; [`PlatError::is_unclear`] tells whether the step may be there.
+pub async fn accept(
+    app: &App,
+    step: &str,
+    head: &Head,
+    spec: &Spec,
+) -> Result<Accepted, PlatError> {
+    let asked = app.clock.now();
+    let key = keys::head(step);
+    match write(app, step, head, spec).await? {
+        Done::At(rev) => Ok(Accepted::Open(Open { rev, asked })),
+        Done::Conflict => match app.plat.get(&key).await? {
+            Some(item) => Ok(Accepted::Known(item)),
+            None => Ok(Accepted::Gone),
+        },
+    }
+}
+
+async fn write(app: &App, step: &str, head: &Head, spec: &Spec) -> Result<Done, PlatError> {
+    let parts = spec.parts().map_err(|_| PlatError::Garbled)?;
+    let mut puts: Vec<_> = parts
+        .into_iter()
+        .enumerate()
+        .map(|(at, part)| Put::new(keys::part(step, at), part))
+        .collect();
+    let bytes: usize = puts.iter().map(|put| put.value.len()).sum();
+    if bytes > TOGETHER {
+        // The head comes last, so that a step with a head is whole.
+        for put in std::mem::take(&mut puts) {
+            let txn = Txn {
+                puts: vec![put],
+                ..Txn::default()
+            };
+            app.plat.txn(&txn).await?;
+        }
+    }
+    puts.push(put(step, head)?);
+    let txn = Txn {
+        guards: vec![Guard::Absent(keys::head(step))],
+        puts,
+        deletes: Vec::new(),
+    };
+    app.plat.txn(&txn).await
+}
+
+fn put(step: &str, head: &Head) -> Result<Put, PlatError> {
+    let value = record::encode(head).map_err(|_| PlatError::Garbled)?;
+    Ok(Put::new(keys::head(step), value))
+}
+
+/// Reads a head.
+///
+/// # Errors
+///
+/// Returns [`PlatError::Garbled`].
+pub fn read(item: &Item) -> Result<Head, PlatError> {
+    record::decode(&item.value).map_err(|_| PlatError::Garbled)
+}
+
+/// Makes this instance the owner of a step whose head was read.
+///
+/// # Errors
+///
+/// Returns [`PlatError`].
+pub async fn take(app: &App, step: &str, item: &Item, head: &Head) -> Result<Taken, PlatError> {
+    if head.ended.is_some() {
+        return Ok(Taken::Not);
+    }
+    let mine = Head {
+        owner: app.me.clone(),
+        ..head.clone()
+    };
+    let txn = Txn {
+        guards: vec![
+            Guard::At(keys::head(step), item.rev),
+            // Versions before wrote the end of a step there.
+            Guard::Absent(keys::end(step)),
+        ],
+        puts: vec![put(step, &mine)?],
+        deletes: Vec::new(),
+    };
+    let asked = app.clock.now();
+    Ok(match app.plat.txn(&txn).await? {
+        Done::At(rev) => Taken::Open(Open { rev, asked }),
+        Done::Conflict => Taken::Not,
+    })
+}
+
+/// What the head of a step says to the instance that wrote it with a revision.
+///
+/// # Errors
+///
+/// Returns [`PlatError`].
+pub fn standing(asked: Millis, rev: i64, item: Option<&Item>) -> Result<Standing, PlatError> {
+    let Some(item) = item else {
+        return Ok(Standing::Lost);
+    };
+    if item.rev == rev {
+        return Ok(Standing::Open(Open { rev, asked }));
+    }
+    Ok(match read(item)?.ended == Some(rev) {
+        true => Standing::Ended,
+        false => Standing::Lost,
+    })
+}
+
+/// Ends a step, unless it has ended before; gives [`None`] when there is no such step.
+///
+/// # Errors
+///
+/// Returns [`PlatError`]; it may have ended all the same.
+pub async fn end(app: &App, step: &str) -> Result<Option<Ended>, PlatError> {
+    loop {
+        let Some(item) = app.plat.get(&keys::head(step)).await? else {
+            return Ok(None);
+        };
+        let mut head = read(&item)?;
+        let owner = head.owner.clone();
+        if let Some(rev) = head.ended {
+            return Ok(Some(Ended { owner, rev }));
+        }
+        head.ended = Some(item.rev);
+        let txn = Txn {
+            guards: vec![Guard::At(keys::head(step), item.rev)],
+            puts: vec![put(step, &head)?],
+            deletes: Vec::new(),
+        };
+        // Otherwise it was taken over or ended meanwhile.
+        if let Done::At(_) = app.plat.txn(&txn).await? {
+            let rev = item.rev;
+            return Ok(Some(Ended { owner, rev }));
+        }
+    }
+}
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -14,8 +14,6 @@
 use kernel::Millis;
 use kernel::Set;
 use plat::Delete;
-use plat::Done;
-use plat::Guard;
 use plat::Item;
 use plat::PlatError;
 use plat::Put;
@@ -24,8 +22,11 @@
 
 use super::targets::Targets;
 use crate::App;
+use crate::claim;
+use crate::claim::Taken;
 use crate::member;
 use crate::owner;
+use crate::owner::Left;
 
 /// Time between two looks. Stale reads do: taking over is decided by a write under a condition.
 const LOOK: Duration = Duration::from_millis(500);
@@ -160,7 +161,7 @@
         if now < since + MISSING {
             return Ok(());
         }
-        if app.plat.get(&keys::end(&step)).await?.is_some() {
+        if head.ended.is_some() {
             self.settled.insert(step);
             return Ok(());
         }
@@ -221,7 +222,7 @@
         if !earlier || settled.contains(&step) {
             continue;
         }
-        if app.plat.get(&keys::end(&step)).await?.is_none() {
+        if head.ended.is_none() {
             member::shorten(app).await?;
             take_over(app, &step, &item, head).await?;
         }
@@ -230,24 +231,36 @@
     Ok(())
 }
 
-async fn take_over(
+/// Takes a step over whose owner is gone, and goes on with it.
+///
+/// # Errors
+///
+/// Returns [`PlatError`].
+pub(crate) async fn take_over(
     app: &Arc<App>,
     step: &Arc<str>,
     item: &Item,
-    mut head: Head,
+    head: Head,
 ) -> Result<(), PlatError> {
-    let from = std::mem::replace(&mut head.owner, app.me.clone());
-    let key = keys::head(step);
-    let value = record::encode(&head).map_err(|_| PlatError::Garbled)?;
-    let txn = Txn {
-        guards: vec![Guard::At(key.clone(), item.rev)],
-        puts: vec![Put::new(key, value)],
-        deletes: Vec::new(),
-    };
-    let Done::At(rev) = app.plat.txn(&txn).await? else {
+    let from = head.owner.clone();
+    let Taken::Open(open) = claim::take(app, step, item, &head).await? else {
+        log::info!(target: "control", id = &**step, instance = &*from.instance, revision = item.rev; "step not taken over");
         return Ok(());
     };
-    // From here on the owner before can list nothing more, so what is read now is all there is.
+    let head = Head {
+        owner: app.me.clone(),
+        ..head
+    };
+    let (spec, left) = load(app, step, &head).await?;
+    log::info!(target: "control", id = &**step, owner = &*from.instance, revision = open.rev(),
+        segments = left.segments.len(), pieces = left.pieces.len(); "step taken over");
+    metrics::counter!(crate::meter::STEPS, "outcome" => "taken over").increment(1);
+    owner::resume(app, step, head, spec, open, left);
+    Ok(())
+}
+
+/// Reads what the owner before has left. It can list nothing more, so what is read is all there is.
+async fn load(app: &App, step: &str, head: &Head) -> Result<(Spec, Left), PlatError> {
     let parts = app.plat.list(&keys::spec(step)).await?;
     let spec = Spec::join(parts.items.iter().map(|item| &*item.value), head.total);
     let spec = spec.map_err(|_| PlatError::Garbled)?;
@@ -259,16 +272,12 @@
         .collect();
     let segments = segments.map_err(|_| PlatError::Garbled)?;
     let (pieces, seq) = kept(app, step).await?;
-    log::info!(target: "control", id = &**step, owner = &*from.instance, revision = rev,
-        segments = segments.len(), pieces = pieces.len(); "step taken over");
-    metrics::counter!(crate::meter::STEPS, "outcome" => "taken over").increment(1);
-    let left = owner::Left {
+    let left = Left {
         segments,
         pieces,
         seq,
     };
-    owner::resume(app, step, head, spec, rev, left);
-    Ok(())
+    Ok((spec, left))
 }
 
 /// What the owner before has kept of samples that are not whole, in the order in which they gained it, and
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,12 +6,14 @@
 //!
 //! - [`front`] takes requests in: [`forward`] passes calls on, [`steps`] answers for steps.
 //! - [`owner`] runs the samples of a step that this instance owns, one by one in [`mod@run`].
+//! - [`claim`] decides whether a step may begin or go on, by its head at the platform.
 //! - [`news`] follows the configuration and the list of upstreams.
 //! - [`control`] is the leader that orders loads and takes up steps whose owner is gone.
 
 mod access;
 pub mod app;
 pub mod board;
+pub mod claim;
 pub mod control;
 pub mod dialect;
 pub mod events;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -26,6 +26,7 @@
 use kernel::Millis;
 use kernel::Set;
 use parking_lot::Mutex;
+use plat::PlatError;
 use table::Route;
 use team::Principal;
 use tokio::sync::Notify;
@@ -35,6 +36,9 @@
 
 use self::drive::Drive;
 use crate::App;
+use crate::claim;
+use crate::claim::Open;
+use crate::claim::Standing;
 use crate::hint;
 use crate::print;
 use crate::shelf::Page;
@@ -48,7 +52,7 @@
 const FRESH: Millis = 600;
 
 /// Pause after a call of the platform whose outcome is not known.
-const AGAIN: Duration = Duration::from_millis(150);
+pub(crate) const AGAIN: Duration = Duration::from_millis(150);
 
 /// Time for which an ended step stays in memory for readers that are late.
 const LINGER: Duration = Duration::from_secs(3);
@@ -71,8 +75,7 @@
     opened: Millis,
     ledger: Mutex<Ledger>,
     listed: watch::Sender<usize>,
-    confirmed: AtomicU64,
-    /// When the platform was last asked that said that the step has not ended.
+    /// When the platform was last asked that said that the step is open.
     heard: AtomicU64,
     ended: AtomicBool,
     lost: AtomicBool,
@@ -84,7 +87,7 @@
 }
 
 impl Work {
-    fn new(app: &App, step: &Arc<str>, head: Head, spec: Spec, rev: i64, opened: Millis) -> Self {
+    fn new(step: &Arc<str>, head: Head, spec: Spec, open: &Open, opened: Millis) -> Self {
         let groups = spec.samples.iter().map(|sample| &sample.group);
         let ledger = Ledger::new(Groups::new(groups, head.wanted), GATHER);
         let drafts = spec.samples.iter().map(|_| Mutex::default());
@@ -93,13 +96,12 @@
             kept: Mutex::default(),
             step: step.clone(),
             head,
-            rev,
+            rev: open.rev(),
             spec: Arc::new(spec),
             opened,
             ledger: Mutex::new(ledger),
             listed: watch::Sender::new(0),
-            confirmed: AtomicU64::new(app.clock.now()),
-            heard: AtomicU64::new(app.clock.now()),
+            heard: AtomicU64::new(open.asked()),
             ended: AtomicBool::new(false),
             lost: AtomicBool::new(false),
             handed: AtomicBool::new(false),
@@ -108,9 +110,14 @@
         }
     }
 
-    /// Notes that the step has ended.
-    pub fn end(&self) {
-        self.ended.store(true, Ordering::Relaxed);
+    /// Notes that the step has ended while its head had a revision, and how that was heard; with another one it is
+    /// somebody else's by now, who may have listed more.
+    pub(crate) fn end(&self, app: &App, rev: i64, why: &str) {
+        if rev != self.rev || self.ended.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        log::info!(target: "owner", id = &*self.step, revision = rev, why, heard_ms = self.unheard(app);
+            "end heard of");
         self.bell.notify_one();
     }
 
@@ -119,7 +126,10 @@
     }
 
     fn lose(&self) {
-        self.lost.store(true, Ordering::Relaxed);
+        if self.lost.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        log::warn!(target: "owner", id = &*self.step, revision = self.rev; "step taken over by somebody else");
         self.bell.notify_one();
     }
 
@@ -127,23 +137,40 @@
         self.lost.load(Ordering::Relaxed)
     }
 
-    fn confirm(&self, at: Millis) {
-        self.confirmed.fetch_max(at, Ordering::Relaxed);
+    /// Time since the step was last known to be open.
+    fn unheard(&self, app: &App) -> Millis {
+        app.clock.now().saturating_sub(self.heard())
     }
 
-    fn confirmed(&self) -> Millis {
-        self.confirmed.load(Ordering::Relaxed)
+    /// Notes that the step was open when the platform was asked.
+    fn hear(&self, asked: Millis) {
+        self.heard.fetch_max(asked, Ordering::Relaxed);
     }
 
-    /// Notes that the step had not ended at a time.
-    fn hear(&self, at: Millis) {
-        self.heard.fetch_max(at, Ordering::Relaxed);
+    /// When the platform was last asked that said that the step is open.
+    fn heard(&self) -> Millis {
+        self.heard.load(Ordering::Relaxed)
     }
 
-    /// Time since the step was last known not to have ended.
-    fn unheard(&self, app: &App) -> Millis {
-        let heard = self.heard.load(Ordering::Relaxed);
-        app.clock.now().saturating_sub(heard)
+    /// Takes in what the platform says of the step; tells whether it is open, and still this instance's.
+    fn stand(&self, app: &App, standing: Standing) -> bool {
+        match standing {
+            Standing::Open(open) => {
+                self.hear(open.asked());
+                return true;
+            }
+            Standing::Ended => self.end(app, self.rev, "asked"),
+            Standing::Lost => self.lose(),
+        }
+        false
+    }
+
+    /// Asks the platform whether the step is open, and still this instance's.
+    async fn ask(&self, app: &App) -> Result<bool, PlatError> {
+        let asked = app.clock.now();
+        let item = app.plat.get(&keys::head(&self.step)).await?;
+        let standing = claim::standing(asked, self.rev, item.as_ref())?;
+        Ok(self.stand(app, standing))
     }
 
     /// The body of a sample's request.
@@ -175,17 +202,13 @@
         if self.is_lost() || self.ledger.lock().is_open() {
             return false;
         }
-        let now = app.clock.now();
-        if self.ledger.lock().is_done() || now < self.confirmed() + FRESH {
+        if self.ledger.lock().is_done() || self.has_ended() {
             return true;
         }
-        match app.plat.get(&keys::head(&self.step)).await {
-            Ok(Some(item)) if item.rev == self.rev => {
-                self.confirm(now);
-                true
-            }
-            _ => false,
+        if app.clock.now() < self.heard() + FRESH {
+            return true;
         }
+        self.ask(app).await.unwrap_or(false)
     }
 
     fn route(&self, app: &App) -> Option<Arc<Route>> {
@@ -279,13 +302,12 @@
     }
 }
 
-/// Begins to run a step that was accepted here; `why` goes into the log.
-pub fn begin(app: &Arc<App>, step: &Arc<str>, head: Head, mut spec: Spec, rev: i64, why: &str) {
-    log::info!(target: "owner", id = &**step, revision = rev, why; "step begun");
+/// Begins to run a step that was accepted here.
+pub fn begin(app: &Arc<App>, step: &Arc<str>, head: Head, mut spec: Spec, open: Open) {
     let again = recall(app, &head, &mut spec);
-    let mut work = Work::new(app, step, head, spec, rev, app.clock.now());
+    let mut work = Work::new(step, head, spec, &open, app.clock.now());
     work.again = again;
-    start(app, work);
+    start(app, work, "accepted");
 }
 
 /// Finds the samples that an earlier step has left over. How long they became says more of how long they
@@ -345,11 +367,10 @@
 
 /// Goes on with a step whose owner is gone, from the results that are listed and from what is kept of
 /// samples that are not whole.
-pub fn resume(app: &Arc<App>, step: &Arc<str>, head: Head, spec: Spec, rev: i64, left: Left) {
+pub fn resume(app: &Arc<App>, step: &Arc<str>, head: Head, spec: Spec, open: Open, left: Left) {
     let age = app.clock.wall().saturating_sub(head.opened);
     let opened = app.clock.now().saturating_sub(age.saturating_sub(SKEW));
-    log::info!(target: "owner", id = &**step, revision = rev, why = "taken over"; "step begun");
-    let work = Work::new(app, step, head, spec, rev, opened);
+    let work = Work::new(step, head, spec, &open, opened);
     {
         let mut ledger = work.ledger.lock();
         for segment in left.segments {
@@ -366,12 +387,31 @@
             work.kept.lock().note(index, &draft);
         }
     }
-    start(app, work);
+    start(app, work, "taken over");
+}
+
+/// Keeps a step in memory; false when it is run here already, by what the platform says now.
+fn keep(app: &App, work: &Arc<Work>) -> bool {
+    app.works.with(&work.step, |map| {
+        if let Some(held) = map.get(&work.step) {
+            if held.rev >= work.rev {
+                return false;
+            }
+            held.lose();
+        }
+        map.insert(work.step.clone(), work.clone());
+        true
+    })
 }
 
-fn start(app: &Arc<App>, work: Work) {
+fn start(app: &Arc<App>, work: Work, why: &str) {
     let work = Arc::new(work);
-    app.works.insert(work.step.clone(), work.clone());
+    let kept = keep(app, &work);
+    log::info!(target: "owner", id = &*work.step, revision = work.rev, why, begun = kept,
+        heard_ms = work.unheard(app); "step begun");
+    if !kept {
+        return;
+    }
     app.shelves.remove(&work.step);
     hint::tell(app, &work.step);
     let app = app.clone();
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -132,11 +132,7 @@
                 Some(Ok(ran)) = self.runs.join_next() => self.take(ran),
                 Some(Ok(scored)) = self.scores.join_next() => self.scored(scored),
                 Some(Ok(written)) = self.writes.join_next() => self.note(written).await,
-                Some(ended) = self.checks.ended() => if ended {
-                    log::info!(target: "owner", id = &*self.work.step,
-                        heard_ms = self.work.unheard(self.app); "end heard of");
-                    self.work.end();
-                },
+                Some(()) = self.checks.ended() => (),
                 Some(()) = self.looks.ended() => (),
                 () = self.work.bell.notified() => (),
                 () = self.app.room.notified() => (),
@@ -280,9 +276,7 @@
 
     async fn note(&mut self, written: Written) {
         match written {
-            Written::Kept(sent) => {
-                self.work.confirm(sent);
-                self.work.hear(sent);
+            Written::Kept => {
                 let mut ledger = self.work.ledger.lock();
                 ledger.written();
                 let count = ledger.listed().len();
@@ -291,12 +285,8 @@
                     total = self.work.head.total; "results listed");
             }
             Written::Unclear => sleep(AGAIN).await,
-            Written::Ended => self.work.end(),
-            Written::Lost => {
-                log::warn!(target: "owner", id = &*self.work.step, revision = self.work.rev;
-                    "step taken over by somebody else");
-                self.work.lose();
-            }
+            // What was heard ends the loop.
+            Written::Ended | Written::Lost => (),
         }
     }
 }
--- a/crates/node/src/owner/write.rs
+++ b/crates/node/src/owner/write.rs
@@ -4,7 +4,6 @@
 use batch::Segment;
 use batch::keys;
 use batch::record;
-use kernel::Millis;
 use plat::Done;
 use plat::Guard;
 use plat::PlatError;
@@ -13,11 +12,13 @@
 
 use super::Work;
 use crate::App;
+use crate::claim;
+use crate::claim::Standing;
 
 /// What a write of a segment came to.
 pub(super) enum Written {
-    /// It is at the platform; the write was sent at this time.
-    Kept(Millis),
+    /// It is at the platform.
+    Kept,
     /// Whether it is there is not known.
     Unclear,
     /// The step has ended.
@@ -34,7 +35,7 @@
     };
     // All are written together, so any of them tells of the others.
     let Some(first) = puts.first().cloned() else {
-        return Written::Kept(sent);
+        return Written::Kept;
     };
     let end = keys::end(&work.step);
     let mut guards = vec![
@@ -48,7 +49,10 @@
         deletes: Vec::new(),
     };
     match app.plat.txn(&txn).await {
-        Ok(Done::At(_)) => Written::Kept(sent),
+        Ok(Done::At(_)) => {
+            work.hear(sent);
+            Written::Kept
+        }
         Ok(Done::Conflict) => settle(app, work, &first, &end).await,
         Err(error) => {
             let why = error.to_string();
@@ -76,24 +80,35 @@
 /// Finds out why a segment could not be written: an earlier try of the same write took effect, the
 /// step has ended, or it was taken over.
 async fn settle(app: &App, work: &Work, put: &Put, end: &str) -> Written {
-    let sent = app.clock.now();
+    let asked = app.clock.now();
     let found: Result<_, PlatError> = async {
         let head = app.plat.get(&keys::head(&work.step)).await?;
         let there = app.plat.get(&put.key).await?;
         let ended = app.plat.get(end).await?;
-        Ok((head, there, ended))
+        Ok((
+            claim::standing(asked, work.rev, head.as_ref())?,
+            there,
+            ended,
+        ))
     }
     .await;
-    let Ok((head, there, ended)) = found else {
+    let Ok((standing, there, ended)) = found else {
         return Written::Unclear;
     };
-    if head.is_none_or(|head| head.rev != work.rev) {
-        return Written::Lost;
-    }
+    let lost = matches!(standing, Standing::Lost);
+    let open = work.stand(app, standing);
     match there {
-        Some(item) if item.value == put.value => Written::Kept(sent),
-        Some(_) => Written::Lost,
-        None if ended.is_some() => Written::Ended,
+        _ if lost => Written::Lost,
+        Some(item) if item.value == put.value => Written::Kept,
+        Some(_) => {
+            work.lose();
+            Written::Lost
+        }
+        None if !open => Written::Ended,
+        None if ended.is_some() => {
+            work.end(app, work.rev, "asked");
+            Written::Ended
+        }
         None => Written::Unclear,
     }
 }
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -5,23 +5,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use batch::Head;
 use batch::keys;
-use batch::record;
 use batch::record::Parts;
 use http::StatusCode;
 use kernel::Millis;
 use net::Reply;
 use net::body;
-use plat::Guard;
 use plat::PlatError;
-use plat::Put;
-use plat::Txn;
 use team::Principal;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::App;
+use crate::claim;
 use crate::hint;
 use crate::peer;
 use crate::refuse::Refusal;
@@ -33,6 +29,10 @@
 /// Pause between two tries of a write.
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// Time for which a write with an unclear outcome is repeated. A write may take effect seconds
+/// after it was sent, and a step that was accepted so has to be run.
+const SETTLE: Millis = 20_000;
+
 /// Longest time that a read waits for a result, in milliseconds.
 const LONGEST: Millis = 1_000;
 
@@ -121,7 +121,7 @@
     let Some(item) = app.plat.get(&keys::head(step)).await? else {
         return Ok(None);
     };
-    let head: Head = record::decode(&item.value).map_err(|_| PlatError::Garbled)?;
+    let head = claim::read(&item)?;
     hint::note(app, step.clone(), head.owner.instance.clone());
     let shelf = app.shelves.with(step, |map| {
         let new = || Arc::new(Shelf::new(step.clone(), &head));
@@ -212,26 +212,31 @@
             Err(error) => return unsure(step, &error),
         }
     }
-    let ended = timeout(ACCEPT, write_end(app, step)).await;
-    if ended.is_err() {
-        return Refusal::Late.reply();
-    }
-    log::info!(target: "steps", id = &**step; "step ended");
-    if let Some(work) = app.works.get(step) {
-        work.end();
+    match timeout(ACCEPT, end_surely(app, step)).await {
+        Ok(true) => body::reply(StatusCode::OK, "application/json", "{}"),
+        Ok(false) => Refusal::Missing.reply(),
+        Err(_) => Refusal::Late.reply(),
     }
-    body::reply(StatusCode::OK, "application/json", "{}")
 }
 
-/// Writes that a step has ended, until it is known to be there; doing so twice changes nothing.
-async fn write_end(app: &App, step: &str) {
-    let key = keys::end(step);
-    let txn = Txn {
-        guards: vec![Guard::Absent(key.clone())],
-        puts: vec![Put::new(key, Vec::new())],
-        deletes: Vec::new(),
-    };
-    while app.plat.txn(&txn).await.is_err() {
+/// Ends a step; false when there is no such step.
+async fn end_surely(app: &App, step: &Arc<str>) -> bool {
+    loop {
+        match claim::end(app, step).await {
+            Ok(Some(ended)) => {
+                log::info!(target: "steps", id = &**step, instance = &*ended.owner.instance, revision = ended.rev;
+                    "step ended");
+                if let Some(work) = app.works.get(step) {
+                    work.end(app, ended.rev, "told");
+                }
+                return true;
+            }
+            Ok(None) => return false,
+            Err(error) => {
+                let why = error.to_string();
+                log::info!(target: "steps", id = &**step, why = why.as_str(); "step not ended yet");
+            }
+        }
         sleep(PAUSE).await;
     }
 }
--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -6,18 +6,13 @@
 use batch::Head;
 use batch::Spec;
 use batch::keys;
-use batch::record;
 use bytes::Bytes;
 use http::StatusCode;
 use http::request::Parts;
 use kernel::Millis;
 use net::Reply;
 use net::body;
-use plat::Done;
-use plat::Guard;
 use plat::PlatError;
-use plat::Put;
-use plat::Txn;
 use serde::Deserialize;
 use serde::Serialize;
 use team::Principal;
@@ -27,7 +22,10 @@
 
 use super::ACCEPT;
 use super::PAUSE;
+use super::SETTLE;
 use crate::App;
+use crate::claim;
+use crate::control::orphans;
 use crate::dialect::Caller;
 use crate::dialect::Submitted;
 use crate::hand;
@@ -40,13 +38,6 @@
 /// away too: a busy platform takes calls again within moments.
 const PATIENCE: Millis = 1_000;
 
-/// Time for which a write with an unclear outcome is repeated. A write may take effect seconds
-/// after it was sent, and a step that was accepted so has to be run.
-const SETTLE: Millis = 20_000;
-
-/// Bytes of samples that one write holds beside the head; more is written before it.
-const TOGETHER: usize = 4 << 20;
-
 /// Time kept back for the way of the answer to the caller, in milliseconds.
 const WAY: Millis = 20;
 
@@ -206,6 +197,7 @@
         total: submitted.samples.len() as u32,
         work: samples.map(|one| u64::from(one.expected.max(1))).sum(),
         team: submission.team.clone(),
+        ended: None,
     }
 }
 
@@ -219,23 +211,33 @@
     }
     let mut unclear = false;
     loop {
-        let tried = write_step(&app, &id, &head, &spec).await;
+        let age = app.clock.now() - begun;
+        // Looked at before each try: after a long pause of the process the step may have been run, ended and removed.
+        if age > SETTLE {
+            log::warn!(target: "steps", id = &*id, took_ms = age; "step unclear");
+            return Accepted::Unclear;
+        }
+        let tried = claim::accept(&app, &id, &head, &spec).await;
         let age = app.clock.now() - begun;
         match tried {
-            Ok(Done::At(rev)) => {
+            Ok(claim::Accepted::Open(open)) => {
                 log::info!(target: "steps", id = &*id, samples = head.total, work = head.work, least = head.least,
-                    model = &*head.model, revision = rev, took_ms = age; "step accepted");
+                    model = &*head.model, revision = open.rev(), took_ms = age; "step accepted");
                 metrics::counter!(meter::STEPS, "outcome" => "accepted").increment(1);
-                owner::begin(&app, &id, head, spec, rev, "accepted");
+                owner::begin(&app, &id, head, spec, open);
                 return Accepted::Kept;
             }
-            Ok(Done::Conflict) => match app.plat.get(&keys::head(&id)).await {
-                Ok(Some(item)) => return known(&app, &id, &item, head, spec),
-                // Expired between the two calls: nothing of it can run.
-                Ok(None) if !unclear => return Accepted::Refused,
-                Ok(None) | Err(_) => (),
+            Ok(claim::Accepted::Known(item)) => match known(&app, &id, &item).await {
+                Ok(()) => return Accepted::Kept,
+                Err(error) => tell(&id, &error),
             },
-            Err(error) if error.is_unclear() => unclear = true,
+            // Removed between the two calls: nothing of it can run.
+            Ok(claim::Accepted::Gone) if !unclear => return Accepted::Refused,
+            Ok(claim::Accepted::Gone) => (),
+            Err(error) if error.is_unclear() => {
+                unclear = true;
+                tell(&id, &error);
+            }
             Err(error) if !unclear && age > PATIENCE => {
                 let why = error.to_string();
                 log::warn!(target: "steps", id = &*id, why = why.as_str(), took_ms = age;
@@ -243,60 +245,35 @@
                 metrics::counter!(meter::STEPS, "outcome" => "refused").increment(1);
                 return Accepted::Refused;
             }
-            Err(_) => (),
-        }
-        if age > SETTLE {
-            log::warn!(target: "steps", id = &*id, took_ms = age; "step unclear");
-            return Accepted::Unclear;
+            Err(error) => tell(&id, &error),
         }
         sleep(PAUSE).await;
     }
 }
 
-/// A head is there already: either an earlier try of our own took effect, or the step was
-/// submitted elsewhere before.
-fn known(app: &Arc<App>, id: &Arc<str>, item: &plat::Item, head: Head, spec: Spec) -> Accepted {
-    let kept: Result<Head, _> = record::decode(&item.value);
-    match kept {
-        Ok(kept) if kept.owner == app.me && app.works.get(id).is_none() => {
-            log::info!(target: "steps", id = &**id, revision = item.rev;
-                "step accepted by a write whose answer was lost");
-            owner::begin(app, id, head, spec, item.rev, "lost answer");
-        }
-        Ok(_) => log::info!(target: "steps", id = &**id; "step known already"),
+fn tell(id: &str, error: &PlatError) {
+    let why = error.to_string();
+    log::info!(target: "steps", id, why = why.as_str(); "step not settled yet");
+}
+
+/// A head is there already: the step was submitted before, or an earlier try of this one took effect. What is this
+/// instance's and is not run here is taken up like a step whose owner is gone: its results may be
+/// listed, and it may have ended since.
+async fn known(app: &Arc<App>, id: &Arc<str>, item: &plat::Item) -> Result<(), PlatError> {
+    let head = match claim::read(item) {
+        Ok(head) => head,
         Err(error) => {
             let why = error.to_string();
             log::error!(target: "steps", id = &**id, why = why.as_str(); "head not understood");
+            return Ok(());
         }
-    }
-    Accepted::Kept
-}
-
-async fn write_step(app: &App, id: &str, head: &Head, spec: &Spec) -> Result<Done, PlatError> {
-    let parts = spec.parts().map_err(|_| PlatError::Garbled)?;
-    let value = record::encode(head).map_err(|_| PlatError::Garbled)?;
-    let mut puts: Vec<_> = parts
-        .into_iter()
-        .enumerate()
-        .map(|(at, part)| Put::new(keys::part(id, at), part))
-        .collect();
-    let bytes: usize = puts.iter().map(|put| put.value.len()).sum();
-    if bytes > TOGETHER {
-        // The head comes last, so that a step with a head is whole.
-        for put in std::mem::take(&mut puts) {
-            let txn = Txn {
-                puts: vec![put],
-                ..Txn::default()
-            };
-            app.plat.txn(&txn).await?;
-        }
-    }
-    let key = keys::head(id);
-    puts.push(Put::new(key.clone(), value));
-    let txn = Txn {
-        guards: vec![Guard::Absent(key)],
-        puts,
-        deletes: Vec::new(),
     };
-    app.plat.txn(&txn).await
+    let ended = head.ended.is_some();
+    let left = head.owner == app.me && app.works.get(id).is_none();
+    log::info!(target: "steps", id = &**id, revision = item.rev, instance = &*head.owner.instance, ended;
+        "step known already");
+    if ended || !left {
+        return Ok(());
+    }
+    orphans::take_over(app, id, item, head).await
 }
