Leave steps alone whose records are removed, and remove the end of a step with its head

A restarted instance took over each step that it had owned, however old. The records of one that nobody may read any more are removed by the leader, so that it could find the head alone, and looked for the rest again and again. And the end that the version before kept beside the head was removed first: between two writes the step looked open.

--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -222,7 +222,8 @@
         if !earlier || settled.contains(&step) {
             continue;
         }
-        if head.ended.is_none() {
+        let age = app.clock.wall().saturating_sub(head.opened);
+        if head.ended.is_none() && age <= app.settings.keep {
             member::shorten(app).await?;
             take_over(app, &step, &item, head).await?;
         }
@@ -295,21 +296,21 @@
 }
 
 /// Removes the records of a step that nobody may read any more; the head goes last, so that an
-/// interrupted removal goes on later.
+/// interrupted removal goes on later, and says until then that the step has ended.
 async fn sweep(app: &App, step: &str, head: &Item) -> Result<(), PlatError> {
-    let mut gone = vec![keys::end(step)];
+    let mut gone = Vec::new();
     for prefix in [keys::spec(step), keys::segments(step), keys::drafts(step)] {
         let range = app.plat.list(&prefix).await?;
         gone.extend(range.items.into_iter().map(|item| item.key));
     }
-    gone.push(head.key.clone());
-    for part in gone.chunks(TOGETHER) {
+    let last = [keys::end(step), head.key.clone()];
+    for part in gone.chunks(TOGETHER).chain([&last[..]]) {
         let txn = Txn {
             deletes: part.iter().cloned().map(Delete::Key).collect(),
             ..Txn::default()
         };
         app.plat.txn(&txn).await?;
     }
-    log::info!(target: "control", id = step, keys = gone.len(); "step removed");
+    log::info!(target: "control", id = step, keys = gone.len() + last.len(); "step removed");
     Ok(())
 }
