Know whether a step was taken over, and read its records until they are there

Callers saw steps stand still for good after their owner was killed or restarted: none of 2 results after 15 s, or 2 of 4. Whoever takes a step over writes its own name into the head, and then reads the records. When that write was not answered, or a read after it failed, it gave up; the head then named an instance that lives, so nobody took the step over again.

Now the write is tried until it is known whether it took effect, by reading the head when it may have, and the records are read until they are there or nobody may read them any more. Both go on in tasks of their own, also when the instance leads no more in the midst of it.

--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -5,6 +5,8 @@
 //! is no head, and the one that takes it over, which succeeds while the head is as it was read. Ending a step
 //! changes its head, so both fail once it has ended, and so does each write of results.
 
+use std::sync::Arc;
+
 use batch::Head;
 use batch::Owner;
 use batch::Spec;
@@ -17,8 +19,10 @@
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
+use tokio::time::sleep;
 
 use crate::App;
+use crate::owner::AGAIN;
 
 /// Bytes of samples that one write holds beside the head; more is written before it.
 const TOGETHER: usize = 4 << 20;
@@ -144,12 +148,18 @@
     record::decode(&item.value).map_err(|_| PlatError::Garbled)
 }
 
-/// Makes this instance the owner of a step whose head was read.
+/// Makes this instance the owner of a step whose head was read. Tries until it is known whether it is: an owner
+/// that does not know that it is one would leave the step to nobody.
 ///
 /// # Errors
 ///
-/// Returns [`PlatError`].
-pub async fn take(app: &App, step: &str, item: &Item, head: &Head) -> Result<Taken, PlatError> {
+/// Returns [`PlatError`] when nothing was written.
+pub async fn take(
+    app: &Arc<App>,
+    step: &str,
+    item: &Item,
+    head: &Head,
+) -> Result<Taken, PlatError> {
     if head.ended.is_some() {
         return Ok(Taken::Not);
     }
@@ -166,10 +176,40 @@
         puts: vec![put(step, &mine)?],
         deletes: Vec::new(),
     };
+    let mut unclear = false;
+    while app.clock.wall() < head.opened + app.settings.keep {
+        let asked = app.clock.now();
+        match app.plat.txn(&txn).await {
+            Ok(Done::At(rev)) => return Ok(Taken::Open(Open { rev, asked })),
+            Ok(Done::Conflict) if !unclear => return Ok(Taken::Not),
+            Ok(Done::Conflict) => match found(app, step, &mine).await {
+                Ok(taken) => return Ok(taken),
+                Err(error) => note(step, &error),
+            },
+            Err(error) if !unclear && !error.is_unclear() => return Err(error),
+            Err(error) => {
+                unclear = true;
+                note(step, &error);
+            }
+        }
+        sleep(AGAIN).await;
+    }
+    Ok(Taken::Not)
+}
+
+fn note(step: &str, error: &PlatError) {
+    let why = error.to_string();
+    log::warn!(target: "claim", id = step, why = why.as_str(); "not known whether the step was taken over");
+}
+
+/// Whether a head that was written without an answer is there.
+async fn found(app: &App, step: &str, mine: &Head) -> Result<Taken, PlatError> {
     let asked = app.clock.now();
-    Ok(match app.plat.txn(&txn).await? {
-        Done::At(rev) => Taken::Open(Open { rev, asked }),
-        Done::Conflict => Taken::Not,
+    let item = app.plat.get(&keys::head(step)).await?;
+    let item = item.filter(|item| read(item).is_ok_and(|head| head == *mine));
+    Ok(match item {
+        Some(Item { rev, .. }) => Taken::Open(Open { rev, asked }),
+        None => Taken::Not,
     })
 }
 
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -23,6 +23,7 @@
 use super::targets::Targets;
 use crate::App;
 use crate::claim;
+use crate::claim::Open;
 use crate::claim::Taken;
 use crate::member;
 use crate::owner;
@@ -166,7 +167,15 @@
             return Ok(());
         }
         self.missing.remove(&step);
-        take_over(app, &step, item, head).await
+        // It has to be known whether the write took effect, also when this instance leads no more.
+        let (app, item) = (app.clone(), item.clone());
+        tokio::spawn(async move {
+            if let Err(error) = take_over(&app, &step, &item, head).await {
+                let error = error.to_string();
+                log::warn!(target: "control", id = &*step, error = error.as_str(); "step not taken over");
+            }
+        });
+        Ok(())
     }
 
     /// Says of each instance that is to be emptied that it is: nothing that lasts is kept outside
@@ -236,7 +245,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`PlatError`].
+/// Returns [`PlatError`] when nothing was written.
 pub(crate) async fn take_over(
     app: &Arc<App>,
     step: &Arc<str>,
@@ -248,18 +257,39 @@
         log::info!(target: "control", id = &**step, instance = &*from.instance, revision = item.rev; "step not taken over");
         return Ok(());
     };
+    log::info!(target: "control", id = &**step, owner = &*from.instance, revision = open.rev(); "step taken over");
+    metrics::counter!(crate::meter::STEPS, "outcome" => "taken over").increment(1);
     let head = Head {
         owner: app.me.clone(),
         ..head
     };
-    let (spec, left) = load(app, step, &head).await?;
-    log::info!(target: "control", id = &**step, owner = &*from.instance, revision = open.rev(),
-        segments = left.segments.len(), pieces = left.pieces.len(); "step taken over");
-    metrics::counter!(crate::meter::STEPS, "outcome" => "taken over").increment(1);
-    owner::resume(app, step, head, spec, open, left);
+    // From here on the step is left to nobody else while this instance lives.
+    tokio::spawn(go_on(app.clone(), step.clone(), head, open));
     Ok(())
 }
 
+/// Goes on with a step that was taken over, once its records could be read.
+async fn go_on(app: Arc<App>, step: Arc<str>, head: Head, open: Open) {
+    while app.clock.wall() < head.opened + app.settings.keep {
+        match load(&app, &step, &head).await {
+            Ok((spec, left)) => {
+                log::info!(target: "control", id = &*step, segments = left.segments.len(),
+                    pieces = left.pieces.len(); "records read");
+                owner::resume(&app, &step, head, spec, open, left);
+                return;
+            }
+            Err(error) => {
+                let why = error.to_string();
+                log::warn!(target: "control", id = &*step, why = why.as_str(); "records not read");
+                if matches!(error, PlatError::Garbled) {
+                    return;
+                }
+            }
+        }
+        sleep(LOOK).await;
+    }
+}
+
 /// Reads what the owner before has left. It can list nothing more, so what is read is all there is.
 async fn load(app: &App, step: &str, head: &Head) -> Result<(Spec, Left), PlatError> {
     let parts = app.plat.list(&keys::spec(step)).await?;
