Begin samples only while their step is known to be open

Callers saw samples begin up to the end of the time watched after they had ended a step, or right after a pause of the process that ran it: 16 to 64 of them, and 24 requests for scores. An owner asked each 0.9 s whether its step had ended, and a question that failed, was answered late or never was taken for "no". A process that went on after a pause began samples before it asked.

Now batch::Word says until when samples may begin: two thirds of the time in which an end has to be in force, counted from when the platform was asked, whoever asked. Sending a sample, moving it and each try for its score need the Permit that it gives. A question without an answer within a tenth of that time is asked through up to three others at once. When neither way reaches the platform, nobody can have an end acknowledged, and the step goes on. The time is a setting, [times] cancel_ms.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`draft`] has what samples have so far.
 //! - [`groups`] says when a step's trainer can go on.
 //! - [`ledger`] has what the owner knows of its step.
+//! - [`word`] says until when samples of a step may begin.
 //! - [`window`] has what is read of a step's results elsewhere.
 //! - [`score`] says what follows from an answer of a scorer.
 
@@ -21,6 +22,7 @@
 pub mod record;
 pub mod score;
 pub mod window;
+pub mod word;
 
 pub use again::Again;
 pub use draft::Draft;
@@ -37,3 +39,5 @@
 pub use record::Scoring;
 pub use record::Spec;
 pub use window::Window;
+pub use word::Permit;
+pub use word::Word;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -7,7 +7,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -17,16 +16,17 @@
 use batch::Head;
 use batch::Ledger;
 use batch::Outcome;
+use batch::Permit;
 use batch::Piece;
 use batch::Sample;
 use batch::Spec;
+use batch::Word;
 use batch::draft::Kept;
 use batch::keys;
 use kernel::Map;
 use kernel::Millis;
 use kernel::Set;
 use parking_lot::Mutex;
-use plat::PlatError;
 use table::Route;
 use team::Principal;
 use tokio::sync::Notify;
@@ -75,8 +75,8 @@
     opened: Millis,
     ledger: Mutex<Ledger>,
     listed: watch::Sender<usize>,
-    /// When the platform was last asked that said that the step is open.
-    heard: AtomicU64,
+    /// What is known of whether the step is open.
+    word: Mutex<Word>,
     ended: AtomicBool,
     lost: AtomicBool,
     /// Whether another step goes on with what this one has left over.
@@ -87,7 +87,14 @@
 }
 
 impl Work {
-    fn new(step: &Arc<str>, head: Head, spec: Spec, open: &Open, opened: Millis) -> Self {
+    fn new(
+        app: &App,
+        step: &Arc<str>,
+        head: Head,
+        spec: Spec,
+        open: &Open,
+        opened: Millis,
+    ) -> Self {
         let groups = spec.samples.iter().map(|sample| &sample.group);
         let ledger = Ledger::new(Groups::new(groups, head.wanted), GATHER);
         let drafts = spec.samples.iter().map(|_| Mutex::default());
@@ -101,7 +108,7 @@
             opened,
             ledger: Mutex::new(ledger),
             listed: watch::Sender::new(0),
-            heard: AtomicU64::new(open.asked()),
+            word: Mutex::new(Word::new(app.settings.cancel, open.asked())),
             ended: AtomicBool::new(false),
             lost: AtomicBool::new(false),
             handed: AtomicBool::new(false),
@@ -137,26 +144,30 @@
         self.lost.load(Ordering::Relaxed)
     }
 
-    /// Time since the step was last known to be open.
-    fn unheard(&self, app: &App) -> Millis {
-        app.clock.now().saturating_sub(self.heard())
+    /// The step's name.
+    pub(crate) fn name(&self) -> &Arc<str> {
+        &self.step
     }
 
-    /// Notes that the step was open when the platform was asked.
-    fn hear(&self, asked: Millis) {
-        self.heard.fetch_max(asked, Ordering::Relaxed);
+    /// Time since the step was last known to be open.
+    fn unheard(&self, app: &App) -> Millis {
+        let heard = self.word.lock().heard();
+        app.clock.now().saturating_sub(heard)
     }
 
-    /// When the platform was last asked that said that the step is open.
-    fn heard(&self) -> Millis {
-        self.heard.load(Ordering::Relaxed)
+    /// Leave to begin samples, or requests for their scores.
+    pub(crate) fn permit(&self, app: &App) -> Option<Permit> {
+        if self.has_ended() || self.is_lost() {
+            return None;
+        }
+        self.word.lock().permit(app.clock.now())
     }
 
     /// Takes in what the platform says of the step; tells whether it is open, and still this instance's.
     fn stand(&self, app: &App, standing: Standing) -> bool {
         match standing {
             Standing::Open(open) => {
-                self.hear(open.asked());
+                self.word.lock().hear(open.asked());
                 return true;
             }
             Standing::Ended => self.end(app, self.rev, "asked"),
@@ -166,11 +177,25 @@
     }
 
     /// Asks the platform whether the step is open, and still this instance's.
-    async fn ask(&self, app: &App) -> Result<bool, PlatError> {
+    async fn ask(&self, app: &App) -> bool {
         let asked = app.clock.now();
-        let item = app.plat.get(&keys::head(&self.step)).await?;
-        let standing = claim::standing(asked, self.rev, item.as_ref())?;
-        Ok(self.stand(app, standing))
+        let standing = match app.plat.get(&keys::head(&self.step)).await {
+            Ok(item) => claim::standing(asked, self.rev, item.as_ref()),
+            Err(error) => Err(error),
+        };
+        match standing {
+            Ok(standing) => self.stand(app, standing),
+            Err(error) => {
+                self.unknown(app, &error.to_string());
+                false
+            }
+        }
+    }
+
+    /// Tells that a question had no answer.
+    fn unknown(&self, app: &App, why: &str) {
+        log::info!(target: "owner", id = &*self.step, why, heard_ms = self.unheard(app);
+            "not known whether the step is open");
     }
 
     /// The body of a sample's request.
@@ -205,10 +230,10 @@
         if self.ledger.lock().is_done() || self.has_ended() {
             return true;
         }
-        if app.clock.now() < self.heard() + FRESH {
+        if app.clock.now() < self.word.lock().heard() + FRESH {
             return true;
         }
-        self.ask(app).await.unwrap_or(false)
+        self.ask(app).await
     }
 
     fn route(&self, app: &App) -> Option<Arc<Route>> {
@@ -305,7 +330,7 @@
 /// Begins to run a step that was accepted here.
 pub fn begin(app: &Arc<App>, step: &Arc<str>, head: Head, mut spec: Spec, open: Open) {
     let again = recall(app, &head, &mut spec);
-    let mut work = Work::new(step, head, spec, &open, app.clock.now());
+    let mut work = Work::new(app, step, head, spec, &open, app.clock.now());
     work.again = again;
     start(app, work, "accepted");
 }
@@ -370,7 +395,7 @@
 pub fn resume(app: &Arc<App>, step: &Arc<str>, head: Head, spec: Spec, open: Open, left: Left) {
     let age = app.clock.wall().saturating_sub(head.opened);
     let opened = app.clock.now().saturating_sub(age.saturating_sub(SKEW));
-    let work = Work::new(step, head, spec, &open, opened);
+    let work = Work::new(app, step, head, spec, &open, opened);
     {
         let mut ledger = work.ledger.lock();
         for segment in left.segments {
--- a/crates/node/src/owner/checks.rs
+++ b/crates/node/src/owner/checks.rs
@@ -1,24 +1,46 @@
-//! Asking the platform whether a step has ended.
+//! Asking the platform whether a step is open, in time to begin no sample long after its end.
 
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
+use batch::keys;
+use futures_util::future::Either;
+use futures_util::future::select;
 use kernel::Millis;
+use plat::Answer;
+use plat::Call;
+use plat::Item;
+use plat::PlatError;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
-use super::AGAIN;
 use super::Work;
 use crate::App;
+use crate::claim;
+use crate::through;
 
-/// Time without word from the platform after which it is asked whether the step has ended. A
-/// sample must not begin more than three seconds after the end.
-const CHECK: Millis = 900;
+/// Part of the time in which an end has to be in force after which a question is asked through others as well.
+const PATIENCE: u64 = 10;
 
-/// The question that is under way, and when it was asked.
+/// Part of that time that a question may take with both.
+const LIMIT: u64 = 3;
+
+/// What a question came to.
+enum Heard {
+    /// The step's head.
+    Head(Option<Item>),
+    /// Nobody who was asked reaches the platform.
+    Away,
+    /// Nothing was heard here, though the platform may serve others.
+    Nothing(PlatError),
+}
+
+/// The question that is under way.
 #[derive(Debug, Default)]
 pub(super) struct Checks {
     asks: JoinSet<()>,
-    checked: Millis,
 }
 
 impl Checks {
@@ -29,21 +51,77 @@
 
     /// Asks when nothing was heard for a while.
     pub(super) fn begin(&mut self, app: &Arc<App>, work: &Arc<Work>) {
-        let now = app.clock.now();
-        let heard = self.checked.max(work.heard());
-        if now < heard + CHECK || !self.asks.is_empty() {
+        if !self.asks.is_empty() {
             return;
         }
-        self.checked = now;
-        let (app, work) = (app.clone(), work.clone());
-        self.asks.spawn(async move {
-            if let Err(error) = work.ask(&app).await {
-                let why = error.to_string();
-                log::info!(target: "owner", id = &*work.step, why = why.as_str(),
-                    heard_ms = work.unheard(&app); "not known whether the step is open");
-                // It is asked again; results are written under the condition that it has not ended.
-                sleep(AGAIN).await;
+        let asked = app.clock.now();
+        {
+            let mut word = work.word.lock();
+            if !word.is_due(asked) {
+                return;
             }
-        });
+            word.ask(asked);
+        }
+        let (app, work) = (app.clone(), work.clone());
+        self.asks
+            .spawn(async move { question(&app, &work, asked).await });
+    }
+}
+
+async fn question(app: &Arc<App>, work: &Work, asked: Millis) {
+    let patience = app.settings.cancel / PATIENCE;
+    let head = match hear(app, work, patience).await {
+        Heard::Head(item) => claim::standing(asked, work.rev, item.as_ref()),
+        Heard::Away => {
+            // When the others were asked.
+            work.word.lock().lose(asked + patience);
+            return work.unknown(app, "nobody reaches the platform");
+        }
+        Heard::Nothing(error) => Err(error),
+    };
+    match head {
+        Ok(standing) => {
+            work.stand(app, standing);
+        }
+        Err(error) => work.unknown(app, &error.to_string()),
+    }
+}
+
+/// Asks the platform, and others to ask it when it does not answer soon.
+async fn hear(app: &Arc<App>, work: &Work, patience: Millis) -> Heard {
+    let call = Call::Get(keys::head(&work.step));
+    let limit = Duration::from_millis(app.settings.cancel / LIMIT);
+    let patience = match app.plat.is_turned_away() {
+        true => Duration::ZERO,
+        false => Duration::from_millis(patience),
+    };
+    let direct = pin!(in_time(limit, app.plat.direct(&call)));
+    let others = pin!(async {
+        sleep(patience).await;
+        in_time(limit - patience, through::any(app, &call)).await
+    });
+    let (one, other) = match select(direct, others).await {
+        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => return head(answer),
+        Either::Left((Err(one), others)) => (one, others.await),
+        Either::Right((Err(one), direct)) => (one, direct.await),
+    };
+    match other {
+        Ok(answer) => head(answer),
+        Err(other) if one.is_away() && other.is_away() => Heard::Away,
+        Err(_) => Heard::Nothing(one),
+    }
+}
+
+async fn in_time(
+    limit: Duration,
+    call: impl Future<Output = Result<Answer, PlatError>>,
+) -> Result<Answer, PlatError> {
+    timeout(limit, call).await.unwrap_or(Err(PlatError::Silent))
+}
+
+fn head(answer: Answer) -> Heard {
+    match answer {
+        Answer::Range(range) => Heard::Head(range.items.into_iter().next()),
+        _ => Heard::Nothing(PlatError::Garbled),
     }
 }
--- a/crates/node/src/owner/drive.rs
+++ b/crates/node/src/owner/drive.rs
@@ -182,7 +182,7 @@
                     self.work.kept.lock().forget(index);
                 }
             }
-            Ended::Unrun | Ended::Moved | Ended::Broken(_) => (),
+            Ended::Unrun | Ended::Moved | Ended::Stale | Ended::Broken(_) => (),
         }
         let sample = &self.work.spec.samples[index as usize];
         let job = Job {
@@ -192,7 +192,7 @@
             carried: false,
         };
         let avoid = match ended {
-            Ended::Unrun => Vec::new(),
+            Ended::Unrun | Ended::Stale => Vec::new(),
             _ => vec![engine.id.clone()],
         };
         self.todo.push_front(Todo { job, avoid });
@@ -212,7 +212,7 @@
             let score = match &work.spec.samples[index as usize].scoring {
                 Some(scoring) => {
                     let principal = work.principal(&app);
-                    score::score(&app, scoring, &principal, most, until).await
+                    score::score(&app, &work, scoring, &principal, most, until).await
                 }
                 None => None,
             };
--- a/crates/node/src/owner/drive/placing.rs
+++ b/crates/node/src/owner/drive/placing.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use batch::Permit;
 use batch::Sample;
 use kernel::Map;
 use kernel::Millis;
@@ -64,6 +65,10 @@
             self.give_up("time to live is over");
             return Placed::Looked;
         }
+        // The bell rings, or an answer comes, when there is word again.
+        let Some(permit) = self.work.permit(self.app) else {
+            return Placed::Looked;
+        };
         let mut rounds = Map::default();
         while let Some(todo) = self.todo.pop_front() {
             if self.is_held(&todo) {
@@ -73,7 +78,7 @@
                 continue;
             }
             match self.choose(&route, &todo, &mut rounds) {
-                Some((service, engine)) => self.begin(&route, service, engine, todo),
+                Some((service, engine)) => self.begin(&route, service, engine, todo, permit),
                 None => {
                     self.todo.push_front(todo);
                     self.blocked = now;
@@ -149,11 +154,18 @@
         Some((service.clone(), engine))
     }
 
-    fn begin(&mut self, route: &Route, service: Arc<str>, engine: Arc<Listed>, todo: Todo) {
+    fn begin(
+        &mut self,
+        route: &Route,
+        service: Arc<str>,
+        engine: Arc<Listed>,
+        todo: Todo,
+        permit: Permit,
+    ) {
         self.kin.insert(todo.job.group.clone(), engine.id.clone());
         let run = Run {
             app: self.app.clone(),
-            step: self.work.step.clone(),
+            work: self.work.clone(),
             host: self.work.head.host.clone(),
             principal: self.work.principal(self.app),
             service,
@@ -161,6 +173,7 @@
             least: self.work.head.least,
             single: route.single,
             engine: engine.clone(),
+            permit,
         };
         let work = self.work.clone();
         let index = todo.job.index;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use batch::Draft;
+use batch::Permit;
 use batch::Sample;
 use http::Response;
 use http::StatusCode;
@@ -21,6 +22,7 @@
 use crate::App;
 use crate::events::Events;
 use crate::events::Next;
+use crate::owner::Work;
 use crate::print;
 
 /// Time within which an engine with a free slot begins to answer: ten events of an ordinary engine,
@@ -62,6 +64,8 @@
     Moved,
     /// The run broke off; it goes on elsewhere.
     Broken(&'static str),
+    /// It could not be sent while the step was known to be open.
+    Stale,
 }
 
 /// One run.
@@ -69,7 +73,7 @@
     /// The instance.
     pub app: Arc<App>,
     /// The step.
-    pub step: Arc<str>,
+    pub work: Arc<Work>,
     /// The host of the step's route.
     pub host: Arc<str>,
     /// On whose behalf the step runs.
@@ -84,6 +88,8 @@
     pub single: bool,
     /// The engine.
     pub engine: Arc<Listed>,
+    /// Leave to begin it: the step is open.
+    pub permit: Permit,
 }
 
 /// Counts a run at an engine, and what it takes of its memory, for as long as it lives.
@@ -133,7 +139,7 @@
         }
         if !matches!(
             ended,
-            Ended::Whole | Ended::Hopeless | Ended::Unrun | Ended::Moved
+            Ended::Whole | Ended::Hopeless | Ended::Unrun | Ended::Moved | Ended::Stale
         ) {
             self.app
                 .fleet
@@ -153,9 +159,10 @@
             Ended::Failed => "failed",
             Ended::Unrun => "unrun",
             Ended::Moved => "moved",
+            Ended::Stale => "stale",
             Ended::Broken(why) => why,
         };
-        log::info!(target: "run", id = &*sample.id, step = &*self.step,
+        log::info!(target: "run", id = &*sample.id, step = &**self.work.name(),
             upstream = &*self.engine.id, first, to = draft.lock().last, took_ms = took,
             outcome; "run ended");
         metrics::counter!(crate::meter::ATTEMPTS, "outcome" => outcome).increment(1);
@@ -179,6 +186,11 @@
                 return Ended::Hopeless;
             }
         };
+        // A connection that is opened slowly, or a pause of the process, must not send it later.
+        let left = self.permit.until().saturating_sub(self.app.clock.now());
+        if left == 0 {
+            return Ended::Stale;
+        }
         match self.app.http.send(request, FIRST).await {
             Ok(answer) => self.answer(sample, draft, answer, place).await,
             Err(net::SendError::Unconnected) => Ended::Broken("no connection"),
@@ -271,12 +283,20 @@
             let gap = (seen > 1).then_some((now - at) as f64);
             place.event(gap, tokens);
             at = now;
-            if seen.is_multiple_of(LOOK) && self.had_better_move(sample, &draft.lock()) {
+            if seen.is_multiple_of(LOOK)
+                && self.may_move()
+                && self.had_better_move(sample, &draft.lock())
+            {
                 return Ended::Moved;
             }
         }
     }
 
+    /// Tells whether the sample may begin anywhere else now.
+    fn may_move(&self) -> bool {
+        self.work.permit(&self.app).is_some()
+    }
+
     /// Tells whether the rest of the sample would be whole sooner at another engine.
     fn had_better_move(&self, sample: &Sample, draft: &Draft) -> bool {
         let memory = self.app.memory(&self.service);
--- a/crates/node/src/score.rs
+++ b/crates/node/src/score.rs
@@ -20,6 +20,7 @@
 use crate::forward;
 use crate::forward::Passed;
 use crate::meter;
+use crate::owner::Work;
 use crate::sent::Sent;
 
 /// Time after which one try, with its second upstream, is given up: ten times the latency that callers
@@ -27,11 +28,15 @@
 /// its step lasts.
 const LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Pause before it is looked again whether the step is known to be open.
+const HOLD: Duration = Duration::from_millis(50);
+
 /// Asks until there is a score, the scorer has failed too often, or the time is over; [`None`] when
 /// the sample cannot be scored. `most` failures are allowed where the route of the request allows no
 /// more.
 pub(crate) async fn score(
     app: &Arc<App>,
+    work: &Work,
     scoring: &Scoring,
     principal: &Principal,
     most: u32,
@@ -53,6 +58,10 @@
         if app.clock.now() >= until {
             break None;
         }
+        let Some(permit) = work.permit(app) else {
+            sleep(HOLD).await;
+            continue;
+        };
         let mut answer = Answer::Nothing;
         if let Some(route) = route(app, scoring) {
             tries.allow(route.attempts);
@@ -64,6 +73,8 @@
                 until,
                 principal.clone(),
             );
+            // A second upstream is tried while the step is known to be open.
+            let sent = sent.within(permit);
             answer = ask(sent, &route).await;
         }
         asked += 1;
--- a/crates/node/src/sent.rs
+++ b/crates/node/src/sent.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::OnceLock;
 
+use batch::Permit;
 use bytes::Bytes;
 use crash::Stay;
 use http::HeaderValue;
@@ -48,6 +49,8 @@
     run: Mutex<Option<Run>>,
     /// Whether it asks for the score of a sample.
     scores: bool,
+    /// Leave to send it, for a request that belongs to a step.
+    permit: Option<Permit>,
     mark: OnceLock<Mark>,
 }
 
@@ -71,6 +74,7 @@
             principal,
             run: Mutex::new(Some(Run::default())),
             scores: false,
+            permit: None,
             mark: OnceLock::new(),
         }
     }
@@ -93,10 +97,23 @@
             principal,
             run: Mutex::new(Some(Run::default())),
             scores: true,
+            permit: None,
             mark: OnceLock::new(),
         }
     }
 
+    /// Lets it be sent with a permit alone.
+    pub(crate) fn within(mut self, permit: Permit) -> Self {
+        self.permit = Some(permit);
+        self
+    }
+
+    /// Tells whether it may be sent now.
+    fn is_permitted(&self) -> bool {
+        let now = self.app.clock.now();
+        self.permit.is_none_or(|permit| now < permit.until())
+    }
+
     /// How it is known when upstreams crash under it.
     pub(crate) fn mark(&self) -> Mark {
         *self.mark.get_or_init(|| match self.scores {
@@ -170,6 +187,9 @@
 
     /// The request for one upstream, behind event `last` of a stream that broke.
     pub(crate) fn request(&self, one: &Listed, last: Option<&str>) -> Option<Request<Full<Bytes>>> {
+        if !self.is_permitted() {
+            return None;
+        }
         let path = self.head.uri.path_and_query();
         let path = path.map_or("/", |path| path.as_str());
         let uri: Uri = net::client::uri(one.addr, path).parse().ok()?;
@@ -196,6 +216,9 @@
     /// The place is taken before anybody else chooses. Dozens of requests that begin at the same time
     /// would else all see the same places free, and wait inside one upstream.
     pub(crate) fn choose(&self, service: &str, used: &[Arc<str>], queue: bool) -> Option<Place> {
+        if !self.is_permitted() {
+            return None;
+        }
         let app = &self.app;
         let roster = app.roster.lock();
         let slots = roster.of(service).map(|one| one.slots).max().unwrap_or(0);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -71,6 +71,8 @@
     pub grace: Millis,
     /// Time within which two machines must not both give orders, in milliseconds.
     pub turn: Millis,
+    /// Time within which the end of a step has to be in force, in milliseconds.
+    pub cancel: Millis,
     /// Time within which a configuration has to be in force everywhere, in milliseconds.
     pub apply: Millis,
     /// Whether requests that need a key are turned away while the configuration may be too old.
@@ -130,6 +132,7 @@
     let grace = times.or("grace_s", "seconds", 8.0);
     let turn = times.or("turn_ms", "milliseconds", 3_000);
     let keep = times.or("keep_s", "seconds", 120.0);
+    let cancel = times.or("cancel_ms", "milliseconds", 3_000);
     let apply = times.or("apply_ms", "milliseconds", 2_000);
     doc.put(times);
 
@@ -176,6 +179,7 @@
         platform: platform.unwrap_or((unset, 0).into()),
         grace: millis(grace),
         turn,
+        cancel,
         apply,
         closed,
         revoke,
--- a/crates/node/src/through.rs
+++ b/crates/node/src/through.rs
@@ -1,6 +1,7 @@
 //! Calls of the platform that other instances make for one that it turns away.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Weak;
 
 use kernel::Millis;
@@ -10,6 +11,7 @@
 use plat::Relay;
 use plat::relay::Relayed;
 use rand::seq::SliceRandom;
+use tokio::task::JoinSet;
 
 use crate::App;
 use crate::peer;
@@ -60,6 +62,26 @@
     Err(failed)
 }
 
+/// Makes a read through several others at once, for an answer that is needed soon: one that is not served
+/// itself, or answers late, costs no time then.
+pub(crate) async fn any(app: &Arc<App>, call: &Call) -> Result<Answer, PlatError> {
+    let mut asks = JoinSet::new();
+    for addr in helpers(app) {
+        let (app, call) = (app.clone(), call.clone());
+        asks.spawn(async move { peer::relay(&app, addr, call, RELAY).await });
+    }
+    let mut failed = PlatError::Unreachable;
+    while let Some(asked) = asks.join_next().await {
+        match asked {
+            Ok(Some(Ok(answer))) => return Ok(answer),
+            Ok(Some(Err(error))) => failed = error,
+            // It did not answer.
+            Ok(None) | Err(_) => failed = PlatError::Silent,
+        }
+    }
+    Err(failed)
+}
+
 /// The instances through which a call is tried, the one that helped last first.
 fn helpers(app: &App) -> Vec<SocketAddr> {
     let mut others = others(app);
