Tell the owner of a step that it has ended, and end it though its caller has left

Callers saw 56 to 64 samples begin later than 3 s after the end: the end was acknowledged right before the store went away for all, and the owner, which has to go on then, could not hear of it; or the end could not be written while its caller waited, and was given up when the caller left.

Now whoever ends a step tells the owner that its head names, with the revision that was ended, so that an owner that was replaced meanwhile does not take it for its own. And an end is tried for 20 s, whether its caller waits or not.

--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -30,6 +30,7 @@
 use crate::board::News;
 use crate::hint;
 use crate::news::FRESH;
+use crate::steps;
 use crate::steps::accept;
 use crate::steps::accept::Accepted;
 use crate::steps::accept::Submission;
@@ -80,6 +81,8 @@
     Shares(u64),
     /// Whether the address that takes reports can be reached.
     Reaches,
+    /// That a step has ended, whose head had this revision.
+    Ended { step: Arc<str>, rev: i64 },
 }
 
 /// An answer.
@@ -160,6 +163,10 @@
             Told::Noted
         }
         Ask::Shares(window) => Told::Shares(crate::tally::shares(app, window)),
+        Ask::Ended { step, rev } => {
+            steps::heard(app, &step, rev);
+            Told::Noted
+        }
         Ask::Reaches => Told::Reaches(crate::tally::reaches(app).await),
         // Never through a third one: two that are turned away would ask each other forever.
         Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
@@ -301,6 +308,16 @@
     }
 }
 
+/// Tells the owner of a step that it has ended; whether it has heard.
+pub async fn ended(app: &App, owner: &str, step: &Arc<str>, rev: i64) -> bool {
+    let Some(addr) = address(app, owner) else {
+        return false;
+    };
+    let step = step.clone();
+    let heard = ask(app, addr, &Ask::Ended { step, rev }, LIMIT).await;
+    heard.is_some()
+}
+
 /// Tells a keeper what this instance has counted; whether it has heard.
 pub async fn tally(app: &App, keeper: SocketAddr, tally: Tally) -> bool {
     let owner = app.me.clone();
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -18,6 +18,7 @@
 
 use crate::App;
 use crate::claim;
+use crate::claim::Ended;
 use crate::hint;
 use crate::peer;
 use crate::refuse::Refusal;
@@ -33,6 +34,9 @@
 /// after it was sent, and a step that was accepted so has to be run.
 const SETTLE: Millis = 20_000;
 
+/// Times that an owner is told of the end of its step before it is left to its own question.
+const TOLD: usize = 2;
+
 /// Longest time that a read waits for a result, in milliseconds.
 const LONGEST: Millis = 1_000;
 
@@ -212,31 +216,66 @@
             Err(error) => return unsure(step, &error),
         }
     }
-    match timeout(ACCEPT, end_surely(app, step)).await {
-        Ok(true) => body::reply(StatusCode::OK, "application/json", "{}"),
-        Ok(false) => Refusal::Missing.reply(),
-        Err(_) => Refusal::Late.reply(),
+    // Goes on when the caller leaves: whoever has asked for the end wants nothing more of the step.
+    let ending = tokio::spawn(end_surely(app.clone(), step.clone()));
+    match timeout(ACCEPT, ending).await {
+        Ok(Ok(Ending::Ended)) => body::reply(StatusCode::OK, "application/json", "{}"),
+        Ok(Ok(Ending::Missing)) => Refusal::Missing.reply(),
+        Ok(Ok(Ending::Unclear) | Err(_)) | Err(_) => Refusal::Late.reply(),
     }
 }
 
-/// Ends a step; false when there is no such step.
-async fn end_surely(app: &App, step: &Arc<str>) -> bool {
+/// What came of ending a step.
+enum Ending {
+    /// It has ended.
+    Ended,
+    /// There is no such step.
+    Missing,
+    /// The platform did not tell.
+    Unclear,
+}
+
+/// Ends a step and tells its owner, which would hear of it with its next question else.
+async fn end_surely(app: Arc<App>, step: Arc<str>) -> Ending {
+    let begun = app.clock.now();
     loop {
-        match claim::end(app, step).await {
+        match claim::end(&app, &step).await {
             Ok(Some(ended)) => {
-                log::info!(target: "steps", id = &**step, instance = &*ended.owner.instance, revision = ended.rev;
-                    "step ended");
-                if let Some(work) = app.works.get(step) {
-                    work.end(app, ended.rev, "told");
-                }
-                return true;
+                log::info!(target: "steps", id = &*step, instance = &*ended.owner.instance, revision = ended.rev,
+                    took_ms = app.clock.now() - begun; "step ended");
+                tokio::spawn(tell_owner(app, step, ended));
+                return Ending::Ended;
             }
-            Ok(None) => return false,
+            Ok(None) => return Ending::Missing,
             Err(error) => {
                 let why = error.to_string();
-                log::info!(target: "steps", id = &**step, why = why.as_str(); "step not ended yet");
+                log::info!(target: "steps", id = &*step, why = why.as_str(); "step not ended yet");
             }
         }
+        if app.clock.now() > begun + SETTLE {
+            log::warn!(target: "steps", id = &*step, took_ms = app.clock.now() - begun; "end given up");
+            return Ending::Unclear;
+        }
         sleep(PAUSE).await;
     }
 }
+
+async fn tell_owner(app: Arc<App>, step: Arc<str>, ended: Ended) {
+    if ended.owner == app.me {
+        heard(&app, &step, ended.rev);
+        return;
+    }
+    for _ in 0..TOLD {
+        if peer::ended(&app, &ended.owner.instance, &step, ended.rev).await {
+            return;
+        }
+    }
+    log::info!(target: "steps", id = &*step, instance = &*ended.owner.instance; "owner not told of the end");
+}
+
+/// Takes in that a step has ended while its head had a revision.
+pub(crate) fn heard(app: &App, step: &Arc<str>, rev: i64) {
+    if let Some(work) = app.works.get(step) {
+        work.end(app, rev, "told");
+    }
+}
