Know a key for as long as its last use

A key that had been refused unrun, given back and used again was forgotten when the segment of its first use expired: a write 70 s later, with keys kept for 60 s, dropped a key that had run 20 s before, and its order ran again. The entry that was dropped was looked up by the key alone.

The class of fault: what is remembered for a while is forgotten with something else that bears its name. An entry now says which segment has its intent, and goes with that one.

--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -25,6 +25,8 @@
     print: Print,
     attempt: AttemptId,
     at: Millis,
+    /// The segment that has its intent.
+    seq: u64,
     outcome: Option<Outcome>,
 }
 
@@ -381,7 +383,7 @@
         let mut newest = 0;
         let mut keys = Vec::new();
         for record in &segment.records {
-            self.apply(record);
+            self.apply(record, segment.seq);
             if let Record::Intent { key, at, .. } = record {
                 newest = newest.max(*at);
                 keys.push(*key);
@@ -396,7 +398,7 @@
         self.drop_below(segment.floor);
     }
 
-    fn apply(&mut self, record: &Record) {
+    fn apply(&mut self, record: &Record, seq: u64) {
         match record {
             Record::Intent {
                 key,
@@ -409,6 +411,7 @@
                     print: *print,
                     attempt: *attempt,
                     at: *at,
+                    seq,
                     outcome: None,
                 });
             }
@@ -435,7 +438,14 @@
         let old = std::mem::replace(&mut self.keys, kept);
         self.ages = self.ages.split_off(&floor);
         for key in old.into_values().flatten() {
-            self.entries.remove(&key);
+            // A key that was given back may have been used again since.
+            if self
+                .entries
+                .get(&key)
+                .is_some_and(|entry| entry.seq < floor)
+            {
+                self.entries.remove(&key);
+            }
         }
     }
 
--- a/crates/once/tests/common/mod.rs
+++ b/crates/once/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! A platform that holds one shard, for the tests of the journal.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
 #![allow(unreachable_pub, reason = "a module of several test programs")]
 
 use once::Segment;
