Take what a shard misses for expired before reading on

An instance that had not read a shard for longer than keys are kept still held the first use of a key. Its reading met the second use, kept the first in its place, and then dropped the key with the first one's segment: the order ran again. That the first use had been given back stood in a segment that the platform no longer had.

A gap in the ordinals means that everything before it has expired, so it is dropped before the next segment is applied. One read of the platform gives head and segments together, so a gap has no other cause.

--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -380,6 +380,10 @@
     }
 
     fn merge(&mut self, segment: &Segment) {
+        if segment.seq > self.next {
+            // What is missing has expired, and with it whatever was written before.
+            self.drop_below(segment.seq);
+        }
         let mut newest = 0;
         let mut keys = Vec::new();
         for record in &segment.records {
--- a/crates/once/tests/forgotten.rs
+++ b/crates/once/tests/forgotten.rs
@@ -5,12 +5,14 @@
 use common::Fault;
 use common::Platform;
 use kernel::AttemptId;
+use kernel::Map;
 use kernel::RequestId;
 use once::Answer;
 use once::Key;
 use once::Outcome;
 use once::Print;
 use once::Shard;
+use proptest::prelude::*;
 
 /// Time for which a key is known, in milliseconds.
 const KEEP: u64 = 60_000;
@@ -69,3 +71,72 @@
     assert_eq!(second, Answer::Run);
     assert_eq!(third, Answer::Ran(outcome()));
 }
+
+// An instance that had not read for long held an expired use against the one after it, forgot both, and ran the
+// order again.
+#[test]
+fn an_instance_that_has_not_read_for_long_learns_of_the_last_use() {
+    let mut platform = Platform::default();
+    let (mut first, mut second) = (Shard::new(KEEP), Shard::new(KEEP));
+    ask(&mut platform, &mut first, "k", 1, 0);
+    let early = ask(&mut platform, &mut second, "k", 2, 0);
+    give_back(&mut platform, &mut first, "k", 1, 0);
+    let again = ask(&mut platform, &mut first, "k", 3, KEEP - 10_000);
+
+    // The platform drops the first use, and that it was given back, with this write.
+    ask(&mut platform, &mut first, "other", 4, KEEP + 10_000);
+    let late = ask(&mut platform, &mut second, "k", 5, KEEP + 10_000);
+
+    assert_eq!((early, again), (Answer::Unknown, Answer::Run));
+    assert_eq!(late, Answer::Unknown);
+}
+
+/// Something that one of two instances does after a while.
+#[derive(Clone, Copy, Debug)]
+struct Act {
+    instance: usize,
+    key: usize,
+    pause: u64,
+    /// Whether it proves at once that its request did not run.
+    gives_back: bool,
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    (0..2_usize, 0..3_usize, 0..KEEP, any::<bool>()).prop_map(
+        |(instance, key, pause, gives_back)| Act {
+            instance,
+            key,
+            pause,
+            gives_back,
+        },
+    )
+}
+
+proptest! {
+    // A key ran twice within the time for which it is known.
+    #[test]
+    fn no_key_runs_twice_within_the_time_for_which_it_is_known(
+        acts in proptest::collection::vec(act(), 1..40),
+    ) {
+        let mut platform = Platform::default();
+        let mut shards = [Shard::new(KEEP), Shard::new(KEEP)];
+        let mut ran: Map<usize, u64> = Map::default();
+        let mut now = 0;
+
+        for (at, act) in acts.iter().enumerate() {
+            now += act.pause;
+            let (shard, name) = (&mut shards[act.instance], ["a", "b", "c"][act.key]);
+            let bits = at as u128 + 1;
+            if ask(&mut platform, shard, name, bits, now) != Answer::Run {
+                continue;
+            }
+
+            let before = ran.get(&act.key);
+            prop_assert!(before.is_none_or(|before| before + KEEP < now), "{before:?} {now}");
+            match act.gives_back {
+                true => give_back(&mut platform, shard, name, bits, now),
+                false => drop(ran.insert(act.key, now)),
+            }
+        }
+    }
+}
