Take words of an entry for what they are after a window is dropped

What an entry counted was lost when it was killed, once it had served for longer than the 24 windows that it keeps: its keeper compares two words by all that is counted in them, and a dropped window's figures make the newer word the smaller one. Until the open window had counted as much as the dropped one, every word was taken for an old one.

Only windows that are kept by both words count in the comparison now. Which of two words is newer follows as before from the last closed window, the newest one, and what is counted.

--- a/crates/usage/src/keeper.rs
+++ b/crates/usage/src/keeper.rs
@@ -11,6 +11,7 @@
 
 use crate::Counts;
 use crate::Tally;
+use crate::meter::KEPT;
 
 /// Windows after which nothing is asked of an entry instance any more that has told nothing since.
 const OLD: u64 = 24;
@@ -96,9 +97,12 @@
     }
 }
 
-/// How much a tally says: windows only close, new ones only begin, and counts only grow.
+/// How much a tally says: windows only close, new ones only begin, and counts only grow. Old windows are
+/// dropped, some time after one was closed, and do not count.
 fn size(tally: &Tally) -> (u64, u64, u64) {
-    let counts = tally.windows.iter().flat_map(|(_, counts)| counts);
+    let windows = tally.windows.iter();
+    let kept = windows.filter(|(window, _)| window + KEPT > tally.through);
+    let counts = kept.flat_map(|(_, counts)| counts);
     let newest = tally.windows.last().map_or(0, |(window, _)| *window);
     let sum = counts.map(|(_, count)| count).sum();
     (tally.through, newest, sum)
--- a/crates/usage/src/meter.rs
+++ b/crates/usage/src/meter.rs
@@ -15,7 +15,7 @@
 use crate::Windows;
 
 /// Closed windows that are kept: as many as are still reported after a time without a holder.
-const KEPT: u64 = 24;
+pub(crate) const KEPT: u64 = 24;
 
 /// Most windows that are kept, closed or not: requests that take far longer than a window hold each of them open.
 const MOST: usize = 256;
--- /dev/null
+++ b/crates/usage/tests/forgotten.rs
@@ -0,0 +1,132 @@
+//! What a keeper knows of an entry instance whose oldest windows are dropped, or not closed for long.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use usage::Counts;
+use usage::Keeper;
+use usage::Meter;
+use usage::Run;
+use usage::Tally;
+use usage::Windows;
+use yare::parameterized;
+
+/// Length of a window, in milliseconds.
+const LENGTH: u64 = 5_000;
+
+/// Time between two words of an entry instance, in milliseconds.
+const PUSH: u64 = 500;
+
+/// Windows that an entry instance keeps.
+const KEPT: u64 = 24;
+
+/// The first window.
+const FIRST: u64 = 1_000;
+
+fn team() -> Arc<str> {
+    "a".into()
+}
+
+fn source() -> (Arc<str>, u64) {
+    ("e1".into(), 1)
+}
+
+fn one(count: u64) -> Counts {
+    vec![(team(), count)]
+}
+
+fn count(meter: &mut Meter, now: u64) {
+    let mut run = Run::default();
+    meter.begin(&mut run, now);
+    run.send(now);
+    meter.end(&run, &team());
+}
+
+fn known(keeper: &Keeper, window: u64) -> u64 {
+    let shares = keeper.shares(window);
+    let counts = shares.iter().flat_map(|share| &share.counts);
+    counts.map(|(_, count)| count).sum()
+}
+
+// An entry instance that had served for longer than windows are kept dropped its oldest one; its keeper took all it
+// told until the next window was closed for old words, and what it had counted was lost when it was killed.
+#[test]
+fn what_is_counted_after_the_oldest_window_was_dropped_is_known_to_the_keeper() {
+    let mut meter = Meter::new(Windows::new(LENGTH), FIRST * LENGTH);
+    let mut keeper = Keeper::default();
+    let last = FIRST + KEPT + 4;
+    for now in (FIRST * LENGTH..last * LENGTH).step_by(100) {
+        count(&mut meter, now);
+        if now.is_multiple_of(PUSH) {
+            keeper.take(source(), meter.tally(now));
+        }
+    }
+
+    // The first of these words closes the last window.
+    for at in 0..20 {
+        let now = last * LENGTH + at * 100;
+        count(&mut meter, now);
+        if at % 5 == 4 {
+            keeper.take(source(), meter.tally(now));
+        }
+    }
+
+    assert_eq!(known(&keeper, last), 20);
+    assert_eq!(known(&keeper, last - 1), 50);
+}
+
+// An older word that came late took the place of a newer one.
+#[parameterized(
+    nothing_counted_yet = { 10, &[] },
+    counted_less = { 10, &[(11, 2)] },
+    a_window_is_missing = { 10, &[(12, 4)] },
+    closed_less = { 9, &[(11, 3), (12, 9)] },
+)]
+fn an_older_word_changes_nothing(through: u64, windows: &[(u64, u64)]) {
+    let newer = [(11, 3), (12, 4)].map(|(window, sum)| (window, one(sum)));
+    let newer = Tally {
+        through: 10,
+        windows: newer.into(),
+    };
+    let windows = windows.iter().map(|(window, sum)| (*window, one(*sum)));
+    let older = Tally {
+        through,
+        windows: windows.collect(),
+    };
+    let mut keeper = Keeper::default();
+    keeper.take(source(), newer);
+
+    keeper.take(source(), older);
+
+    assert_eq!((known(&keeper, 11), known(&keeper, 12)), (3, 4));
+}
+
+proptest! {
+    // A keeper that heard every word knew less of the newest windows than the instance had told.
+    #[test]
+    fn a_keeper_knows_the_newest_windows_as_they_were_told(
+        pauses in proptest::collection::vec(0..LENGTH, 1..200),
+        told in proptest::collection::vec(any::<bool>(), 200),
+    ) {
+        let mut meter = Meter::new(Windows::new(LENGTH), FIRST * LENGTH);
+        let mut keeper = Keeper::default();
+        let mut now = FIRST * LENGTH;
+
+        for (pause, told) in pauses.iter().zip(told) {
+            now += pause;
+            count(&mut meter, now);
+            if !told {
+                continue;
+            }
+            let tally = meter.tally(now);
+            keeper.take(source(), tally.clone());
+
+            for (window, counts) in &tally.windows {
+                if window + KEPT > tally.through {
+                    let sum: u64 = counts.iter().map(|(_, count)| count).sum();
+                    prop_assert_eq!(known(&keeper, *window), sum, "window {}", window);
+                }
+            }
+        }
+    }
+}
