Report what was counted behind a window that is open for long

One slow request holds its window open, and all after it. A keeper took an entry that had closed nothing for 24 windows for gone, and said nothing of what that one told it each 300 ms: when the entry was killed, its newest windows were reported without it.

An entry counts as gone by the newest window of which it says anything, closed or not.

A request that takes over 24 windows was tried in this test alone.

--- a/crates/usage/src/keeper.rs
+++ b/crates/usage/src/keeper.rs
@@ -61,7 +61,7 @@
     /// Takes in what an entry instance tells; an older word, which has less, changes nothing.
     pub fn take(&mut self, source: Source, tally: Tally) {
         if !self.tallies.contains_key(&source) && self.tallies.len() >= MOST {
-            self.prune(tally.through);
+            self.prune(newest(&tally));
         }
         let held = self.tallies.entry(source).or_default();
         if size(&tally) >= size(held) {
@@ -69,15 +69,14 @@
         }
     }
 
-    fn prune(&mut self, newest: u64) {
-        self.tallies
-            .retain(|_, tally| tally.through + OLD >= newest);
+    fn prune(&mut self, now: u64) {
+        self.tallies.retain(|_, tally| newest(tally) + OLD >= now);
     }
 
     /// What is known of a window, by who has counted it.
     pub fn shares(&self, window: u64) -> Vec<Share> {
         let all = self.tallies.iter();
-        let fresh = all.filter(|(_, tally)| tally.through + OLD >= window);
+        let fresh = all.filter(|(_, tally)| newest(tally) + OLD >= window);
         fresh
             .map(|(source, tally)| tally.share(source.clone(), window))
             .collect()
@@ -103,7 +102,12 @@
     let windows = tally.windows.iter();
     let kept = windows.filter(|(window, _)| window + KEPT > tally.through);
     let counts = kept.flat_map(|(_, counts)| counts);
-    let newest = tally.windows.last().map_or(0, |(window, _)| *window);
     let sum = counts.map(|(_, count)| count).sum();
-    (tally.through, newest, sum)
+    (tally.through, newest(tally), sum)
+}
+
+/// The newest window of which a tally says anything. One slow request holds its window open, and those after it.
+fn newest(tally: &Tally) -> u64 {
+    let counted = tally.windows.last().map_or(0, |(window, _)| *window);
+    counted.max(tally.through)
 }
--- a/crates/usage/tests/forgotten.rs
+++ b/crates/usage/tests/forgotten.rs
@@ -101,6 +101,26 @@
     assert_eq!((known(&keeper, 11), known(&keeper, 12)), (3, 4));
 }
 
+// One slow request held a window open for two minutes; its instance told what it counted meanwhile, and was killed, and
+// the keeper knew of nothing.
+#[test]
+fn what_is_counted_behind_a_window_that_is_open_for_long_is_known_to_the_keeper() {
+    let mut meter = Meter::new(Windows::new(LENGTH), FIRST * LENGTH);
+    let mut slow = Run::default();
+    meter.begin(&mut slow, FIRST * LENGTH);
+    slow.send(FIRST * LENGTH);
+    let last = FIRST + KEPT + 6;
+    let mut keeper = Keeper::default();
+
+    for window in FIRST..=last {
+        count(&mut meter, window * LENGTH + 100);
+        keeper.take(source(), meter.tally(window * LENGTH + 400));
+    }
+
+    assert_eq!(known(&keeper, last), 1);
+    assert_eq!(known(&keeper, last - 1), 1);
+}
+
 proptest! {
     // A keeper that heard every word knew less of the newest windows than the instance had told.
     #[test]
