Remember whole answers for as long as their crashes may be told

A sound request could be refused for up to ten minutes, in two ways. An instance that read of a whole answer before the crashes that it clears ignored it: records are read in the order of their keys, so at a start either may come first. And a whole answer was forgotten after 10 s, while the record with the crashes stands for ten minutes and is passed on again with every change of it: heard again, the crashes counted anew.

The class of fault: what is remembered for some seconds decides over what others remember for longer. Now a whole answer that is heard of stands though nothing else is known of the request, and stays for as long as a crash counts, unless nobody else has told of one. So requests need a digest for ten minutes after a crash of which another instance knows, as they do while crashes count.

--- a/crates/poison/src/ledger.rs
+++ b/crates/poison/src/ledger.rs
@@ -48,8 +48,8 @@
 /// Most crashes that are remembered of one request.
 const KNOWN: usize = 16;
 
-/// Time for which it is remembered that a request ran whole after all its crashes, in milliseconds: an older
-/// report of them may still be on its way.
+/// Time for which it is remembered that a request ran whole after all its crashes, in milliseconds, where no other
+/// instance has seen any: an older report of them may still be on its way.
 const SETTLED: Millis = 10_000;
 
 /// What may be done with a request; a later one allows less.
@@ -85,9 +85,19 @@
     quarantined: bool,
     /// Time after a whole answer in which no crash counts either, in milliseconds.
     cleared: Millis,
+    /// Whether another instance has told of it, which may tell the same again for as long as a crash counts.
+    told: bool,
 }
 
 impl Case {
+    /// Time for which a whole answer is remembered, in milliseconds.
+    fn settled(&self) -> Millis {
+        match self.told {
+            true => KEEP,
+            false => SETTLED.max(self.cleared),
+        }
+    }
+
     /// The crashes that count: none that are too old, and none before it ran whole, or soon after.
     fn counted(&self, now: Millis) -> impl Iterator<Item = &(Arc<str>, Millis)> {
         let crashes = self.crashes.iter();
@@ -249,23 +259,26 @@
             }
             self.own.wholes.push(Whole { print, at: now });
         }
-        self.clear(print, now);
-        self.judge(self.touched([print]), now);
-    }
-
-    fn clear(&mut self, print: Print, at: Millis) {
         if let Some(case) = self.cases.get_mut(&print) {
-            case.whole = case.whole.max(at);
+            case.whole = case.whole.max(now);
         }
+        self.judge(self.touched([print]), now);
     }
 
     /// Takes in what another instance has seen; what is known already changes nothing.
     pub fn heard(&mut self, report: &Report, now: Millis) {
         for crash in &report.crashes {
             self.learn(crash, now);
+            self.tell(crash);
         }
         for whole in &report.wholes {
-            self.clear(whole.print, whole.at.min(now));
+            let at = whole.at.min(now);
+            // The crashes before it may be heard of later.
+            if now < at + KEEP {
+                let case = self.case(whole.print, now);
+                case.whole = case.whole.max(at);
+                case.told = true;
+            }
         }
         let crashes = report.crashes.iter().map(|crash| crash.print);
         let wholes = report.wholes.iter().map(|whole| whole.print);
@@ -278,20 +291,34 @@
         if now >= at + KEEP {
             return false;
         }
-        if !self.cases.contains_key(&crash.print) && self.cases.len() >= CASES {
+        if !self.case(crash.print, now).add(&crash.upstream, at) {
+            return false;
+        }
+        let beside = self.beside.entry(crash.upstream.clone()).or_default();
+        beside.push(crash.print);
+        true
+    }
+
+    /// What is known of a request, with room for it if nothing is.
+    fn case(&mut self, print: Print, now: Millis) -> &mut Case {
+        if !self.cases.contains_key(&print) && self.cases.len() >= CASES {
             self.evict(now);
         }
         let cleared = self.cleared;
-        let case = self.cases.entry(crash.print).or_insert_with(|| Case {
+        self.cases.entry(print).or_insert_with(|| Case {
             cleared,
             ..Case::default()
-        });
-        if !case.add(&crash.upstream, at) {
-            return false;
+        })
+    }
+
+    /// Notes that another instance has told of a crash; one's own record comes back as well.
+    fn tell(&mut self, crash: &Crash) {
+        if self.own.crashes.contains(crash) {
+            return;
+        }
+        if let Some(case) = self.cases.get_mut(&crash.print) {
+            case.told = true;
         }
-        let beside = self.beside.entry(crash.upstream.clone()).or_default();
-        beside.push(crash.print);
-        true
     }
 
     /// Forgets those that have crashed least, the oldest first: a flood of requests that were beside one
@@ -311,7 +338,7 @@
     pub fn prune(&mut self, now: Millis) {
         self.judge(self.cases.keys().copied().collect(), now);
         self.cases
-            .retain(|_, case| case.total(now) > 0 || now < case.whole + SETTLED.max(case.cleared));
+            .retain(|_, case| case.total(now) > 0 || now < case.whole + case.settled());
         self.own.crashes.retain(|crash| now < crash.at + KEEP);
         self.own.wholes.retain(|whole| now < whole.at + KEEP);
         self.settle();
