Wait for a leader whose record was removed

A candidate that found no record took that for proof that nobody had ever led, and gave orders at once. If the record was removed, by hand or with the store's contents, its leader goes on for up to 1.6 s until it fails to renew it, and two machines order within the bound.

A candidate that has seen a record waits as it does for a leader that fell silent. One that has just started and never saw any cannot know; nothing of ours removes the record.

After: `cargo test -p fleet`, all passed, with 2,000 cases for the property of two machines as well.

--- a/crates/fleet/src/election.rs
+++ b/crates/fleet/src/election.rs
@@ -35,6 +35,9 @@
 /// Time that an order may take to arrive, and by which clocks may run apart, in milliseconds.
 const MARGIN: Millis = 300;
 
+/// The revision of a record that is not there.
+const NONE: i64 = 0;
+
 /// The machine on which a process runs, and which of its starts it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -135,8 +138,8 @@
     /// Takes in a read of the record and its revision, which was sent at `now`.
     pub fn read(&mut self, found: Option<(&Record, i64)>, now: Millis) -> Next {
         let Some((record, rev)) = found else {
-            self.from = now;
-            return self.stand(0);
+            self.from = self.without_record(now);
+            return self.stand(NONE);
         };
         let sight = match self.sight {
             Some(sight) if sight.rev == rev => sight,
@@ -166,6 +169,21 @@
         }
     }
 
+    /// When orders may begin while there is no record. Where there was one its leader may not have noticed yet.
+    fn without_record(&mut self, now: Millis) -> Millis {
+        let Some(sight) = &mut self.sight else {
+            return now;
+        };
+        if sight.rev != NONE {
+            *sight = Sight {
+                rev: NONE,
+                since: now,
+                steady: now,
+            };
+        }
+        sight.since + USE + self.turn + MARGIN
+    }
+
     /// Notes that a read failed: the leader may be as unable to renew as this one is to read, and
     /// gets its time once more.
     pub fn missed(&mut self, now: Millis) {
