Show that no window is reported twice, whatever holders' clocks say

A window that was reported and fell out of the 24 reports that are kept must not be counted again with another figure, after a holder whose clock is behind or a pause longer than reports are kept.

--- a/crates/usage/tests/forgotten.rs
+++ b/crates/usage/tests/forgotten.rs
@@ -5,7 +5,10 @@
 use proptest::prelude::*;
 use usage::Counts;
 use usage::Keeper;
+use usage::Ledger;
 use usage::Meter;
+use usage::Next;
+use usage::Report;
 use usage::Run;
 use usage::Tally;
 use usage::Windows;
@@ -150,3 +153,29 @@
         }
     }
 }
+
+proptest! {
+    // A window that had been reported and was no longer among the reports that are kept was counted and reported again
+    // with another figure, after a holder whose clock is behind, or a pause for longer than reports are kept.
+    #[test]
+    fn no_window_is_reported_twice_whatever_the_holders_clocks_say(
+        times in proptest::collection::vec(0..KEPT * LENGTH * 4, 1..200),
+        begun in 0..KEPT * LENGTH * 4,
+    ) {
+        let start = FIRST * LENGTH;
+        let mut ledger = Ledger::begin(Windows::new(LENGTH), start + begun);
+        let mut reported = Vec::new();
+
+        for time in times {
+            let Next::Collect(window) = ledger.next(Windows::new(LENGTH), start + time) else {
+                continue;
+            };
+            ledger.enter(Report { window, counts: one(time) });
+            reported.push(window);
+            let newest = ledger.reports().last().map(|report| report.window);
+            prop_assert_eq!(newest, Some(window));
+        }
+
+        prop_assert!(reported.is_sorted_by(|one, next| one < next), "{reported:?}");
+    }
+}
