--- a/crates/poison/src/ledger.rs
+++ b/crates/poison/src/ledger.rs
@@ -33,7 +33,8 @@
 pub const SETTLE: Millis = 1_500;
 
 /// Time for which a crash counts, in milliseconds: ten minutes. Callers have given up by then, and an upstream
-/// that was mended gets the request again without anybody's doing; if it was not, one more crash is enough.
+/// that was mended gets the request again without anybody's doing; if it was not, as many crashes as the first time
+/// are enough, and one where those before were far apart.
 pub const KEEP: Millis = 600_000;
 
 /// Most requests that are remembered. A fleet of 600 upstreams that crash at the same moment with a dozen
--- a/crates/poison/tests/forgotten.rs
+++ b/crates/poison/tests/forgotten.rs
@@ -98,6 +98,35 @@
     assert_eq!(ledger.verdict(print(), NOW + 60_000), Verdict::Free);
 }
 
+// After its quarantine a request ended more upstreams than the first time: its crashes are forgotten one by one, and those
+// of one moment all at once.
+#[parameterized(
+    crashes_of_one_moment = { 0, CRASHES },
+    crashes_far_apart = { 60_000, 1 },
+)]
+fn after_its_quarantine_a_request_is_held_again_after_as_many_crashes_at_most(
+    apart: Millis,
+    expected: usize,
+) {
+    let mut ledger = Ledger::default();
+    for at in 0..CRASHES {
+        let time = NOW + apart * at as Millis;
+        ledger.crashed(print(), &format!("i-{at}").into(), time);
+    }
+    let mut now = NOW + KEEP;
+    tidy(&mut ledger, NOW + apart * CRASHES as Millis, now);
+    assert!(ledger.verdict(print(), now) <= Verdict::Suspect);
+
+    let mut more = 0;
+    while ledger.verdict(print(), now) <= Verdict::Suspect {
+        more += 1;
+        ledger.crashed(print(), &format!("j-{more}").into(), now);
+        now += SETTLE;
+    }
+
+    assert_eq!(more, expected);
+}
+
 // What is remembered of whole answers must end too: else it grows for as long as the instance runs.
 #[test]
 fn a_whole_answer_is_forgotten_when_no_crash_before_it_can_count() {
