Tell a keeper that was started anew what was counted

An entry tells its keeper what it counts when that has changed. A keeper that was started anew knew nothing, and the entry remembered that it had told: what it had counted in the open window was lost when it was killed before its next request, or before the window closed.

The class of fault: one remembers for good what the other has forgotten. An entry now remembers which start of which keeper it has told, and tells again when that one is not listed any more.

--- a/crates/node/src/tally.rs
+++ b/crates/node/src/tally.rs
@@ -3,13 +3,14 @@
 //! An entry instance tells a keeper of its failure domain what it counts, a part of a second after it changed and
 //! when a window closes, so that little is lost when it is killed. See [`usage`].
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use batch::Owner;
 use kernel::rank;
 use tokio::time::sleep;
 use usage::Share;
+use usage::Tally;
 
 use crate::App;
 use crate::member;
@@ -31,10 +32,11 @@
 pub(crate) async fn tell(app: Arc<App>) {
     let Some(meter) = &app.meter else { return };
     // The first word has nothing to tell but that this instance is there.
-    let mut told = None;
+    let mut told: Option<(Owner, Tally)> = None;
     loop {
         let tally = meter.lock().tally(app.clock.steady());
-        if told.as_ref() == Some(&tally) {
+        let known = told.as_ref().filter(|(_, known)| *known == tally);
+        if known.is_some_and(|(keeper, _)| is_there(&app, keeper)) {
             sleep(PUSH).await;
             continue;
         }
@@ -42,8 +44,8 @@
             meet(&app).await;
         }
         for keeper in keepers(&app) {
-            if peer::tally(&app, keeper, tally.clone()).await {
-                told = Some(tally);
+            if peer::tally(&app, keeper.addr, tally.clone()).await {
+                told = Some((keeper.owner, tally));
                 app.set_kept();
                 break;
             }
@@ -52,6 +54,11 @@
     }
 }
 
+/// Tells whether a keeper is still there: one that was started anew knows nothing of what its former start was told.
+fn is_there(app: &App, keeper: &Owner) -> bool {
+    keepers(app).iter().any(|one| one.owner == *keeper)
+}
+
 /// Reads who has entered. An instance that has just started may serve requests before it knows anybody, and
 /// nobody would know what it counted when the window is reported.
 async fn meet(app: &App) {
@@ -65,14 +72,14 @@
 }
 
 /// The instances that keep what this one counts: those of its failure domain first.
-fn keepers(app: &App) -> Vec<SocketAddr> {
+fn keepers(app: &App) -> Vec<Member> {
     let members = app.members.lock();
     let all = members.iter().filter(|one| !one.reads);
     let mut all: Vec<&Member> = all.collect();
     let far = |one: &&Member| *one.domain != *app.settings.domain;
     all.sort_by_key(|one| (far(one), rank(&one.owner.instance, &app.me.instance)));
     all.truncate(TRIED);
-    all.into_iter().map(|one| one.addr).collect()
+    all.into_iter().cloned().collect()
 }
 
 /// What this instance knows of the requests of a window: what it was told, and what it has counted.
