Bring about steps of the interface that go on after their end

Cause: whether a step is over is remembered in memory of one instance and by the absence of a key at the platform; waits, runs and scores do not look at it. Before: no test looked at what engines and scorers do after the end.

--- /dev/null
+++ b/crates/serve/tests/ended.rs
@@ -0,0 +1,267 @@
+//! Steps that have ended: nothing of them begins, runs or is scored any more.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::Method;
+use http::StatusCode;
+use rig::Asked;
+use rig::Make;
+use rig::Rig;
+use rig::contracts;
+use serde_json::json;
+use serve::Running;
+use standin::Fault;
+use standin::engine;
+use wire::caller::Opened;
+use wire::problem::Type;
+
+/// Time after an acknowledged end within which everything of the step has to be over.
+const BOUND: Duration = Duration::from_millis(3_000);
+
+/// Time after [`BOUND`] for which the engines are watched.
+const WATCHED: Duration = Duration::from_millis(3_000);
+
+/// Time within which something has to happen that a test waits for.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Milliseconds that each call of a slow platform waits.
+const SLOW: u64 = 400;
+
+/// Samples take half a minute each, and more wait than the engines have places for.
+fn make() -> Make {
+    Make {
+        engine: engine::Make {
+            speed: 10.0,
+            median: 300,
+            slots: 2,
+            ..engine::Make::default()
+        },
+        engines: 1,
+        services: 0,
+        contracts: vec![contracts::text("staff", "staleness = 1\n")],
+        ..Make::default()
+    }
+}
+
+fn block<F: Future>(future: F) -> F::Output {
+    tokio::runtime::Runtime::new().unwrap().block_on(future)
+}
+
+async fn open(to: SocketAddr) -> String {
+    let prompts: Vec<_> = (0..8).map(|g| format!("case {g}")).collect();
+    let open = json!({
+        "model": "fitting", "groups": prompts, "samples": 2, "max_tokens": 300, "version": 1,
+    });
+    let answer = Asked::json(to, "staff", "/v1/steps", &open).send().await;
+    let opened: Opened = answer.unwrap().json().unwrap();
+    opened.step
+}
+
+async fn end(to: SocketAddr, step: &str) -> StatusCode {
+    let path = format!("/v1/steps/{step}");
+    let asked = Asked::new(to, "staff", Method::DELETE, &path);
+    asked.send().await.unwrap().status
+}
+
+/// Ends a step, again and again until that is acknowledged.
+async fn end_surely(to: SocketAddr, step: &str) {
+    until(async || end(to, step).await == StatusCode::NO_CONTENT).await;
+}
+
+/// Pulls with nothing held; gives the kind of the refusal.
+async fn pull(to: SocketAddr, step: &str) -> Option<Type> {
+    let path = format!("/v1/steps/{step}/pull");
+    let pull = json!({ "version": 1, "cursor": "", "limit": 8, "wait_ms": 100 });
+    let answer = Asked::json(to, "staff", &path, &pull).send().await.unwrap();
+    match answer.status {
+        StatusCode::OK => None,
+        _ => answer.problem().map(|problem| problem.kind),
+    }
+}
+
+async fn until(mut done: impl AsyncFnMut() -> bool) {
+    let start = tokio::time::Instant::now();
+    while !done().await {
+        assert!(start.elapsed() < PATIENCE, "it did not happen in time");
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn tokens(rig: &Rig) -> u64 {
+    rig.parts.engines.iter().map(|e| e.part.tokens()).sum()
+}
+
+async fn running(rig: &Rig) {
+    let before = tokens(rig);
+    until(async || tokens(rig) > before).await;
+}
+
+/// Tokens that engines generate later than the bound after now.
+async fn late_tokens(rig: &Rig) -> u64 {
+    tokio::time::sleep(BOUND).await;
+    let before = tokens(rig);
+    tokio::time::sleep(WATCHED).await;
+    tokens(rig) - before
+}
+
+fn platform(rig: &Rig, f: impl FnOnce(&mut Fault)) {
+    rig.parts.platform.host.faults.change(f);
+}
+
+/// An instance that reaches the platform and the upstreams, and no other instance.
+async fn apart(rig: &Rig) -> Running {
+    let text = format!(
+        "{}[instance]\nname = ost-0\ndomain = ost\nlisten = 127.0.0.1:0\n",
+        rig.parts.shared
+    );
+    let running = Running::start(serve::settings::read("ost-0", &text).unwrap());
+    let running = running.await.unwrap();
+    until(async || running.app.newest() >= rig.entries[0].as_ref().unwrap().app.newest()).await;
+    running
+}
+
+// Samples that run at an engine, or wait for a place there, go on after the end of their step.
+#[test]
+fn what_runs_or_waits_at_the_end_stops() {
+    block(async {
+        let rig = Rig::start(&make()).await.unwrap();
+        let step = open(rig.addrs()[0]).await;
+        running(&rig).await;
+
+        end_surely(rig.addrs()[1], &step).await;
+
+        assert_eq!(late_tokens(&rig).await, 0);
+    });
+}
+
+// Samples that wait for a scorer are scored after the end of their step.
+#[test]
+fn no_score_is_asked_for_after_the_end() {
+    block(async {
+        let mut make = make();
+        make.engine.speed = 10_000.0;
+        make.engine.slots = 16;
+        make.domains = vec!["nord"];
+        make.services = 1;
+        make.slots = 1;
+        make.work = Duration::from_millis(1_200);
+        let more = "staleness = 1\nscorer = portal\nunscored = wait\n";
+        make.contracts = vec![contracts::text("staff", more)];
+        let rig = Rig::start(&make).await.unwrap();
+        let scored = || rig.parts.services[0].part.served();
+        let step = open(rig.addrs()[0]).await;
+        until(async || scored() > 0).await;
+
+        end_surely(rig.addrs()[0], &step).await;
+
+        tokio::time::sleep(BOUND).await;
+        let before = scored();
+        tokio::time::sleep(WATCHED).await;
+        assert_eq!(scored() - before, 0);
+    });
+}
+
+// A step whose end was acknowledged while the platform was away is begun anew by a later pull.
+#[test]
+fn an_end_while_the_platform_is_away_lasts_once_acknowledged() {
+    block(async {
+        let rig = Rig::start(&make()).await.unwrap();
+        let step = open(rig.addrs()[0]).await;
+        running(&rig).await;
+        platform(&rig, |fault| fault.down = true);
+        let first = end(rig.addrs()[0], &step).await;
+        platform(&rig, |fault| fault.down = false);
+        if first != StatusCode::NO_CONTENT {
+            end_surely(rig.addrs()[0], &step).await;
+        }
+
+        for to in rig.addrs() {
+            assert_eq!(pull(to, &step).await, Some(Type::NotFound));
+        }
+
+        assert_eq!(late_tokens(&rig).await, 0);
+    });
+}
+
+// A step that was saved late comes back, because its save takes effect after its end.
+#[test]
+fn a_save_behind_the_end_does_not_bring_a_step_back() {
+    block(async {
+        let rig = Rig::start(&make()).await.unwrap();
+        platform(&rig, |fault| fault.down = true);
+        let step = open(rig.addrs()[0]).await;
+        platform(&rig, |fault| {
+            fault.down = false;
+            fault.delay = SLOW;
+        });
+        let leases = || rig.parts.platform.part.calls.lease.load(Ordering::Relaxed);
+        let before = leases();
+        until(async || leases() > before).await;
+
+        end_surely(rig.addrs()[0], &step).await;
+        tokio::time::sleep(BOUND).await;
+
+        for to in rig.addrs() {
+            assert_eq!(pull(to, &step).await, Some(Type::NotFound));
+        }
+        assert_eq!(late_tokens(&rig).await, 0);
+    });
+}
+
+// An end that comes to an instance which does not reach the one that works on the step: that one
+// goes on beginning samples.
+#[test]
+fn an_end_reaches_an_instance_that_nobody_can_tell() {
+    block(async {
+        let rig = Rig::start(&make()).await.unwrap();
+        let other = apart(&rig).await;
+        let step = open(rig.addrs()[0]).await;
+        running(&rig).await;
+
+        end_surely(other.addr, &step).await;
+
+        assert_eq!(late_tokens(&rig).await, 0);
+        for to in rig.addrs() {
+            assert_eq!(pull(to, &step).await, Some(Type::NotFound));
+        }
+    });
+}
+
+// A pull that takes a step over while it is ended begins it behind the end.
+#[test]
+fn a_takeover_beside_the_end_does_not_last() {
+    block(async {
+        let mut rig = Rig::start(&make()).await.unwrap();
+        let step = open(rig.addrs()[0]).await;
+        rig.kill(0);
+        let to = rig.addrs()[0];
+        until(async || rig.running().all(|e| e.app.view.lock().live().count() == 1)).await;
+        platform(&rig, |fault| fault.delay = SLOW);
+
+        let (pulled, ended) = tokio::join!(pull(to, &step), end(to, &step));
+        platform(&rig, |fault| fault.delay = 0);
+
+        assert_eq!(ended, StatusCode::NO_CONTENT, "{pulled:?}");
+        assert_eq!(late_tokens(&rig).await, 0);
+        assert_eq!(pull(to, &step).await, Some(Type::NotFound));
+    });
+}
+
+// An answer to the end is lost, and the end that comes again is told that there is no such step.
+#[test]
+fn an_end_that_comes_again_is_acknowledged_again() {
+    block(async {
+        let rig = Rig::start(&make()).await.unwrap();
+        let step = open(rig.addrs()[0]).await;
+        end_surely(rig.addrs()[0], &step).await;
+
+        for to in rig.addrs() {
+            assert_eq!(end(to, &step).await, StatusCode::NO_CONTENT);
+        }
+    });
+}
