Drop all that a step waits for or runs when it ends

Cause: the end of a step was looked at before a sample was chosen only. A sample that waited for an engine went there when a place became free, up to ten minutes later; what ran there ran to its end; a sample that waited for a scorer was sent to it up to five seconds later. Change: one place, the worker, is over as soon as its step is, with whatever it waits for or does. Looks for a crash are tasks of their own and go on.

--- a/crates/serve/src/steps/score.rs
+++ b/crates/serve/src/steps/score.rs
@@ -55,7 +55,7 @@
 /// it; the contract is read anew each time, so an amendment ends the wait.
 pub(super) async fn score(app: &App, work: &Work, prompt: &str, sample: &mut Sample) {
     let mut tries = 0;
-    while !work.is_cancelled() {
+    loop {
         let held = app.book.read().by_name(work.customer()).cloned();
         let Some(held) = held else {
             return;
--- a/crates/serve/src/steps/work.rs
+++ b/crates/serve/src/steps/work.rs
@@ -1,7 +1,6 @@
 //! A step on the instance that works on it.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,6 +15,7 @@
 use step::Run;
 use step::run::Todo;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use wire::caller::Batch;
 use wire::caller::Note;
 use wire::caller::Pull;
@@ -61,7 +61,7 @@
     /// Something waits to be begun.
     pub(super) todo: Notify,
     pulled: AtomicU64,
-    cancelled: AtomicBool,
+    over: watch::Sender<bool>,
     notes: Mutex<Vec<Note>>,
 }
 
@@ -85,7 +85,7 @@
             ready: Notify::new(),
             todo: Notify::new(),
             pulled: AtomicU64::new(clock.now()),
-            cancelled: AtomicBool::new(false),
+            over: watch::Sender::new(false),
             notes: Mutex::default(),
         })
     }
@@ -129,13 +129,18 @@
     }
 
     pub(super) fn cancel(&self) {
-        self.cancelled.store(true, Ordering::Relaxed);
-        self.todo.notify_waiters();
+        self.over.send_replace(true);
         self.ready.notify_waiters();
     }
 
     pub(super) fn is_cancelled(&self) -> bool {
-        self.cancelled.load(Ordering::Relaxed)
+        *self.over.borrow()
+    }
+
+    /// Waits until the work is cancelled.
+    async fn cancelled(&self) {
+        // The sender lives as long as this, so the wait ends only with the cancellation.
+        let _ = self.over.subscribe().wait_for(|over| *over).await;
     }
 
     fn quiet(&self) -> Millis {
@@ -147,14 +152,21 @@
     pub(super) fn begin(self: &Arc<Self>, app: &Arc<App>, width: u32) {
         for _ in 0..width.min(self.total()) {
             let (app, work) = (app.clone(), self.clone());
-            tokio::spawn(async move { work.worker(&app).await });
+            // Whatever an attempt waits for or does, at an engine or a scorer, is dropped at the end.
+            tokio::spawn(async move {
+                tokio::select! {
+                    biased;
+                    () = work.cancelled() => (),
+                    () = work.worker(&app) => (),
+                }
+            });
         }
         let (app, work) = (app.clone(), self.clone());
         tokio::spawn(async move { work.review(&app).await });
     }
 
     async fn worker(&self, app: &Arc<App>) {
-        while !self.is_cancelled() && !app.drain.is_begun() {
+        while !app.drain.is_begun() {
             let todo = match self.quiet() > PAUSED {
                 true => Todo::Wait,
                 false => self.todo(),
