Keep the end of a step at the platform, and write none behind it

Cause: an end was the absence of a head. It was acknowledged while the platform was away, where the head stayed for six hours; a save that was under way wrote the head behind the deletion; so the next pull at an instance without the step in memory began it anew. An end that came again, since its answer was lost, was told that there is no such step. Change: the end is a key with a lease of its own, as long as a step's, written in the transaction that removes the head; whatever is written of a step has the absence of its end as condition. So a head is there while the step is open, and only then. An end that is not at the platform is not acknowledged (503, unknown, come back after 1 s); what works on the step stops at once nevertheless, stays known as ended, and sees to its end. Instances are told 32 at a time: silent ones held the answer up by 1.5 s each. An acknowledged end costs a read, a grant and a transaction at the platform, and the instance that worked on the step one more read; before it was a read and a transaction.

--- a/crates/serve/src/steps.rs
+++ b/crates/serve/src/steps.rs
@@ -16,6 +16,7 @@
 
 use contract::book::InForce;
 use fleet::Member;
+use futures_util::future::join_all;
 use http::StatusCode;
 use kernel::Millis;
 use kernel::Name;
@@ -56,6 +57,9 @@
 /// Time beyond a pull's own wait that a peer has to answer it.
 const RELAY: Millis = 1_500;
 
+/// Instances that are told of an end at the same time.
+const TOLD: usize = 32;
+
 /// When to come back when a step cannot be worked on now, in milliseconds.
 const LATER: Millis = 1_000;
 
@@ -223,12 +227,15 @@
         Some(work) => work,
         None => adopt(app, message).await?,
     };
-    if *work.customer() != message.customer {
+    if *work.customer() != message.customer || work.is_cancelled() {
         return Err(no(Type::NotFound).because("step"));
     }
     let cursor = Cursor::parse(&message.pull.cursor, work.total());
     let cursor = cursor.map_err(|error| no(Type::BadRequest).because(error.to_string()))?;
     let batch = work.pull(&cursor, &message.pull).await;
+    if work.is_cancelled() {
+        return Err(no(Type::NotFound).because("step"));
+    }
     count(app, &message.customer, batch.samples.len());
     Ok(batch)
 }
@@ -279,21 +286,11 @@
     let customer = held.stored.contract.customer.clone();
     let step = call.segment(2).to_owned();
     let message = StepEnd { step, customer };
-    let mut known = end_here(app, &message);
-    let live: Vec<_> = app.view.lock().live().cloned().collect();
-    for member in live {
-        if member.name == app.settings.me.name {
-            continue;
-        }
-        // An instance that does not hear of it stops when no pull comes any more.
-        let limit = Duration::from_millis(RELAY);
-        let told = gossip::exchange(app, member.addr, peer::STEP_END, &message, limit).await;
-        known |= told.unwrap_or(false);
-    }
-    match ledger::remove(app, &message.step, &message.customer).await {
-        Ok(removed) if removed || known => Ok(()),
-        Ok(_) => Err(no(Type::NotFound).because("step")),
-        Err(_) if known => Ok(()),
+    let known = tell(app, &message).await;
+    match ledger::end(app, &message.step, &message.customer, known).await {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(no(Type::NotFound).because("step")),
+        // An end that is nowhere but in memory is not acknowledged: the step could be begun again.
         Err(error) => {
             let problem = Problem::new(Type::Platform, Ran::Unknown);
             Err(problem.because(error.to_string()).after(LATER))
@@ -301,14 +298,35 @@
     }
 }
 
+/// Tells every live instance that a step is over; tells whether one of them works on it.
+async fn tell(app: &Arc<App>, message: &StepEnd) -> bool {
+    let mut known = end_here(app, message);
+    let mut others: Vec<_> = app.view.lock().live().cloned().collect();
+    others.retain(|member| member.name != app.settings.me.name);
+    for some in others.chunks(TOLD) {
+        let told = some.iter().map(|member| tell_one(app, member, message));
+        known |= join_all(told).await.contains(&true);
+    }
+    known
+}
+
+async fn tell_one(app: &App, member: &Member, message: &StepEnd) -> bool {
+    let limit = Duration::from_millis(RELAY);
+    let told = gossip::exchange(app, member.addr, peer::STEP_END, message, limit).await;
+    told.unwrap_or(false)
+}
+
 /// Stops working on a step that a customer ends; tells whether this instance did.
-pub fn end_here(app: &App, message: &StepEnd) -> bool {
+pub fn end_here(app: &Arc<App>, message: &StepEnd) -> bool {
     let work = app.steps.works.get(&message.step);
-    let mine = work.is_some_and(|work| *work.customer() == message.customer);
-    if mine {
-        app.steps.stop(&message.step);
+    let Some(work) = work.filter(|work| *work.customer() == message.customer) else {
+        return false;
+    };
+    if work.cancel() {
+        work.note("ended".into());
+        ledger::end_later(app, work);
     }
-    mine
+    true
 }
 
 /// Serves a pull that a peer passed on.
--- a/crates/serve/src/steps/ledger.rs
+++ b/crates/serve/src/steps/ledger.rs
@@ -1,13 +1,19 @@
-//! What the platform keeps of a step: who opened it, and its prompts.
+//! What the platform keeps of a step: who opened it, its prompts, and its end.
 //!
 //! It is written once and never changed: what was delivered stands in the trainer's cursor. So a
 //! step costs a handful of writes, whatever the number of its samples and pulls.
+//!
+//! The head is there while the step is open, and only then: the end is written and the head removed
+//! in one transaction, and nothing of a step is written where its end is. So whoever finds a head
+//! may begin the step, and a write that takes effect late brings none back.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::Name;
+use plat::Delete;
 use plat::Done;
+use plat::Guard;
 use plat::PlatError;
 use plat::Put;
 use plat::Txn;
@@ -22,12 +28,16 @@
 /// Bytes of one part; the platform takes values of up to a megabyte.
 const PART: usize = 256 << 10;
 
-/// Time after which the platform forgets a step that nobody ended.
+/// Time after which the platform forgets a step that nobody ended, and the end of one: a head that
+/// is saved behind the end was sent before it, and is long gone by then.
 const TTL: kernel::Millis = 6 * kernel::time::HOUR;
 
-/// Pause between two tries to save a step.
+/// Pause between two tries to save a step, or its end.
 const PAUSE: Duration = Duration::from_secs(2);
 
+/// Tries to write an end while others write to the step.
+const TRIES: u32 = 3;
+
 /// What the platform keeps of a step.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
@@ -38,11 +48,26 @@
     pub(super) parts: usize,
 }
 
+/// What came of saving a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Saved {
+    /// It is at the platform.
+    Whole,
+    /// It has ended, and is not.
+    Ended,
+}
+
+/// The key of the end of a step, whose value is the customer.
+fn ended(id: &str) -> String {
+    format!("{}ended/{id}", keys::ROOT)
+}
+
 /// Writes a step. The head comes last, so that a step with a head is whole.
-pub(super) async fn save(app: &App, id: &str, head: &Head) -> Result<(), PlatError> {
+pub(super) async fn save(app: &App, id: &str, head: &Head) -> Result<Saved, PlatError> {
     let prompts = serde_json::to_vec(&head.spec.prompts).map_err(|_| PlatError::Garbled)?;
     let lease = app.plat.grant(TTL).await?.id;
     let put = |key: String, value: Vec<u8>| Txn {
+        guards: vec![Guard::Absent(ended(id))],
         puts: vec![Put { key, value, lease }],
         ..Txn::default()
     };
@@ -56,7 +81,10 @@
     head.parts = parts;
     head.spec.prompts = Vec::new();
     let value = serde_json::to_vec(&head).map_err(|_| PlatError::Garbled)?;
-    app.plat.txn(&put(keys::step(id), value)).await.map(drop)
+    match app.plat.txn(&put(keys::step(id), value)).await? {
+        Done::At(_) => Ok(Saved::Whole),
+        Done::Conflict => Ok(Saved::Ended),
+    }
 }
 
 /// Goes on trying to save a step that was opened while the platform was away.
@@ -65,10 +93,12 @@
     tokio::spawn(async move {
         while !work.is_cancelled() {
             tokio::time::sleep(PAUSE).await;
-            if save(&app, &id, &head).await.is_ok() {
-                work.note("saved at the platform".into());
-                return;
+            match save(&app, &id, &head).await {
+                Ok(Saved::Whole) => work.note("saved at the platform".into()),
+                Ok(Saved::Ended) => drop(work.cancel()),
+                Err(_) => continue,
             }
+            return;
         }
     });
 }
@@ -91,18 +121,74 @@
     Ok(Some(head))
 }
 
-/// Removes a step of a customer; tells whether there was one.
-pub(super) async fn remove(app: &App, id: &str, customer: &Name) -> Result<bool, PlatError> {
-    match load(app, id).await? {
-        Some(head) if head.customer == *customer => (),
-        _ => return Ok(false),
+/// Tells whether a step of a customer has ended.
+async fn is_ended(app: &App, id: &str, customer: &Name) -> Result<bool, PlatError> {
+    let item = app.plat.get(&ended(id)).await?;
+    Ok(item.is_some_and(|item| item.value == customer.as_bytes()))
+}
+
+/// Writes the end of a step of a customer, and removes the rest; tells whether it has ended.
+///
+/// A step that is not at the platform ends only if an instance works on it: else there is none.
+pub(super) async fn end(
+    app: &App,
+    id: &str,
+    customer: &Name,
+    is_known: bool,
+) -> Result<bool, PlatError> {
+    for _ in 0..TRIES {
+        let rev = match app.plat.get(&keys::step(id)).await? {
+            Some(item) => {
+                let head: Head =
+                    serde_json::from_slice(&item.value).map_err(|_| PlatError::Garbled)?;
+                if head.customer != *customer {
+                    return Ok(false);
+                }
+                item.rev
+            }
+            None if is_ended(app, id, customer).await? => return Ok(true),
+            None if !is_known => return Ok(false),
+            None => 0,
+        };
+        if app.plat.txn(&ending(app, id, customer, rev).await?).await? != Done::Conflict {
+            return Ok(true);
+        }
     }
+    Err(PlatError::Silent)
+}
+
+async fn ending(app: &App, id: &str, customer: &Name, rev: i64) -> Result<Txn, PlatError> {
     let prefix = keys::step_all(id);
-    let end = String::from_utf8(plat::proto::end(prefix.as_bytes()));
-    let end = end.map_err(|_| PlatError::Garbled)?;
-    let txn = Txn {
-        deletes: vec![plat::Delete::Span(prefix, end)],
-        ..Txn::default()
+    let behind = String::from_utf8(plat::proto::end(prefix.as_bytes()));
+    let behind = behind.map_err(|_| PlatError::Garbled)?;
+    let end = Put {
+        key: ended(id),
+        value: customer.as_bytes().to_vec(),
+        lease: app.plat.grant(TTL).await?.id,
     };
-    Ok(matches!(app.plat.txn(&txn).await?, Done::At(_)))
+    Ok(Txn {
+        guards: vec![Guard::on(keys::step(id), rev), Guard::Absent(ended(id))],
+        puts: vec![end],
+        deletes: vec![Delete::Span(prefix, behind)],
+    })
+}
+
+/// Keeps a step that ended here in memory until its end is at the platform, whoever writes it: as
+/// long as it is not, the end is acknowledged to nobody, and comes again.
+pub(super) fn end_later(app: &Arc<App>, work: Arc<Work>) {
+    let app = app.clone();
+    tokio::spawn(async move {
+        let (id, customer) = (work.id(), work.customer());
+        loop {
+            tokio::time::sleep(PAUSE).await;
+            let done = match is_ended(&app, id, customer).await {
+                Ok(false) => end(&app, id, customer, true).await,
+                done => done,
+            };
+            if done.is_ok() {
+                app.steps.stop(id);
+                return;
+            }
+        }
+    });
 }
--- a/crates/serve/src/steps/work.rs
+++ b/crates/serve/src/steps/work.rs
@@ -90,6 +90,11 @@
         })
     }
 
+    /// The step.
+    pub(super) fn id(&self) -> &str {
+        &self.id
+    }
+
     /// The customer whose step it is.
     pub fn customer(&self) -> &Name {
         &self.customer
@@ -128,9 +133,11 @@
         }
     }
 
-    pub(super) fn cancel(&self) {
-        self.over.send_replace(true);
+    /// Cancels the work; tells whether it went on until now.
+    pub(super) fn cancel(&self) -> bool {
+        let was_over = self.over.send_replace(true);
         self.ready.notify_waiters();
+        !was_over
     }
 
     pub(super) fn is_cancelled(&self) -> bool {
