Ask the platform for the end of a step while working on it

Cause: whoever ends a step tells the live instances that it knows. One that it does not reach, or that takes the step over beside the end from a head that it read before, heard nothing, and went on for 60 s without a pull. Change: who works on a step asks for its end each 800 ms, and begins samples and asks for scores for 2 s after it sent a question that was answered; nothing begins before the first is settled. A question without an answer is asked again after 300 ms; after two in a row the platform counts as away, and the step goes on, as it has to. Budgets of our own that are used up are no outage. Not mended: an instance that reaches neither the platform nor who ends the step, while others reach both, goes on.

--- a/crates/serve/src/steps/ledger.rs
+++ b/crates/serve/src/steps/ledger.rs
@@ -122,7 +122,7 @@
 }
 
 /// Tells whether a step of a customer has ended.
-async fn is_ended(app: &App, id: &str, customer: &Name) -> Result<bool, PlatError> {
+pub(super) async fn is_ended(app: &App, id: &str, customer: &Name) -> Result<bool, PlatError> {
     let item = app.plat.get(&ended(id)).await?;
     Ok(item.is_some_and(|item| item.value == customer.as_bytes()))
 }
--- a/crates/serve/src/steps/sample.rs
+++ b/crates/serve/src/steps/sample.rs
@@ -88,6 +88,7 @@
             return;
         }
     };
+    work.sure().await;
     run(app, work, begin, sent, permit, &passage).await;
 }
 
--- a/crates/serve/src/steps/score.rs
+++ b/crates/serve/src/steps/score.rs
@@ -120,6 +120,7 @@
     };
     let permit = dispatcher.acquire(&entry, apart, deadline).await;
     let permit = permit.map_err(|_| ScoreError::Busy)?;
+    work.sure().await;
     let asked = Score {
         prompt: prompt.into(),
         text: text.to_owned(),
--- a/crates/serve/src/steps/work.rs
+++ b/crates/serve/src/steps/work.rs
@@ -1,4 +1,9 @@
 //! A step on the instance that works on it.
+//!
+//! Whoever ends a step may not reach this instance, so it asks the platform for the end. Samples
+//! and scores are begun only for a while after an answer that there is none. A question without an
+//! answer is asked again; when that has none either, the platform counts as away, and the step
+//! goes on.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -21,6 +26,7 @@
 use wire::caller::Pull;
 use wire::caller::StepState;
 
+use super::ledger;
 use super::sample;
 use crate::App;
 use crate::dispatcher::Dispatcher;
@@ -32,6 +38,22 @@
 /// Time without a pull after which the step is dropped here.
 const DROPPED: Millis = 15 * 60_000;
 
+/// Time between two questions whether the step has ended.
+const ASK: Duration = Duration::from_millis(800);
+
+/// Pause after a question without an answer.
+const AGAIN: Duration = Duration::from_millis(300);
+
+/// Time after a question that was answered for which samples are begun: two thirds of the 3 s after
+/// an acknowledged end in which the last one begins.
+const SURE: Millis = 2_000;
+
+/// Questions in a row without an answer after which the platform counts as away.
+const AWAY: u32 = 2;
+
+/// Time between two looks whether samples may be begun.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// Time between two reviews of the running samples.
 const REVIEW: Duration = Duration::from_millis(200);
 
@@ -61,6 +83,8 @@
     /// Something waits to be begun.
     pub(super) todo: Notify,
     pulled: AtomicU64,
+    /// Until when samples may be begun.
+    sure: AtomicU64,
     over: watch::Sender<bool>,
     notes: Mutex<Vec<Note>>,
 }
@@ -85,6 +109,7 @@
             ready: Notify::new(),
             todo: Notify::new(),
             pulled: AtomicU64::new(clock.now()),
+            sure: AtomicU64::new(0),
             over: watch::Sender::new(false),
             notes: Mutex::default(),
         })
@@ -168,12 +193,51 @@
                 }
             });
         }
+        let (asking, work) = (app.clone(), self.clone());
+        tokio::spawn(async move { work.ask(&asking).await });
         let (app, work) = (app.clone(), self.clone());
         tokio::spawn(async move { work.review(&app).await });
     }
 
+    /// Asks for the end of the step until it has ended.
+    async fn ask(&self, app: &App) {
+        let mut missed = 0;
+        while !self.is_cancelled() {
+            let sent = self.clock.now();
+            let pause = match ledger::is_ended(app, &self.id, &self.customer).await {
+                Ok(true) => {
+                    self.note("ended at another instance".into());
+                    app.steps.stop(&self.id);
+                    return;
+                }
+                Ok(false) => {
+                    missed = 0;
+                    self.sure.fetch_max(sent + SURE, Ordering::Relaxed);
+                    ASK
+                }
+                Err(error) => {
+                    missed += u32::from(error.is_away());
+                    if missed >= AWAY {
+                        let until = self.clock.now() + SURE;
+                        self.sure.fetch_max(until, Ordering::Relaxed);
+                    }
+                    AGAIN
+                }
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Waits until a sample may be begun.
+    pub(super) async fn sure(&self) {
+        while self.clock.now() >= self.sure.load(Ordering::Relaxed) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     async fn worker(&self, app: &Arc<App>) {
         while !app.drain.is_begun() {
+            self.sure().await;
             let todo = match self.quiet() > PAUSED {
                 true => Todo::Wait,
                 false => self.todo(),
--- a/crates/serve/tests/ended.rs
+++ b/crates/serve/tests/ended.rs
@@ -6,6 +6,7 @@
 
 use http::Method;
 use http::StatusCode;
+use plat::budget::Kind;
 use rig::Asked;
 use rig::Make;
 use rig::Rig;
@@ -16,6 +17,7 @@
 use standin::engine;
 use wire::caller::Opened;
 use wire::problem::Type;
+use yare::parameterized;
 
 /// Time after an acknowledged end within which everything of the step has to be over.
 const BOUND: Duration = Duration::from_millis(3_000);
@@ -215,13 +217,17 @@
 
 // An end that comes to an instance which does not reach the one that works on the step: that one
 // goes on beginning samples.
-#[test]
-fn an_end_reaches_an_instance_that_nobody_can_tell() {
+#[parameterized(
+    quick = { 0 },
+    slow = { SLOW },
+)]
+fn an_end_reaches_an_instance_that_nobody_can_tell(delay: u64) {
     block(async {
         let rig = Rig::start(&make()).await.unwrap();
         let other = apart(&rig).await;
         let step = open(rig.addrs()[0]).await;
         running(&rig).await;
+        platform(&rig, |fault| fault.delay = delay);
 
         end_surely(other.addr, &step).await;
 
@@ -265,3 +271,71 @@
         }
     });
 }
+
+// A step that is known to be open stands still because nobody can say that it has not ended.
+#[parameterized(
+    down = { Fault { down: true, ..Fault::default() } },
+    mute = { Fault { mute: true, ..Fault::default() } },
+    limited = { Fault { limited: true, ..Fault::default() } },
+    slow = { Fault { delay: 2_000, ..Fault::default() } },
+)]
+fn samples_are_begun_while_the_platform_is_away(fault: Fault) {
+    block(async {
+        let mut make = make();
+        // A sample takes two seconds, so what was begun on old word is over within twice the bound.
+        make.engine.speed = 150.0;
+        let rig = Rig::start(&make).await.unwrap();
+        open(rig.addrs()[0]).await;
+        running(&rig).await;
+
+        rig.parts.platform.host.faults.set(fault);
+
+        tokio::time::sleep(BOUND).await;
+        assert!(late_tokens(&rig).await > 0);
+    });
+}
+
+// Another customer ends a step that is not its own, or learns that it is there.
+#[test]
+fn only_its_customer_ends_a_step() {
+    block(async {
+        let mut make = make();
+        make.contracts.push(contracts::text("cutters", ""));
+        let rig = Rig::start(&make).await.unwrap();
+        let step = open(rig.addrs()[0]).await;
+        let path = format!("/v1/steps/{step}");
+
+        for to in rig.addrs() {
+            let foreign = Asked::new(to, "cutters", Method::DELETE, &path)
+                .send()
+                .await;
+            assert_eq!(foreign.unwrap().status, StatusCode::NOT_FOUND);
+        }
+
+        assert_eq!(pull(rig.addrs()[1], &step).await, None);
+    });
+}
+
+// The questions whether a step has ended cost the platform more with the length of a step than a
+// read or two a second.
+#[test]
+fn an_open_step_costs_two_reads_a_second_at_most() {
+    block(async {
+        let rig = Rig::start(&make()).await.unwrap();
+        let reads = || {
+            let used = |entry: &Running| entry.app.plat.budget().used(Kind::Read);
+            rig.running().map(used).sum::<u64>()
+        };
+        tokio::time::sleep(WATCHED).await;
+        let idle = reads();
+        tokio::time::sleep(WATCHED).await;
+        let idle = reads() - idle;
+        open(rig.addrs()[0]).await;
+        let before = reads();
+
+        tokio::time::sleep(WATCHED).await;
+
+        let asked = (reads() - before).saturating_sub(idle);
+        assert!((1..=6).contains(&asked), "{asked} reads in {WATCHED:?}");
+    });
+}
