Bring about a step that goes on at an instance cut off from the platform alone

Cause: an instance that gets no answer from the platform takes it for away for all, though its peers reach it. Conclusion: to be mended through peers.

--- a/crates/serve/tests/ended.rs
+++ b/crates/serve/tests/ended.rs
@@ -15,6 +15,11 @@
 use serve::Running;
 use standin::Fault;
 use standin::engine;
+use tokio::io::copy_bidirectional;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 use wire::caller::Opened;
 use wire::problem::Type;
 use yare::parameterized;
@@ -117,16 +122,46 @@
 
 /// An instance that reaches the platform and the upstreams, and no other instance.
 async fn apart(rig: &Rig) -> Running {
-    let text = format!(
-        "{}[instance]\nname = ost-0\ndomain = ost\nlisten = 127.0.0.1:0\n",
-        rig.parts.shared
-    );
-    let running = Running::start(serve::settings::read("ost-0", &text).unwrap());
+    start(rig, "ost-0", &rig.parts.shared).await
+}
+
+/// An instance that reaches the platform through `way`, and all instances of the rig.
+async fn behind(rig: &Rig, way: SocketAddr) -> Running {
+    let platform = rig.parts.platform.host.addr.to_string();
+    let mut text = rig.parts.shared.replace(&platform, &way.to_string());
+    for (name, addr) in ["nord-0", "syd-0"].iter().zip(rig.addrs()) {
+        let domain = name.trim_end_matches("-0");
+        text += &format!("[peer {name}]\ndomain = {domain}\naddress = {addr}\n");
+    }
+    start(rig, "vest-0", &text).await
+}
+
+async fn start(rig: &Rig, name: &str, shared: &str) -> Running {
+    let text =
+        format!("{shared}[instance]\nname = {name}\ndomain = {name}\nlisten = 127.0.0.1:0\n");
+    let running = Running::start(serve::settings::read(name, &text).unwrap());
     let running = running.await.unwrap();
     until(async || running.app.newest() >= rig.entries[0].as_ref().unwrap().app.newest()).await;
     running
 }
 
+/// A way to an address that is cut when its task is aborted.
+async fn way(to: SocketAddr) -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let task = tokio::spawn(async move {
+        // Dropped with this task, and with it all that goes this way.
+        let mut through = JoinSet::new();
+        while let Ok((mut near, _)) = listener.accept().await {
+            through.spawn(async move {
+                let mut far = TcpStream::connect(to).await.unwrap();
+                let _ = copy_bidirectional(&mut near, &mut far).await;
+            });
+        }
+    });
+    (addr, task)
+}
+
 // Samples that run at an engine, or wait for a place there, go on after the end of their step.
 #[test]
 fn what_runs_or_waits_at_the_end_stops() {
@@ -238,6 +273,25 @@
     });
 }
 
+// An instance that reaches neither the platform nor the one at which the step ends takes the
+// platform for away, though its peers reach it, and goes on beginning samples.
+#[test]
+fn an_end_reaches_an_instance_through_its_peers() {
+    block(async {
+        let rig = Rig::start(&make()).await.unwrap();
+        let other = apart(&rig).await;
+        let (addr, task) = way(rig.parts.platform.host.addr).await;
+        let home = behind(&rig, addr).await;
+        let step = open(home.addr).await;
+        running(&rig).await;
+        task.abort();
+
+        end_surely(other.addr, &step).await;
+
+        assert_eq!(late_tokens(&rig).await, 0);
+    });
+}
+
 // A pull that takes a step over while it is ended begins it behind the end.
 #[test]
 fn a_takeover_beside_the_end_does_not_last() {
