Ask peers for the end of a step when the platform does not answer

Cause: an instance that gets no answer from the platform took it for away for all, and went on. Change: from the second question in a row on, two peers, those of other failure domains first, are asked as well, each for 500 ms; the first answer counts. They read the platform afresh. Not mended: an instance that reaches neither the platform, nor who ends the step, nor peers that reach the platform.

--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -128,3 +128,14 @@
         Err(reply) => *reply,
     }
 }
+
+/// Serves the question whether a step has ended.
+pub async fn ended(app: Arc<App>, call: Call) -> Reply {
+    match message(&app, call).await {
+        Ok(step) => {
+            let heard = steps::heard(&app, step).await;
+            answer(&app, &heard)
+        }
+        Err(reply) => *reply,
+    }
+}
--- a/crates/serve/src/steps.rs
+++ b/crates/serve/src/steps.rs
@@ -16,7 +16,9 @@
 
 use contract::book::InForce;
 use fleet::Member;
+use futures_util::StreamExt;
 use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use kernel::Millis;
 use kernel::Name;
@@ -24,6 +26,7 @@
 use net::Call;
 use net::Reply;
 use net::body;
+use plat::PlatError;
 use route::Attempt;
 use route::Ran;
 use step::Cursor;
@@ -60,6 +63,15 @@
 /// Instances that are told of an end at the same time.
 const TOLD: usize = 32;
 
+/// Path at which peers are asked whether a step has ended.
+pub const ASKED: &str = "/peer/step/ended";
+
+/// Peers that are asked at the same time.
+const HELPERS: usize = 2;
+
+/// Time that a peer has to say whether a step has ended: a quick answer of the platform and the way.
+const HELP: Millis = 500;
+
 /// When to come back when a step cannot be worked on now, in milliseconds.
 const LATER: Millis = 1_000;
 
@@ -329,6 +341,72 @@
     true
 }
 
+/// Asks the platform whether a step has ended, and peers that may reach it if this instance may not.
+async fn asked(
+    app: &App,
+    step: &str,
+    customer: &Name,
+    with_peers: bool,
+) -> Result<bool, PlatError> {
+    let own = ledger::is_ended(app, step, customer);
+    if !with_peers {
+        return own.await;
+    }
+    let mut failed = PlatError::Silent;
+    let own = async { own.await.map_err(|error| failed = error) };
+    let message = StepEnd {
+        step: step.to_owned(),
+        customer: customer.clone(),
+    };
+    tokio::select! {
+        Ok(ended) = own => return Ok(ended),
+        Some(ended) = peers_word(app, &message) => return Ok(ended),
+        else => (),
+    }
+    Err(failed)
+}
+
+/// What the first peer that gets an answer hears of the end of a step.
+async fn peers_word(app: &App, message: &StepEnd) -> Option<bool> {
+    let asked = helpers(app, &message.step).into_iter().map(|member| {
+        Box::pin(async move {
+            let limit = Duration::from_millis(HELP);
+            let heard: Option<bool> = gossip::exchange(app, member.addr, ASKED, message, limit)
+                .await
+                .ok()?;
+            heard
+        })
+    });
+    let mut asked: FuturesUnordered<_> = asked.collect();
+    while let Some(heard) = asked.next().await {
+        if heard.is_some() {
+            return heard;
+        }
+    }
+    None
+}
+
+/// The peers to ask, those of other failure domains first: what cuts one instance off from the
+/// platform may cut off its whole domain.
+fn helpers(app: &App, step: &str) -> Vec<Member> {
+    let me = &app.settings.me;
+    let mut live: Vec<_> = app.view.lock().live().cloned().collect();
+    live.retain(|member| member.name != me.name);
+    live.sort_by_key(|member| {
+        let near = member.domain == me.domain;
+        (near, std::cmp::Reverse(kernel::rank(&member.name, step)))
+    });
+    live.truncate(HELPERS);
+    live
+}
+
+/// Tells a peer whether a step has ended, if the platform says so.
+pub async fn heard(app: &App, message: StepEnd) -> Option<bool> {
+    ledger::is_ended(app, &message.step, &message.customer)
+        .await
+        .ok()
+}
+
 /// Serves a pull that a peer passed on.
 pub async fn relayed(app: &Arc<App>, message: StepPull) -> StepPulled {
     match here(app, &message).await {
--- a/crates/serve/src/steps/work.rs
+++ b/crates/serve/src/steps/work.rs
@@ -3,7 +3,8 @@
 //! Whoever ends a step may not reach this instance, so it asks the platform for the end. Samples
 //! and scores are begun only for a while after an answer that there is none. A question without an
 //! answer is asked again; when that has none either, the platform counts as away, and the step
-//! goes on.
+//! goes on. From the second on a question goes to peers as well, since the platform may be away for
+//! this instance alone.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -26,7 +27,6 @@
 use wire::caller::Pull;
 use wire::caller::StepState;
 
-use super::ledger;
 use super::sample;
 use crate::App;
 use crate::dispatcher::Dispatcher;
@@ -204,7 +204,7 @@
         let mut missed = 0;
         while !self.is_cancelled() {
             let sent = self.clock.now();
-            let pause = match ledger::is_ended(app, &self.id, &self.customer).await {
+            let pause = match super::asked(app, &self.id, &self.customer, missed > 0).await {
                 Ok(true) => {
                     self.note("ended at another instance".into());
                     app.steps.stop(&self.id);
@@ -217,11 +217,14 @@
                 }
                 Err(error) => {
                     missed += u32::from(error.is_away());
-                    if missed >= AWAY {
-                        let until = self.clock.now() + SURE;
-                        self.sure.fetch_max(until, Ordering::Relaxed);
+                    match missed < AWAY {
+                        true => AGAIN,
+                        false => {
+                            let until = self.clock.now() + SURE;
+                            self.sure.fetch_max(until, Ordering::Relaxed);
+                            ASK
+                        }
                     }
-                    AGAIN
                 }
             };
             tokio::time::sleep(pause).await;
