--- a/crates/node/tests/fields.rs
+++ b/crates/node/tests/fields.rs
@@ -40,7 +40,8 @@
         for call in text.split("log::").skip(1) {
             let level = call.split('!').next().unwrap_or_default();
             if ["info", "warn", "error", "debug"].contains(&level) {
-                let end = call.find(");").unwrap_or(call.len());
+                // The message is the last argument; a value before it may be a call of its own.
+                let end = call.find("\")").unwrap_or(call.len());
                 written.extend(fields(&call[..end]));
             }
         }
