--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -57,8 +57,8 @@
     Lost,
 }
 
-/// What came of accepting a step.
-pub enum Accepted {
+/// What came of a try to accept a step.
+pub enum Tried {
     /// It is this instance's.
     Open(Open),
     /// It was accepted before.
@@ -90,19 +90,14 @@
 /// # Errors
 ///
 /// Returns [`PlatError`]; [`PlatError::is_unclear`] tells whether the step may be there.
-pub async fn accept(
-    app: &App,
-    step: &str,
-    head: &Head,
-    spec: &Spec,
-) -> Result<Accepted, PlatError> {
+pub async fn accept(app: &App, step: &str, head: &Head, spec: &Spec) -> Result<Tried, PlatError> {
     let asked = app.clock.now();
     let key = keys::head(step);
     match write(app, step, head, spec).await? {
-        Done::At(rev) => Ok(Accepted::Open(Open { rev, asked })),
+        Done::At(rev) => Ok(Tried::Open(Open { rev, asked })),
         Done::Conflict => match app.plat.get(&key).await? {
-            Some(item) => Ok(Accepted::Known(item)),
-            None => Ok(Accepted::Gone),
+            Some(item) => Ok(Tried::Known(item)),
+            None => Ok(Tried::Gone),
         },
     }
 }
--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -25,6 +25,7 @@
 use super::SETTLE;
 use crate::App;
 use crate::claim;
+use crate::claim::Tried;
 use crate::control::orphans;
 use crate::dialect::Caller;
 use crate::dialect::Submitted;
@@ -220,20 +221,20 @@
         let tried = claim::accept(&app, &id, &head, &spec).await;
         let age = app.clock.now() - begun;
         match tried {
-            Ok(claim::Accepted::Open(open)) => {
+            Ok(Tried::Open(open)) => {
                 log::info!(target: "steps", id = &*id, samples = head.total, work = head.work, least = head.least,
                     model = &*head.model, revision = open.rev(), took_ms = age; "step accepted");
                 metrics::counter!(meter::STEPS, "outcome" => "accepted").increment(1);
                 owner::begin(&app, &id, head, spec, open);
                 return Accepted::Kept;
             }
-            Ok(claim::Accepted::Known(item)) => match known(&app, &id, &item).await {
+            Ok(Tried::Known(item)) => match known(&app, &id, &item).await {
                 Ok(()) => return Accepted::Kept,
                 Err(error) => tell(&id, &error),
             },
             // Removed between the two calls: nothing of it can run.
-            Ok(claim::Accepted::Gone) if !unclear => return Accepted::Refused,
-            Ok(claim::Accepted::Gone) => (),
+            Ok(Tried::Gone) if !unclear => return Accepted::Refused,
+            Ok(Tried::Gone) => (),
             Err(error) if error.is_unclear() => {
                 unclear = true;
                 tell(&id, &error);
