Know a step by the name that it had before there were teams

A step that was accepted while nobody needed a key is kept under its plain name; once the configuration has teams its owner's submissions, reads and ends go by a name of the team. A submission that came again then was accepted a second time: the step ran twice, results stood at other positions than those that were read, and its end left one running.

The write that accepts a team's step now succeeds only while neither name has a head, at no further call. Reads and ends look under both names as before, and so find the one that there is. A step of a team is not found any more if the configuration loses its teams altogether; that stays so.

--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -85,24 +85,39 @@
     pub rev: i64,
 }
 
-/// Writes a step that is not known yet, once.
+/// Writes a step that is not known yet, once; neither under its name nor under a former one.
 ///
 /// # Errors
 ///
 /// Returns [`PlatError`]; [`PlatError::is_unclear`] tells whether the step may be there.
-pub async fn accept(app: &App, step: &str, head: &Head, spec: &Spec) -> Result<Tried, PlatError> {
+pub async fn accept(
+    app: &App,
+    step: &str,
+    former: Option<&str>,
+    head: &Head,
+    spec: &Spec,
+) -> Result<Tried, PlatError> {
     let asked = app.clock.now();
-    let key = keys::head(step);
-    match write(app, step, head, spec).await? {
-        Done::At(rev) => Ok(Tried::Open(Open { rev, asked })),
-        Done::Conflict => match app.plat.get(&key).await? {
-            Some(item) => Ok(Tried::Known(item)),
-            None => Ok(Tried::Gone),
-        },
+    let names = || [step].into_iter().chain(former);
+    let guards = names().map(|name| Guard::Absent(keys::head(name)));
+    if let Done::At(rev) = write(app, step, guards.collect(), head, spec).await? {
+        return Ok(Tried::Open(Open { rev, asked }));
+    }
+    for name in names() {
+        if let Some(item) = app.plat.get(&keys::head(name)).await? {
+            return Ok(Tried::Known(item));
+        }
     }
+    Ok(Tried::Gone)
 }
 
-async fn write(app: &App, step: &str, head: &Head, spec: &Spec) -> Result<Done, PlatError> {
+async fn write(
+    app: &App,
+    step: &str,
+    guards: Vec<Guard>,
+    head: &Head,
+    spec: &Spec,
+) -> Result<Done, PlatError> {
     let parts = spec.parts().map_err(|_| PlatError::Garbled)?;
     let mut puts: Vec<_> = parts
         .into_iter()
@@ -122,7 +137,7 @@
     }
     puts.push(put(step, head)?);
     let txn = Txn {
-        guards: vec![Guard::Absent(keys::head(step))],
+        guards,
         puts,
         deletes: Vec::new(),
     };
--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -77,6 +77,9 @@
 pub struct Submission {
     /// The name under which it is kept.
     pub id: Arc<str>,
+    /// The name that a team's step has if it was accepted before there were teams.
+    #[serde(default)]
+    pub former: Option<Arc<str>>,
     /// The team that it belongs to.
     pub team: Option<Arc<str>>,
     /// The host under which it was submitted.
@@ -106,6 +109,7 @@
     }
     let submission = Submission {
         id: principal.scope(&caller.id),
+        former: principal.team().map(|_| caller.id.clone()),
         team: principal.team().cloned(),
         host: caller.host.clone(),
         path: head.uri.path().into(),
@@ -157,7 +161,7 @@
         samples: submitted.samples,
     };
     // Goes on when the caller leaves: whether the step was kept must become known.
-    let task = accept(app.clone(), id, record, spec);
+    let task = accept(app.clone(), id, submission.former, record, spec);
     tokio::spawn(async move {
         let _ = sender.send(task.await);
     });
@@ -203,7 +207,13 @@
 }
 
 /// Writes the step until it is known whether it is kept.
-async fn accept(app: Arc<App>, id: Arc<str>, head: Head, spec: Spec) -> Accepted {
+async fn accept(
+    app: Arc<App>,
+    id: Arc<str>,
+    former: Option<Arc<str>>,
+    head: Head,
+    spec: Spec,
+) -> Accepted {
     let begun = app.clock.now();
     if let Err(error) = member::shorten(&app).await {
         // It is tried again with the next look at the entry.
@@ -218,7 +228,7 @@
             log::warn!(target: "steps", id = &*id, took_ms = age; "step unclear");
             return Accepted::Unclear;
         }
-        let tried = claim::accept(&app, &id, &head, &spec).await;
+        let tried = claim::accept(&app, &id, former.as_deref(), &head, &spec).await;
         let age = app.clock.now() - begun;
         match tried {
             Ok(Tried::Open(open)) => {
@@ -261,6 +271,8 @@
 /// instance's and is not run here is taken up like a step whose owner is gone: its results may be
 /// listed, and it may have ended since.
 async fn known(app: &Arc<App>, id: &Arc<str>, item: &plat::Item) -> Result<(), PlatError> {
+    // It may have been accepted under its former name.
+    let id = &keys::step(&item.key).map_or_else(|| id.clone(), Arc::from);
     let head = match claim::read(item) {
         Ok(head) => head,
         Err(error) => {
