Take a step over once at a time

While a write that takes a step over has no answer, each look of the leader began another try: 160 writes in 4 s for 10 steps, all that its budget allows, of which its own renewals come too. Each of them then found the step to be its own and read all its records, 8 times.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -14,6 +14,7 @@
 use crash::Watch;
 use kernel::Map;
 use kernel::Millis;
+use kernel::Set;
 use kernel::Shards;
 use parking_lot::Mutex;
 use place::Fleet;
@@ -93,6 +94,8 @@
     pub news: watch::Sender<u64>,
     /// The steps that this instance runs.
     pub works: Shards<Arc<str>, Arc<Work>>,
+    /// The steps that this instance is taking over.
+    pub taking: Mutex<Set<Arc<str>>>,
     /// What this instance has read of the results of other steps.
     pub shelves: Shards<Arc<str>, Arc<Shelf>>,
     /// What steps that ended here have left over.
@@ -147,6 +150,7 @@
             board: Mutex::default(),
             news: watch::Sender::default(),
             works: Shards::new(),
+            taking: Mutex::default(),
             shelves: Shards::new(),
             again: Mutex::default(),
             hints: Shards::new(),
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -241,7 +241,7 @@
     Ok(())
 }
 
-/// Takes a step over whose owner is gone, and goes on with it.
+/// Takes a step over whose owner is gone, and goes on with it, unless that is under way here already.
 ///
 /// # Errors
 ///
@@ -252,11 +252,19 @@
     item: &Item,
     head: Head,
 ) -> Result<(), PlatError> {
-    let from = head.owner.clone();
-    let Taken::Open(open) = claim::take(app, step, item, &head).await? else {
-        log::info!(target: "control", id = &**step, instance = &*from.instance, revision = item.rev; "step not taken over");
+    // Whoever asks meanwhile need not wait for it.
+    let Some(taking) = Taking::begin(app, step) else {
         return Ok(());
     };
+    let from = head.owner.clone();
+    let open = match claim::take(app, step, item, &head).await? {
+        Taken::Open(open) => open,
+        Taken::Not => {
+            log::info!(target: "control", id = &**step, instance = &*from.instance, revision = item.rev;
+                "step not taken over");
+            return Ok(());
+        }
+    };
     log::info!(target: "control", id = &**step, owner = &*from.instance, revision = open.rev(); "step taken over");
     metrics::counter!(crate::meter::STEPS, "outcome" => "taken over").increment(1);
     let head = Head {
@@ -264,12 +272,33 @@
         ..head
     };
     // From here on the step is left to nobody else while this instance lives.
-    tokio::spawn(go_on(app.clone(), step.clone(), head, open));
+    tokio::spawn(go_on(taking, step.clone(), head, open));
     Ok(())
 }
 
+/// A step that is being taken over here, until this is dropped.
+struct Taking {
+    app: Arc<App>,
+    step: Arc<str>,
+}
+
+impl Taking {
+    fn begin(app: &Arc<App>, step: &Arc<str>) -> Option<Self> {
+        let (app, step) = (app.clone(), step.clone());
+        app.taking.lock().insert(step.clone()).then_some(())?;
+        Some(Self { app, step })
+    }
+}
+
+impl Drop for Taking {
+    fn drop(&mut self) {
+        self.app.taking.lock().remove(&self.step);
+    }
+}
+
 /// Goes on with a step that was taken over, once its records could be read.
-async fn go_on(app: Arc<App>, step: Arc<str>, head: Head, open: Open) {
+async fn go_on(taking: Taking, step: Arc<str>, head: Head, open: Open) {
+    let app = taking.app.clone();
     while app.clock.wall() < head.opened + app.settings.keep {
         match load(&app, &step, &head).await {
             Ok((spec, left)) => {
