Write the end of a step into its head when the version before has written it beside

A leader tried at each look to take over every step that the version before had ended, since nothing in the head says so and the write fails: 87 writes in 6 s for 20 steps, after each upgrade, for as long as records are kept.

--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -72,6 +72,8 @@
 pub enum Taken {
     /// It is this instance's.
     Open(Open),
+    /// The version before has ended it.
+    Ended,
     /// It has ended, somebody else took it, or its records are gone.
     Not,
 }
@@ -191,7 +193,10 @@
         let asked = app.clock.now();
         match app.plat.txn(&txn).await {
             Ok(Done::At(rev)) => return Ok(Taken::Open(Open { rev, asked })),
-            Ok(Done::Conflict) if !unclear => return Ok(Taken::Not),
+            Ok(Done::Conflict) if !unclear => {
+                let ended = app.plat.get(&keys::end(step)).await?;
+                return Ok(ended.map_or(Taken::Not, |_| Taken::Ended));
+            }
             Ok(Done::Conflict) => match found(app, step, &mine).await {
                 Ok(taken) => return Ok(taken),
                 Err(error) => note(step, &error),
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -259,6 +259,11 @@
     let from = head.owner.clone();
     let open = match claim::take(app, step, item, &head).await? {
         Taken::Open(open) => open,
+        Taken::Ended => {
+            // The version before has written the end where nobody looks any more.
+            claim::end(app, step).await?;
+            return Ok(());
+        }
         Taken::Not => {
             log::info!(target: "control", id = &**step, instance = &*from.instance, revision = item.rev;
                 "step not taken over");
