Tell the former owner of a step that it was taken over

An owner that reaches neither the platform nor others goes on with its step. When it was replaced meanwhile and the step was ended, only the new owner was told, so that the former one went on though others reached it: 40 samples later than 3 s after the end.

--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -6,6 +6,7 @@
 
 use batch::Entry;
 use batch::Head;
+use batch::Owner;
 use batch::Piece;
 use batch::Spec;
 use batch::keys;
@@ -28,6 +29,7 @@
 use crate::member;
 use crate::owner;
 use crate::owner::Left;
+use crate::peer;
 
 /// Time between two looks. Stale reads do: taking over is decided by a write under a condition.
 const LOOK: Duration = Duration::from_millis(500);
@@ -276,11 +278,21 @@
         owner: app.me.clone(),
         ..head
     };
+    tokio::spawn(tell_former(app.clone(), step.clone(), from, item.rev));
     // From here on the step is left to nobody else while this instance lives.
     tokio::spawn(go_on(taking, step.clone(), head, open));
     Ok(())
 }
 
+/// Tells the former owner of a step that was taken over. One that lives and reaches neither the platform nor others would
+/// go on with it, also after its end, of which its new owner alone is told.
+async fn tell_former(app: Arc<App>, step: Arc<str>, former: Owner, rev: i64) {
+    if former.instance != app.me.instance && !peer::taken(&app, &former.instance, &step, rev).await
+    {
+        log::info!(target: "control", id = &*step, instance = &*former.instance; "former owner not told");
+    }
+}
+
 /// A step that is being taken over here, until this is dropped.
 struct Taking {
     app: Arc<App>,
--- a/crates/node/src/owner/work.rs
+++ b/crates/node/src/owner/work.rs
@@ -114,6 +114,13 @@
         self.ended.load(Ordering::Relaxed)
     }
 
+    /// Notes that somebody else runs the step, whose head had a revision before.
+    pub(crate) fn replaced(&self, rev: i64) {
+        if rev == self.rev {
+            self.lose();
+        }
+    }
+
     pub(super) fn lose(&self) {
         if self.lost.swap(true, Ordering::Relaxed) {
             return;
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -83,6 +83,8 @@
     Reaches,
     /// That a step has ended, whose head had this revision.
     Ended { step: Arc<str>, rev: i64 },
+    /// That somebody else runs a step, whose head had this revision.
+    Taken { step: Arc<str>, rev: i64 },
 }
 
 /// An answer.
@@ -167,6 +169,12 @@
             steps::heard(app, &step, rev);
             Told::Noted
         }
+        Ask::Taken { step, rev } => {
+            if let Some(work) = app.works.get(&step) {
+                work.replaced(rev);
+            }
+            Told::Noted
+        }
         Ask::Reaches => Told::Reaches(crate::tally::reaches(app).await),
         // Never through a third one: two that are turned away would ask each other forever.
         Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
@@ -310,12 +318,27 @@
 
 /// Tells the owner of a step that it has ended; whether it has heard.
 pub async fn ended(app: &App, owner: &str, step: &Arc<str>, rev: i64) -> bool {
-    let Some(addr) = address(app, owner) else {
+    let step = step.clone();
+    told(app, owner, &Ask::Ended { step, rev }).await
+}
+
+/// Tells the former owner of a step that somebody else runs it; whether it has heard.
+pub async fn taken(app: &App, owner: &str, step: &Arc<str>, rev: i64) -> bool {
+    let step = step.clone();
+    told(app, owner, &Ask::Taken { step, rev }).await
+}
+
+/// Tells an instance something, also one whose entry has lapsed though it lives.
+async fn told(app: &App, instance: &str, word: &Ask) -> bool {
+    let former = || {
+        let former = app.acquainted();
+        let found = former.iter().find(|one| *one.owner.instance == *instance);
+        found.map(|one| one.addr)
+    };
+    let Some(addr) = address(app, instance).or_else(former) else {
         return false;
     };
-    let step = step.clone();
-    let heard = ask(app, addr, &Ask::Ended { step, rev }, LIMIT).await;
-    heard.is_some()
+    ask(app, addr, word, LIMIT).await.is_some()
 }
 
 /// Tells a keeper what this instance has counted; whether it has heard.
