Have others really ask whether a step is open

An owner whose calls are turned away asks others. One that had been turned away itself within the last two seconds said that it does not reach the platform, without asking, though it was served again. The owner took that for an outage of the platform and went on: 32 samples later than 3 s after the end.

A question for a step is now put to the platform by whoever is asked.

--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -75,6 +75,8 @@
     News { have: Have, wait: Millis },
     /// A call of the platform.
     Relay(Call),
+    /// A call that is to be made though the platform did not serve the other one a moment ago.
+    Try(Call),
     /// What an entry instance has counted, for its keeper.
     Tally { owner: Owner, tally: Tally },
     /// What is known of the requests of a window.
@@ -177,7 +179,7 @@
         }
         Ask::Reaches => Told::Reaches(crate::tally::reaches(app).await),
         // Never through a third one: two that are turned away would ask each other forever.
-        Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
+        Ask::Relay(call) | Ask::Try(call) => Told::Relay(app.plat.direct(&call).await),
     }
 }
 
@@ -394,7 +396,21 @@
     call: Call,
     limit: Millis,
 ) -> Option<Result<Answer, PlatError>> {
-    match ask(app, to, &Ask::Relay(call), limit).await? {
+    made(ask(app, to, &Ask::Relay(call), limit).await?)
+}
+
+/// The same, also when the platform did not serve the other one a moment ago: whether it does now is what is asked.
+pub async fn attempt(
+    app: &App,
+    to: SocketAddr,
+    call: Call,
+    limit: Millis,
+) -> Option<Result<Answer, PlatError>> {
+    made(ask(app, to, &Ask::Try(call), limit).await?)
+}
+
+fn made(told: Told) -> Option<Result<Answer, PlatError>> {
+    match told {
         Told::Relay(answer) => Some(answer),
         _ => None,
     }
--- a/crates/node/src/through.rs
+++ b/crates/node/src/through.rs
@@ -63,12 +63,12 @@
 }
 
 /// Makes a read through several others at once, for an answer that is needed soon: one that is not served
-/// itself, or answers late, costs no time then.
+/// itself, or answers late, costs no time then. Each of them asks the platform, whatever it knows of it.
 pub(crate) async fn any(app: &Arc<App>, call: &Call) -> Result<Answer, PlatError> {
     let mut asks = JoinSet::new();
     for addr in helpers(app) {
         let (app, call) = (app.clone(), call.clone());
-        asks.spawn(async move { peer::relay(&app, addr, call, RELAY).await });
+        asks.spawn(async move { peer::attempt(&app, addr, call, RELAY).await });
     }
     let mut failed = PlatError::Unreachable;
     while let Some(asked) = asks.join_next().await {
