Tell an owner of the end for longer, and count an outage from when others asked

It is told up to six times with a pause. Word of an outage counted from a tenth of the bound after the question, though others were asked at once by an instance that is turned away; it counts from then now. Names that meant two things are told apart.

--- a/crates/batch/src/word.rs
+++ b/crates/batch/src/word.rs
@@ -81,7 +81,7 @@
     }
 
     /// Notes that neither this instance nor others reached the platform when they asked it.
-    pub fn lose(&mut self, asked: Millis) {
+    pub fn outage(&mut self, asked: Millis) {
         self.away = self.away.max(Some(asked));
     }
 
@@ -107,7 +107,7 @@
     }
 
     /// Notes that the platform is asked.
-    pub fn ask(&mut self, now: Millis) {
+    pub fn asking(&mut self, now: Millis) {
         self.asked = now;
     }
 }
--- a/crates/batch/tests/word.rs
+++ b/crates/batch/tests/word.rs
@@ -32,12 +32,12 @@
             self.under_way = None;
             match came {
                 Came::Answer(_) if asked < end => self.word.hear(asked),
-                Came::Away(_) => self.word.lose(asked),
+                Came::Away(_) => self.word.outage(asked),
                 Came::Answer(_) | Came::Nothing(_) => (),
             }
         }
         if self.word.is_due(now) {
-            self.word.ask(now);
+            self.word.asking(now);
             self.under_way = next.next().map(|came| (now, came));
         }
     }
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -25,7 +25,7 @@
 use crate::owner::AGAIN;
 
 /// Bytes of samples that one write holds beside the head; more is written before it.
-const TOGETHER: usize = 4 << 20;
+const BYTES: usize = 4 << 20;
 
 /// Proof that a step was open, and this instance's, when the platform was asked.
 #[derive(Debug)]
@@ -127,7 +127,7 @@
         .map(|(at, part)| Put::new(keys::part(step, at), part))
         .collect();
     let bytes: usize = puts.iter().map(|put| put.value.len()).sum();
-    if bytes > TOGETHER {
+    if bytes > BYTES {
         // The head comes last, so that a step with a head is whole.
         for put in std::mem::take(&mut puts) {
             let txn = Txn {
@@ -228,7 +228,8 @@
     })
 }
 
-/// What the head of a step says to the instance that wrote it with a revision.
+/// What the head of a step says to the instance that wrote it with a revision. An ended one names the revision that was
+/// ended, so that an owner that was replaced before does not take the end for that of its own.
 ///
 /// # Errors
 ///
--- a/crates/node/src/owner/checks.rs
+++ b/crates/node/src/owner/checks.rs
@@ -21,18 +21,19 @@
 use crate::claim;
 use crate::through;
 
-/// Part of the time in which an end has to be in force after which a question is asked through others as well.
+/// What the time in which an end has to be in force is divided by to give the time after which a question is asked through
+/// others as well.
 const PATIENCE: u64 = 10;
 
-/// Part of that time that a question may take with both.
+/// What it is divided by to give the time that a question may take with both.
 const LIMIT: u64 = 3;
 
 /// What a question came to.
-enum Heard {
+enum Came {
     /// The step's head.
     Head(Option<Item>),
     /// Nobody who was asked reaches the platform.
-    Away,
+    Outage,
     /// Nothing was heard here, though the platform may serve others.
     Nothing(PlatError),
 }
@@ -60,7 +61,7 @@
             if !word.is_due(asked) {
                 return;
             }
-            word.ask(asked);
+            word.asking(asked);
         }
         let (app, work) = (app.clone(), work.clone());
         self.asks
@@ -69,15 +70,19 @@
 }
 
 async fn question(app: &Arc<App>, work: &Work, asked: Millis) {
-    let patience = app.settings.cancel / PATIENCE;
+    // One that was turned away a moment ago has the others ask at once.
+    let patience = match app.plat.is_turned_away() {
+        true => 0,
+        false => app.settings.cancel / PATIENCE,
+    };
     let head = match hear(app, work, patience).await {
-        Heard::Head(item) => claim::standing(asked, work.rev, item.as_ref()),
-        Heard::Away => {
+        Came::Head(item) => claim::standing(asked, work.rev, item.as_ref()),
+        Came::Outage => {
             // When the others were asked.
-            work.word.lock().lose(asked + patience);
+            work.word.lock().outage(asked + patience);
             return work.unknown(app, "nobody reaches the platform");
         }
-        Heard::Nothing(error) => Err(error),
+        Came::Nothing(error) => Err(error),
     };
     match head {
         Ok(standing) => {
@@ -88,27 +93,24 @@
 }
 
 /// Asks the platform, and others to ask it when it does not answer soon.
-async fn hear(app: &Arc<App>, work: &Work, patience: Millis) -> Heard {
+async fn hear(app: &Arc<App>, work: &Work, patience: Millis) -> Came {
     let call = Call::Get(keys::head(&work.step));
     let limit = Duration::from_millis(app.settings.cancel / LIMIT);
-    let patience = match app.plat.is_turned_away() {
-        true => Duration::ZERO,
-        false => Duration::from_millis(patience),
-    };
+    let patience = Duration::from_millis(patience);
     let direct = pin!(in_time(limit, app.plat.direct(&call)));
     let others = pin!(async {
         sleep(patience).await;
         in_time(limit - patience, through::any(app, &call)).await
     });
     let (one, other) = match select(direct, others).await {
-        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => return head(answer),
+        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => return head_of(answer),
         Either::Left((Err(one), others)) => (one, others.await),
         Either::Right((Err(one), direct)) => (one, direct.await),
     };
     match other {
-        Ok(answer) => head(answer),
-        Err(other) if one.is_away() && other.is_away() => Heard::Away,
-        Err(_) => Heard::Nothing(one),
+        Ok(answer) => head_of(answer),
+        Err(other) if one.is_away() && other.is_away() => Came::Outage,
+        Err(_) => Came::Nothing(one),
     }
 }
 
@@ -119,9 +121,9 @@
     timeout(limit, call).await.unwrap_or(Err(PlatError::Silent))
 }
 
-fn head(answer: Answer) -> Heard {
+fn head_of(answer: Answer) -> Came {
     match answer {
-        Answer::Range(range) => Heard::Head(range.items.into_iter().next()),
-        _ => Heard::Nothing(PlatError::Garbled),
+        Answer::Range(range) => Came::Head(range.items.into_iter().next()),
+        _ => Came::Nothing(PlatError::Garbled),
     }
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -168,7 +168,7 @@
         }
         Ask::Shares(window) => Told::Shares(crate::tally::shares(app, window)),
         Ask::Ended { step, rev } => {
-            steps::heard(app, &step, rev);
+            steps::note_end(app, &step, rev);
             Told::Noted
         }
         Ask::Taken { step, rev } => {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -186,7 +186,7 @@
                 return Ended::Hopeless;
             }
         };
-        // A connection that is opened slowly, or a pause of the process, must not send it later.
+        // The process may have been paused since it was begun. From here on the time limit bounds what is sent.
         let left = self.permit.until().saturating_sub(self.app.clock.now());
         if left == 0 {
             return Ended::Stale;
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -35,7 +35,10 @@
 const SETTLE: Millis = 20_000;
 
 /// Times that an owner is told of the end of its step before it is left to its own question.
-const TOLD: usize = 2;
+const TOLD: usize = 6;
+
+/// Pause between two of them: an instance whose entry has lapsed, or that is busy, is back within a second or two.
+const TOLD_PAUSE: Duration = Duration::from_millis(300);
 
 /// Longest time that a read waits for a result, in milliseconds.
 const LONGEST: Millis = 1_000;
@@ -262,19 +265,20 @@
 
 async fn tell_owner(app: Arc<App>, step: Arc<str>, ended: Ended) {
     if ended.owner == app.me {
-        heard(&app, &step, ended.rev);
+        note_end(&app, &step, ended.rev);
         return;
     }
     for _ in 0..TOLD {
         if peer::ended(&app, &ended.owner.instance, &step, ended.rev).await {
             return;
         }
+        sleep(TOLD_PAUSE).await;
     }
     log::info!(target: "steps", id = &*step, instance = &*ended.owner.instance; "owner not told of the end");
 }
 
 /// Takes in that a step has ended while its head had a revision.
-pub(crate) fn heard(app: &App, step: &Arc<str>, rev: i64) {
+pub(crate) fn note_end(app: &App, step: &Arc<str>, rev: i64) {
     if let Some(work) = app.works.get(step) {
         work.end(app, rev, "told");
     }
