Let streams wait inside upstreams as calls do

Cause: a stream took free places alone, a call may wait inside the upstream. Where calls wait no place is free, so that the streams of a small team got next to nothing beside the calls of a large one, and a large team's streams got less than a quarter of all beside calls. Change: a stream takes a place as a call does; no more wait than the upstream has places for each instance, as before. Not measured: streams that last much longer than calls.

--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -85,9 +85,11 @@
 }
 
 impl Stream {
+    /// Takes a place, where the stream may wait inside the upstream as calls do: if it took free places alone,
+    /// it would get next to none beside calls that wait.
     fn choose(&self) -> Option<Place> {
         let service = Plan::draw(&self.route, rand::random())?;
-        self.sent.choose(service, &self.used, false)
+        self.sent.choose(service, &self.used, true)
     }
 
     /// Opens the stream behind an event at one upstream after the other.
