Take silence of all others for being cut off, not for an outage

An owner that reached neither the platform nor any other instance took that for an outage of the platform, in which a step has to go on. Others may reach the platform, and end the step, or take it over.

An outage is what another instance says that was asked and answers; each is given 450 ms to hear from the platform, so that its word is there within a second of the question. When none answers, no sample begins. An instance that knows no other still takes its own word.

--- a/crates/node/src/owner/checks.rs
+++ b/crates/node/src/owner/checks.rs
@@ -20,6 +20,7 @@
 use crate::App;
 use crate::claim;
 use crate::through;
+use crate::through::Others;
 
 /// What the time in which an end has to be in force is divided by to give the time after which a question is asked through
 /// others as well.
@@ -32,7 +33,7 @@
 enum Came {
     /// The step's head.
     Head(Option<Item>),
-    /// Nobody who was asked reaches the platform.
+    /// Neither this instance nor others that were reached reach the platform.
     Outage,
     /// Nothing was heard here, though the platform may serve others.
     Nothing(PlatError),
@@ -100,17 +101,23 @@
     let direct = pin!(in_time(limit, app.plat.direct(&call)));
     let others = pin!(async {
         sleep(patience).await;
-        in_time(limit - patience, through::any(app, &call)).await
+        let asked = timeout(limit - patience, through::any(app, &call)).await;
+        asked.unwrap_or(Others::Nobody)
     });
-    let (one, other) = match select(direct, others).await {
-        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => return head_of(answer),
-        Either::Left((Err(one), others)) => (one, others.await),
-        Either::Right((Err(one), direct)) => (one, direct.await),
+    let (error, said) = match select(direct, others).await {
+        Either::Left((Ok(answer), _)) | Either::Right((Others::Answer(answer), _)) => {
+            return head_of(answer);
+        }
+        Either::Left((Err(error), others)) => (error, others.await),
+        Either::Right((said, direct)) => match direct.await {
+            Ok(answer) => return head_of(answer),
+            Err(error) => (error, said),
+        },
     };
-    match other {
-        Ok(answer) => head_of(answer),
-        Err(other) if one.is_away() && other.is_away() => Came::Outage,
-        Err(_) => Came::Nothing(one),
+    match said {
+        Others::Answer(answer) => head_of(answer),
+        Others::Away if error.is_away() => Came::Outage,
+        Others::Away | Others::Nobody => Came::Nothing(error),
     }
 }
 
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -43,6 +43,10 @@
 /// to be in force within seconds, and one that is gone is noticed by this.
 const NEWS: Millis = 200;
 
+/// Time that the platform has to answer a call that is made for another instance which has waited already: that it does
+/// not is to be heard there within a second of the question.
+const TRY: Millis = 450;
+
 /// Time that an instance has to accept a step that is handed to it: the store may take half a second
 /// on a slow day, and the trainer waits.
 const HAND: Millis = 1_000;
@@ -179,10 +183,18 @@
         }
         Ask::Reaches => Told::Reaches(crate::tally::reaches(app).await),
         // Never through a third one: two that are turned away would ask each other forever.
-        Ask::Relay(call) | Ask::Try(call) => Told::Relay(app.plat.direct(&call).await),
+        Ask::Relay(call) => Told::Relay(app.plat.direct(&call).await),
+        Ask::Try(call) => Told::Relay(attempted(app, &call).await),
     }
 }
 
+/// Makes a call whose answer is needed soon; that there is none is one as well.
+async fn attempted(app: &App, call: &Call) -> Result<Answer, PlatError> {
+    let limit = Duration::from_millis(TRY);
+    let tried = tokio::time::timeout(limit, app.plat.direct(call)).await;
+    tried.unwrap_or(Err(PlatError::Silent))
+}
+
 /// Waits for something that a follower does not have yet.
 async fn newer(app: &App, have: Have, wait: Millis) -> Option<News> {
     let mut counts = app.news.subscribe();
@@ -400,13 +412,8 @@
 }
 
 /// The same, also when the platform did not serve the other one a moment ago: whether it does now is what is asked.
-pub async fn attempt(
-    app: &App,
-    to: SocketAddr,
-    call: Call,
-    limit: Millis,
-) -> Option<Result<Answer, PlatError>> {
-    made(ask(app, to, &Ask::Try(call), limit).await?)
+pub async fn attempt(app: &App, to: SocketAddr, call: Call) -> Option<Result<Answer, PlatError>> {
+    made(ask(app, to, &Ask::Try(call), TRY + LIMIT).await?)
 }
 
 fn made(told: Told) -> Option<Result<Answer, PlatError>> {
--- a/crates/node/src/through.rs
+++ b/crates/node/src/through.rs
@@ -62,24 +62,38 @@
     Err(failed)
 }
 
+/// What others say of the platform.
+pub(crate) enum Others {
+    /// Its answer.
+    Answer(Answer),
+    /// It does not serve those that answered, or there are no others.
+    Away,
+    /// No other one answered: this instance may be cut off.
+    Nobody,
+}
+
 /// Makes a read through several others at once, for an answer that is needed soon: one that is not served
 /// itself, or answers late, costs no time then. Each of them asks the platform, whatever it knows of it.
-pub(crate) async fn any(app: &Arc<App>, call: &Call) -> Result<Answer, PlatError> {
+pub(crate) async fn any(app: &Arc<App>, call: &Call) -> Others {
+    let helpers = helpers(app);
+    let mut said = match helpers.is_empty() {
+        true => Others::Away,
+        false => Others::Nobody,
+    };
     let mut asks = JoinSet::new();
-    for addr in helpers(app) {
+    for addr in helpers {
         let (app, call) = (app.clone(), call.clone());
-        asks.spawn(async move { peer::attempt(&app, addr, call, RELAY).await });
+        asks.spawn(async move { peer::attempt(&app, addr, call).await });
     }
-    let mut failed = PlatError::Unreachable;
     while let Some(asked) = asks.join_next().await {
         match asked {
-            Ok(Some(Ok(answer))) => return Ok(answer),
-            Ok(Some(Err(error))) => failed = error,
-            // It did not answer.
-            Ok(None) | Err(_) => failed = PlatError::Silent,
+            Ok(Some(Ok(answer))) => return Others::Answer(answer),
+            Ok(Some(Err(error))) if error.is_away() => said = Others::Away,
+            // It did not answer, or could not ask.
+            Ok(_) | Err(_) => (),
         }
     }
-    Err(failed)
+    said
 }
 
 /// The instances through which a call is tried, the one that helped last first.
