Hear what others have said of an outage by the end of a question

A question waited for all of up to three others and had nothing when its time was over, though some had said that they do not reach the platform. One silent instance among them, as there is whenever one has just died, made an outage look like being cut off, and steps stood still.

--- a/crates/node/src/owner/checks.rs
+++ b/crates/node/src/owner/checks.rs
@@ -101,8 +101,7 @@
     let direct = pin!(in_time(limit, app.plat.direct(&call)));
     let others = pin!(async {
         sleep(patience).await;
-        let asked = timeout(limit - patience, through::any(app, &call)).await;
-        asked.unwrap_or(Others::Nobody)
+        through::any(app, &call, limit - patience).await
     });
     let (error, said) = match select(direct, others).await {
         Either::Left((Ok(answer), _)) | Either::Right((Others::Answer(answer), _)) => {
--- a/crates/node/src/through.rs
+++ b/crates/node/src/through.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Weak;
+use std::time::Duration;
 
 use kernel::Millis;
 use plat::Answer;
@@ -12,6 +13,8 @@
 use plat::relay::Relayed;
 use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::App;
 use crate::peer;
@@ -72,9 +75,10 @@
     Nobody,
 }
 
-/// Makes a read through several others at once, for an answer that is needed soon: one that is not served
-/// itself, or answers late, costs no time then. Each of them asks the platform, whatever it knows of it.
-pub(crate) async fn any(app: &Arc<App>, call: &Call) -> Others {
+/// Makes a read through several others at once, for an answer that is needed within `limit`: one that is not served
+/// itself, or is silent, costs no time then. Each of them asks the platform, whatever it knows of it.
+pub(crate) async fn any(app: &Arc<App>, call: &Call, limit: Duration) -> Others {
+    let end = Instant::now() + limit;
     let helpers = helpers(app);
     let mut said = match helpers.is_empty() {
         true => Others::Away,
@@ -85,7 +89,7 @@
         let (app, call) = (app.clone(), call.clone());
         asks.spawn(async move { peer::attempt(&app, addr, call).await });
     }
-    while let Some(asked) = asks.join_next().await {
+    while let Ok(Some(asked)) = timeout_at(end, asks.join_next()).await {
         match asked {
             Ok(Some(Ok(answer))) => return Others::Answer(answer),
             Ok(Some(Err(error))) if error.is_away() => said = Others::Away,
