Refuse no step as not run that another instance may have accepted

A caller heard 503, which promises that nothing of a step runs, and the step ran. The instance that was asked had handed the step to the one that takes its route's steps, had no answer within a second, and could not reach the platform itself. That the other one may have accepted the step was forgotten on the way. The same held when the platform said that the step is known, and then could not be read.

Handing over now says whether it is unclear what became of the step, and then the caller hears 504 unless the step is found or written.

--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -106,8 +106,15 @@
         return Ok(Tried::Open(Open { rev, asked }));
     }
     for name in names() {
-        if let Some(item) = app.plat.get(&keys::head(name)).await? {
-            return Ok(Tried::Known(item));
+        match app.plat.get(&keys::head(name)).await {
+            Ok(Some(item)) => return Ok(Tried::Known(item)),
+            Ok(None) => (),
+            Err(error) => {
+                let why = error.to_string();
+                log::info!(target: "claim", id = step, why = why.as_str(); "known step not read");
+                // There is a head, or was: that nothing runs cannot be said any more.
+                return Err(PlatError::Silent);
+            }
         }
     }
     Ok(Tried::Gone)
--- a/crates/node/src/hand.rs
+++ b/crates/node/src/hand.rs
@@ -64,16 +64,26 @@
     takers
 }
 
-/// Hands a step to an instance that takes its route's steps; [`None`] when it is to be taken here.
-pub async fn over(app: &Arc<App>, submission: &Submission) -> Option<Accepted> {
-    for member in candidates(app, submission)? {
+/// What came of handing a step over.
+pub enum Over {
+    /// Another instance has answered for it.
+    Answered(Accepted),
+    /// It is to be taken here.
+    Here,
+    /// It is to be taken here, and another instance that was asked and did not answer may have taken it.
+    Unclear,
+}
+
+/// Hands a step to an instance that takes its route's steps.
+pub async fn over(app: &Arc<App>, submission: &Submission) -> Over {
+    for member in candidates(app, submission) {
         let name = &member.owner.instance;
         if *name == app.me.instance {
-            return None;
+            return Over::Here;
         }
         let handed = peer::submit(app, member.addr, submission).await;
         let outcome = match handed {
-            Handed::Taken(accepted) => return Some(accepted),
+            Handed::Taken(accepted) => return Over::Answered(accepted),
             Handed::Declined => "declined",
             Handed::Silent => "silent",
         };
@@ -82,23 +92,26 @@
         app.shun(name, app.clock.now() + SHUN);
         if matches!(handed, Handed::Silent) {
             // The trainer has waited a second already.
-            return None;
+            return Over::Unclear;
         }
     }
-    None
+    Over::Here
 }
 
 /// The instances to ask, but for those that did not take a step a moment ago.
-fn candidates(app: &App, submission: &Submission) -> Option<Vec<Member>> {
+fn candidates(app: &App, submission: &Submission) -> Vec<Member> {
     let plan = app.plan.load();
     let route = plan
         .as_ref()
-        .and_then(|plan| plan.find(&submission.host, &submission.path))?;
+        .and_then(|plan| plan.find(&submission.host, &submission.path));
+    let Some(route) = route else {
+        return Vec::new();
+    };
     let members = app.members.lock();
     let takers = takers(&members, &app.settings.domain, &route.name);
     let now = app.clock.now();
     let open = takers
         .into_iter()
         .filter(|one| now >= app.shunned(&one.owner.instance));
-    Some(open.take(ASKED).cloned().collect())
+    open.take(ASKED).cloned().collect()
 }
--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -30,6 +30,7 @@
 use crate::dialect::Caller;
 use crate::dialect::Submitted;
 use crate::hand;
+use crate::hand::Over;
 use crate::member;
 use crate::meter;
 use crate::owner;
@@ -120,8 +121,9 @@
         return Accepted::Kept.reply();
     }
     match hand::over(app, &submission).await {
-        Some(accepted) => accepted.reply(),
-        None => take(app, submission).await.reply(),
+        Over::Answered(accepted) => accepted.reply(),
+        Over::Here => take(app, submission, false).await.reply(),
+        Over::Unclear => take(app, submission, true).await.reply(),
     }
 }
 
@@ -130,14 +132,15 @@
     if app.is_leaving() || app.works.len() >= MOST || !keys::is_name(&submission.id) {
         return None;
     }
-    Some(take(app, submission).await)
+    Some(take(app, submission, false).await)
 }
 
 /// Accepts a step here.
 ///
 /// The step is at the platform before the caller hears that it is accepted. A refusal that
-/// promises that nothing runs is given only while no write was sent that may yet take effect.
-async fn take(app: &Arc<App>, submission: Submission) -> Accepted {
+/// promises that nothing runs is given only while no write was sent that may yet take effect; `unclear` tells that
+/// another instance may have sent one.
+async fn take(app: &Arc<App>, submission: Submission, unclear: bool) -> Accepted {
     let id = submission.id.clone();
     let submitted = match app.dialect.submitted(&submission.body) {
         Ok(submitted) => submitted,
@@ -153,7 +156,10 @@
     if !serves(app, &submission, &submitted.model) {
         // Not for good: the configuration here may be a second behind one that has the model.
         log::info!(target: "steps", id = &*id, model = &*submitted.model; "unknown model");
-        return Accepted::Refused;
+        return match unclear {
+            true => Accepted::Unclear,
+            false => Accepted::Refused,
+        };
     }
     let (sender, receiver) = oneshot::channel();
     let record = make_head(app, &submission, &submitted);
@@ -161,7 +167,7 @@
         samples: submitted.samples,
     };
     // Goes on when the caller leaves: whether the step was kept must become known.
-    let task = accept(app.clone(), id, submission.former, record, spec);
+    let task = accept(app.clone(), id, submission.former, record, spec, unclear);
     tokio::spawn(async move {
         let _ = sender.send(task.await);
     });
@@ -213,6 +219,7 @@
     former: Option<Arc<str>>,
     head: Head,
     spec: Spec,
+    mut unclear: bool,
 ) -> Accepted {
     let begun = app.clock.now();
     if let Err(error) = member::shorten(&app).await {
@@ -220,7 +227,6 @@
         let why = error.to_string();
         log::warn!(target: "steps", id = &*id, why = why.as_str(); "missed late if killed now");
     }
-    let mut unclear = false;
     loop {
         let age = app.clock.now() - begun;
         // Looked at before each try: after a long pause of the process the step may have been run, ended and removed.
