Report what was served before the first holder

The first holder of all wrote down a ledger that begins with the window of its own time. Entry instances serve as soon as they are ready, here a quarter of a second and more before, and what they had counted in the windows before was never collected.

A holder that finds no ledger now asks all instances for the oldest window in which they know of a request, or have one under way, as far back as windows are reported after an outage, and begins there. It asks once in the life of a deployment, one question at a time to each instance. Where nobody has anything it begins as before. What an instance has counted that neither answers then nor has told a keeper is still lost.

No test of its own for a request that is under way when the ledger begins.

--- a/crates/node/src/control/accounts.rs
+++ b/crates/node/src/control/accounts.rs
@@ -4,6 +4,7 @@
 //! figures, and the platform has two for one window. Each report is therefore written down under the revision
 //! of the one before, and sent only when that write is known to hold.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use crate::dialect::Account;
 use crate::dialect::Accounted;
 use crate::member;
+use crate::member::Member;
 use crate::meter;
 use crate::peer;
 use crate::reach::Reach;
@@ -149,7 +151,7 @@
         if let Some(held) = kept::read(self.app, KEY).await? {
             return Ok(held);
         }
-        let ledger = Ledger::begin(self.windows, now);
+        let ledger = Ledger::begin_at(self.first(now).await);
         let rev = kept::write(self.app, KEY, &ledger, 0).await?;
         Ok((ledger, rev))
     }
@@ -159,14 +161,49 @@
         plan.as_ref().is_some_and(|plan| plan.teams.is_some())
     }
 
-    /// Collects the figures of a window from all who may have some.
-    async fn collect(&self, ledger: &Ledger, window: u64, now: Millis) -> Option<Report> {
-        // What is known may be seconds old, and an entry that has just started may have told a control instance that
-        // has just started as well.
+    /// The first window of which anybody has a request: entry instances serve before there is a holder.
+    async fn first(&self, now: Millis) -> u64 {
+        let newest = self.windows.of(now);
+        let before = Ledger::may_begin_before(newest);
+        let members = self.meet().await;
+        let asks = members.iter().map(|one| self.oldest(one, before.clone()));
+        let told = join_all(asks).await;
+        let own = before.clone().find(|window| {
+            let shares = crate::tally::shares(self.app, *window);
+            shares.iter().any(|share| !share.counts.is_empty())
+        });
+        told.into_iter().flatten().chain(own).fold(newest, u64::min)
+    }
+
+    /// The oldest window in which an instance knows of a request that was served, or has one under way itself. One
+    /// that does not answer is asked no further, so that it holds up nobody.
+    async fn oldest(&self, one: &Member, windows: Range<u64>) -> Option<u64> {
+        let me = (one.owner.instance.clone(), one.owner.start);
+        for window in windows {
+            let shares = peer::shares(self.app, one.addr, window).await?;
+            let under_way = |share: &Share| share.source == me && !share.closed;
+            if shares
+                .iter()
+                .any(|share| !share.counts.is_empty() || under_way(share))
+            {
+                return Some(window);
+            }
+        }
+        None
+    }
+
+    /// Reads who has entered: what is known may be seconds old, and an entry that has just started may have told a
+    /// control instance that has just started as well. Gives those who were there a while ago, too.
+    async fn meet(&self) -> Vec<Member> {
         if let Ok(members) = member::list(self.app).await {
             self.app.met(members);
         }
-        let members = self.app.acquainted();
+        self.app.acquainted()
+    }
+
+    /// Collects the figures of a window from all who may have some.
+    async fn collect(&self, ledger: &Ledger, window: u64, now: Millis) -> Option<Report> {
+        let members = self.meet().await;
         let entered = self.app.members.lock().clone();
         let live = entered.iter().filter(|one| one.reads);
         let live: Set<_> = live
--- a/crates/usage/src/ledger.rs
+++ b/crates/usage/src/ledger.rs
@@ -4,6 +4,7 @@
 //! before it is sent, and whoever takes the duty over sends what is written, to the byte.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 
 use kernel::Map;
@@ -68,14 +69,24 @@
 }
 
 impl Ledger {
-    /// Begins with the window of a time: nothing was served before.
+    /// Begins with the window of a time, where nothing was served before.
     pub fn begin(windows: Windows, now: Millis) -> Self {
+        Self::begin_at(windows.of(now))
+    }
+
+    /// Begins with a window.
+    pub fn begin_at(window: u64) -> Self {
         Self {
-            next: windows.of(now),
+            next: window,
             reports: Vec::new(),
         }
     }
 
+    /// The windows before one that may still be reported, the oldest first.
+    pub fn may_begin_before(window: u64) -> Range<u64> {
+        window.saturating_sub(KEPT as u64)..window
+    }
+
     /// The reports, the oldest first.
     pub fn reports(&self) -> &[Report] {
         &self.reports
