Look whether a step is known before it is refused, and refuse one that was handed over in time

A step that came again while the store took no writes was not known, though the store showed it; and an instance that hands a step over waits for a second, while the other one tried for as long before it refused, so that the caller of a new step heard 504 in place of a refusal with a time to come back.

--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -40,6 +40,10 @@
 /// away too: a busy platform takes calls again within moments.
 const PATIENCE: Millis = 1_000;
 
+/// The same for a step that another instance has handed over, which waits for a second and cannot tell after it whether the
+/// step is accepted, in milliseconds.
+const HANDED: Millis = 500;
+
 /// Time kept back for the way of the answer to the caller, in milliseconds.
 const WAY: Millis = 20;
 
@@ -122,8 +126,8 @@
     }
     match hand::over(app, &submission).await {
         Over::Answered(accepted) => accepted.reply(),
-        Over::Here => take(app, submission, false).await.reply(),
-        Over::Unclear => take(app, submission, true).await.reply(),
+        Over::Here => take(app, submission, Origin::Caller).await.reply(),
+        Over::Unclear => take(app, submission, Origin::Unclear).await.reply(),
     }
 }
 
@@ -132,15 +136,25 @@
     if app.is_leaving() || app.works.len() >= MOST || !keys::is_name(&submission.id) {
         return None;
     }
-    Some(take(app, submission, false).await)
+    Some(take(app, submission, Origin::Peer).await)
+}
+
+/// How a step came to the instance that is to accept it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// From its caller.
+    Caller,
+    /// From its caller, and another instance that did not answer may have accepted it.
+    Unclear,
+    /// From another instance.
+    Peer,
 }
 
 /// Accepts a step here.
 ///
 /// The step is at the platform before the caller hears that it is accepted. A refusal that
-/// promises that nothing runs is given only while no write was sent that may yet take effect; `unclear` tells that
-/// another instance may have sent one.
-async fn take(app: &Arc<App>, submission: Submission, unclear: bool) -> Accepted {
+/// promises that nothing runs is given only while no write was sent that may yet take effect.
+async fn take(app: &Arc<App>, submission: Submission, origin: Origin) -> Accepted {
     let id = submission.id.clone();
     let submitted = match app.dialect.submitted(&submission.body) {
         Ok(submitted) => submitted,
@@ -156,9 +170,9 @@
     if !serves(app, &submission, &submitted.model) {
         // Not for good: the configuration here may be a second behind one that has the model.
         log::info!(target: "steps", id = &*id, model = &*submitted.model; "unknown model");
-        return match unclear {
-            true => Accepted::Unclear,
-            false => Accepted::Refused,
+        return match origin {
+            Origin::Unclear => Accepted::Unclear,
+            Origin::Caller | Origin::Peer => Accepted::Refused,
         };
     }
     let (sender, receiver) = oneshot::channel();
@@ -167,7 +181,7 @@
         samples: submitted.samples,
     };
     // Goes on when the caller leaves: whether the step was kept must become known.
-    let task = accept(app.clone(), id, submission.former, record, spec, unclear);
+    let task = accept(app.clone(), id, submission.former, record, spec, origin);
     tokio::spawn(async move {
         let _ = sender.send(task.await);
     });
@@ -219,23 +233,28 @@
     former: Option<Arc<str>>,
     head: Head,
     spec: Spec,
-    mut unclear: bool,
+    origin: Origin,
 ) -> Accepted {
-    let begun = app.clock.now();
+    let since = app.clock.now();
+    let mut unclear = origin == Origin::Unclear;
+    let patience = match origin {
+        Origin::Peer => HANDED,
+        Origin::Caller | Origin::Unclear => PATIENCE,
+    };
     if let Err(error) = member::shorten(&app).await {
         // It is tried again with the next look at the entry.
         let why = error.to_string();
         log::warn!(target: "steps", id = &*id, why = why.as_str(); "missed late if killed now");
     }
     loop {
-        let age = app.clock.now() - begun;
+        let age = app.clock.now() - since;
         // Looked at before each try: after a long pause of the process the step may have been run, ended and removed.
         if age > SETTLE {
             log::warn!(target: "steps", id = &*id, took_ms = age; "step unclear");
             return Accepted::Unclear;
         }
         let tried = claim::accept(&app, &id, former.as_deref(), &head, &spec).await;
-        let age = app.clock.now() - begun;
+        let age = app.clock.now() - since;
         match tried {
             Ok(Tried::Open(open)) => {
                 log::info!(target: "steps", id = &*id, samples = head.total, work = head.work, least = head.least,
@@ -246,7 +265,10 @@
             }
             Ok(Tried::Known(item)) => match known(&app, &id, &item).await {
                 Ok(()) => return Accepted::Kept,
-                Err(error) => tell(&id, &error),
+                Err(error) => {
+                    unclear = true;
+                    tell(&id, &error);
+                }
             },
             // Removed between the two calls: nothing of it can run.
             Ok(Tried::Gone) if !unclear => return Accepted::Refused,
@@ -255,7 +277,14 @@
                 unclear = true;
                 tell(&id, &error);
             }
-            Err(error) if !unclear && age > PATIENCE => {
+            // It may have been accepted when it came before: the platform may show that, and take no writes.
+            Err(_)
+                if !unclear && age > patience && is_there(&app, &id, former.as_deref()).await =>
+            {
+                log::info!(target: "steps", id = &*id, took_ms = age; "step known already");
+                return Accepted::Kept;
+            }
+            Err(error) if !unclear && age > patience => {
                 let why = error.to_string();
                 log::warn!(target: "steps", id = &*id, why = why.as_str(), took_ms = age;
                     "step refused");
@@ -268,6 +297,18 @@
     }
 }
 
+/// Tells whether the platform shows a step, under its name or a former one.
+async fn is_there(app: &App, id: &str, former: Option<&str>) -> bool {
+    for name in [id].into_iter().chain(former) {
+        match app.plat.get(&keys::head(name)).await {
+            Ok(Some(_)) => return true,
+            Ok(None) => (),
+            Err(error) => tell(id, &error),
+        }
+    }
+    false
+}
+
 fn tell(id: &str, error: &PlatError) {
     let why = error.to_string();
     log::info!(target: "steps", id, why = why.as_str(); "step not settled yet");
