Check a sample's permission right before it is written

Cause: a run compared its permit with the clock and then gave the request to the client's pool; the connection's own task wrote it later. A pause between the two left an expired request to be written first thing afterwards. Change: net::SendCondition, which the connection checks before each write call; a request that it keeps back is SendError::Forbidden, for which nothing was sent. It is checked again after the write; if it ended meanwhile, the connection is reset, which cancels the request at the server. The condition of a run is its permit, and that the step is neither ended nor lost as far as the owner knows. Net tests bring about the end of the condition before the write, between two parts of a long request and during the write. What remains: a pause between the check and the kernel's copy, in which nothing is awaited. Nothing in the request covers it at the engine, which is told no deadline of a sample; the reset does where the engine drops requests whose connection closes.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -18,7 +18,9 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpStream;
 
+use crate::SendCondition;
 use crate::body;
+use crate::condition::RequestBody;
 use crate::connect::Connector;
 
 /// Time for which an idle connection is kept. It is below the usual idle timeout of servers, so that a request is
@@ -51,6 +53,9 @@
     /// No connection was established, so nothing was sent.
     #[error("could not connect")]
     Unconnected,
+    /// The request's [`SendCondition`] did not hold when its first byte was to be written, so nothing was sent.
+    #[error("it may no longer be sent")]
+    Forbidden,
     /// The connection failed while the request was sent or afterwards, or the response body was truncated.
     #[error("the connection broke")]
     Broken,
@@ -68,7 +73,7 @@
 impl SendError {
     /// Returns whether it is certain that nothing was sent.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unconnected)
+        matches!(self, Self::Unconnected | Self::Forbidden)
     }
 }
 
@@ -97,7 +102,7 @@
 /// An HTTP client with a pool of connections.
 #[derive(Clone, Debug)]
 pub struct Client {
-    inner: legacy::Client<Connector, Full<Bytes>>,
+    inner: legacy::Client<Connector, RequestBody>,
 }
 
 impl Default for Client {
@@ -132,11 +137,57 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError`]; it is certain that nothing was sent only with [`SendError::Unconnected`].
+    /// Returns [`SendError`]; whether it is certain that nothing was sent says [`SendError::is_unsent`].
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
         limit: Duration,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.request(RequestBody::unconditional(request), limit)
+            .await
+    }
+
+    /// Like [`Client::send`], but writes to the connection only while `condition` holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`]; [`SendError::Forbidden`] if the condition did not hold.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() {
+    /// let client = net::Client::new();
+    /// let request = http::Request::get("http://127.0.0.1:9/").body(Default::default()).unwrap();
+    /// let expired = net::SendCondition::new(|| false);
+    /// let result = client.send_if(request, Duration::from_secs(1), expired).await;
+    /// assert!(matches!(result, Err(net::SendError::Forbidden)));
+    /// # }
+    /// ```
+    pub async fn send_if(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        condition: SendCondition,
+    ) -> Result<Response<Incoming>, SendError> {
+        if !condition.holds() {
+            return Err(SendError::Forbidden);
+        }
+        let (request, write) = RequestBody::conditional(request, condition);
+        let result = self.request(request, limit).await;
+        match result {
+            Err(_) if write.is_unsent() => Err(SendError::Forbidden),
+            result => result,
+        }
+    }
+
+    async fn request(
+        &self,
+        request: Request<RequestBody>,
+        limit: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         match tokio::time::timeout(limit, self.inner.request(request)).await {
             Ok(Ok(response)) => Ok(response),
@@ -157,14 +208,22 @@
         limit: Duration,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, SendError> {
-        let exchange = async {
-            let response = self.send(request, limit).await?;
-            let (head, body) = response.into_parts();
-            let bytes = body::read(body, max_bytes).await?;
-            Ok(Response::from_parts(head, bytes))
-        };
-        let result = tokio::time::timeout(limit, exchange).await;
-        result.unwrap_or(Err(SendError::Timeout))
+        read_within(self.send(request, limit), limit, max_bytes).await
+    }
+
+    /// Like [`Client::fetch`], but writes to the connection only while `condition` holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`]; [`SendError::Forbidden`] if the condition did not hold.
+    pub async fn fetch_if(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        max_bytes: usize,
+        condition: SendCondition,
+    ) -> Result<Response<Bytes>, SendError> {
+        read_within(self.send_if(request, limit, condition), limit, max_bytes).await
     }
 
     /// Sends a value as JSON and decodes the JSON response, within `limit`.
@@ -179,21 +238,65 @@
         value: &T,
         limit: Duration,
     ) -> Result<R, JsonError> {
-        let bytes = serde_json::to_vec(value).map_err(|_| JsonError::Encode)?;
-        let request = Request::builder()
-            .method(method)
-            .uri(uri)
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(bytes)))
-            .map_err(|_| JsonError::Encode)?;
-        let response = self.fetch(request, limit, MAX_JSON_BYTES).await?;
-        if !response.status().is_success() {
-            let body = String::from_utf8_lossy(response.body()).into_owned();
-            let status = response.status();
-            return Err(JsonError::Status { status, body });
-        }
-        serde_json::from_slice(response.body()).map_err(|_| SendError::Garbled.into())
+        let request = json_request(method, uri, value)?;
+        decode_json(&self.fetch(request, limit, MAX_JSON_BYTES).await?)
+    }
+
+    /// Like [`Client::json`], but writes to the connection only while `condition` holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`JsonError`], also for a response whose status is not a success.
+    pub async fn json_if<T: serde::Serialize, R: serde::de::DeserializeOwned>(
+        &self,
+        method: Method,
+        uri: &str,
+        value: &T,
+        limit: Duration,
+        condition: SendCondition,
+    ) -> Result<R, JsonError> {
+        let request = json_request(method, uri, value)?;
+        let response = self.fetch_if(request, limit, MAX_JSON_BYTES, condition);
+        decode_json(&response.await?)
+    }
+}
+
+/// Reads the whole response of an exchange, within `limit`.
+async fn read_within(
+    exchange: impl Future<Output = Result<Response<Incoming>, SendError>>,
+    limit: Duration,
+    max_bytes: usize,
+) -> Result<Response<Bytes>, SendError> {
+    let read = async {
+        let (head, body) = exchange.await?.into_parts();
+        let bytes = body::read(body, max_bytes).await?;
+        Ok(Response::from_parts(head, bytes))
+    };
+    let result = tokio::time::timeout(limit, read).await;
+    result.unwrap_or(Err(SendError::Timeout))
+}
+
+fn json_request<T: serde::Serialize>(
+    method: Method,
+    uri: &str,
+    value: &T,
+) -> Result<Request<Full<Bytes>>, JsonError> {
+    let bytes = serde_json::to_vec(value).map_err(|_| JsonError::Encode)?;
+    Request::builder()
+        .method(method)
+        .uri(uri)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(bytes)))
+        .map_err(|_| JsonError::Encode)
+}
+
+fn decode_json<R: serde::de::DeserializeOwned>(response: &Response<Bytes>) -> Result<R, JsonError> {
+    if !response.status().is_success() {
+        let body = String::from_utf8_lossy(response.body()).into_owned();
+        let status = response.status();
+        return Err(JsonError::Status { status, body });
     }
+    serde_json::from_slice(response.body()).map_err(|_| SendError::Garbled.into())
 }
 
 /// Limit on the size of a JSON response, in bytes.
--- /dev/null
+++ b/crates/net/src/condition.rs
@@ -0,0 +1,192 @@
+//! Conditions that are checked right before a request is written.
+//!
+//! A permission to send may expire between the sender's own check and the write: the process is paused, the connection
+//! is still being opened, or the task that writes waits for a processor. A request with a [`SendCondition`] is checked
+//! by its connection before each write instead, with nothing but the system call after the check.
+
+use std::fmt;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http::Extensions;
+use http::Request;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use http_body_util::Full;
+use hyper_util::client::legacy::connect::CaptureConnection;
+use hyper_util::client::legacy::connect::capture_connection;
+use parking_lot::Mutex;
+
+/// A condition that must hold whenever bytes of a request are written.
+///
+/// # Examples
+///
+/// ```
+/// let condition = net::SendCondition::new(|| false);
+/// assert!(!condition.holds());
+/// ```
+#[derive(Clone)]
+pub struct SendCondition(Arc<dyn Fn() -> bool + Send + Sync>);
+
+impl SendCondition {
+    /// Creates a condition from a function that returns whether the request may be sent now. It is called on the
+    /// task of the connection, so it must not block.
+    pub fn new(holds: impl Fn() -> bool + Send + Sync + 'static) -> Self {
+        Self(Arc::new(holds))
+    }
+
+    /// Returns whether the request may be sent now.
+    pub fn holds(&self) -> bool {
+        (self.0)()
+    }
+}
+
+impl fmt::Debug for SendCondition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SendCondition")
+    }
+}
+
+/// The writes of one request that has a condition.
+#[derive(Debug)]
+pub(crate) struct ConditionalWrite {
+    condition: SendCondition,
+    is_rejected: AtomicBool,
+    has_written: AtomicBool,
+}
+
+impl ConditionalWrite {
+    fn new(condition: SendCondition) -> Self {
+        Self {
+            condition,
+            is_rejected: AtomicBool::new(false),
+            has_written: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns whether the request was kept back and none of its bytes was written.
+    pub(crate) fn is_unsent(&self) -> bool {
+        self.is_rejected.load(Ordering::Acquire) && !self.has_written.load(Ordering::Acquire)
+    }
+
+    fn check(&self) -> io::Result<()> {
+        if self.condition.holds() {
+            return Ok(());
+        }
+        self.is_rejected.store(true, Ordering::Release);
+        Err(io::Error::other("the condition to send does not hold"))
+    }
+}
+
+/// The request that a connection is writing, if that request has a condition.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CurrentWrite(Arc<Mutex<Option<Arc<ConditionalWrite>>>>);
+
+impl CurrentWrite {
+    fn set(&self, write: &Arc<ConditionalWrite>) {
+        *self.0.lock() = Some(write.clone());
+    }
+
+    /// Ends the request's writes, so that its condition does not apply to the connection's next request.
+    pub(crate) fn clear(&self) {
+        *self.0.lock() = None;
+    }
+
+    /// Checks the condition right before a write.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the condition does not hold.
+    pub(crate) fn check(&self) -> io::Result<()> {
+        match &*self.0.lock() {
+            Some(write) => write.check(),
+            None => Ok(()),
+        }
+    }
+
+    /// Records that bytes were written.
+    pub(crate) fn record_written(&self) {
+        if let Some(write) = &*self.0.lock() {
+            write.has_written.store(true, Ordering::Release);
+        }
+    }
+}
+
+/// The body of a request, which passes the request's condition to the connection that writes it.
+#[derive(Debug)]
+pub(crate) struct RequestBody {
+    bytes: Full<Bytes>,
+    condition: Option<(Arc<ConditionalWrite>, CaptureConnection)>,
+}
+
+impl RequestBody {
+    /// Returns the request without a condition.
+    pub(crate) fn unconditional(request: Request<Full<Bytes>>) -> Request<Self> {
+        request.map(|bytes| Self {
+            bytes,
+            condition: None,
+        })
+    }
+
+    /// Returns the request with a condition, and its writes.
+    pub(crate) fn conditional(
+        request: Request<Full<Bytes>>,
+        condition: SendCondition,
+    ) -> (Request<Self>, Arc<ConditionalWrite>) {
+        let write = Arc::new(ConditionalWrite::new(condition));
+        let mut request = Self::unconditional(request);
+        let connection = capture_connection(&mut request);
+        request.body_mut().condition = Some((write.clone(), connection));
+        (request, write)
+    }
+
+    /// Passes the condition to the connection; returns whether it is known already. hyper asks for a body's end and
+    /// its frames on the connection's task, before it writes the first byte of the request.
+    fn pass_condition(&self) -> bool {
+        let Some((write, connection)) = &self.condition else {
+            return true;
+        };
+        let mut extras = Extensions::new();
+        if let Some(connected) = &*connection.connection_metadata() {
+            connected.get_extras(&mut extras);
+        }
+        let Some(current) = extras.get::<CurrentWrite>() else {
+            return false;
+        };
+        current.set(write);
+        true
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if !self.pass_condition() {
+            let error = io::Error::other("the connection of a conditional request is unknown");
+            return Poll::Ready(Some(Err(error)));
+        }
+        let frame = Pin::new(&mut self.bytes).poll_frame(cx);
+        frame.map_err(|never| match never {})
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.pass_condition();
+        self.bytes.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.bytes.size_hint()
+    }
+}
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -1,4 +1,5 @@
-//! Connector whose connections are reset, instead of closed, when a request on them is canceled.
+//! Connections of the client: they are reset, instead of closed, when a request on them is canceled, and they check
+//! the condition of a request before each write.
 //!
 //! A request that is canceled during a network partition is still in the kernel's send buffer. After an ordinary
 //! close the kernel goes on sending it, and it is delivered once the partition heals: a canceled order to load
@@ -7,27 +8,36 @@
 
 use std::future::Future;
 use std::io;
+use std::io::IoSlice;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use http::Uri;
+use hyper::rt::Read;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+use hyper_util::client::legacy::connect::Connected;
+use hyper_util::client::legacy::connect::Connection;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tower_service::Service;
 
-/// Connector that wraps [`HttpConnector`] and makes connections end with a reset.
+use crate::condition::CurrentWrite;
+
+/// Connector that wraps [`HttpConnector`].
 #[derive(Clone, Debug)]
 pub(crate) struct Connector(pub(crate) HttpConnector);
 
 type Error = Box<dyn std::error::Error + Send + Sync>;
-type ConnectFuture = Pin<Box<dyn Future<Output = Result<TokioIo<TcpStream>, Error>> + Send>>;
+type ConnectFuture = Pin<Box<dyn Future<Output = Result<CheckedStream, Error>> + Send>>;
 
 impl Service<Uri> for Connector {
-    type Response = TokioIo<TcpStream>;
+    type Response = CheckedStream;
     type Error = Error;
     type Future = ConnectFuture;
 
@@ -40,7 +50,10 @@
         Box::pin(async move {
             let stream = connecting.await?;
             reset_on_close(stream.inner())?;
-            Ok(stream)
+            Ok(CheckedStream {
+                stream,
+                current: CurrentWrite::default(),
+            })
         })
     }
 }
@@ -49,3 +62,75 @@
 fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
+
+/// A connection that checks the condition of the request that it writes.
+#[derive(Debug)]
+pub(crate) struct CheckedStream {
+    stream: TokioIo<TcpStream>,
+    current: CurrentWrite,
+}
+
+impl CheckedStream {
+    /// Records a write. If the condition has ended since the check, as happens when the process is paused between the
+    /// two, the error closes the connection, and the reset cancels the request at the server.
+    fn finish_write(&self, written: usize) -> Poll<io::Result<usize>> {
+        if written > 0 {
+            self.current.record_written();
+        }
+        self.current.check()?;
+        Poll::Ready(Ok(written))
+    }
+}
+
+impl Connection for CheckedStream {
+    fn connected(&self) -> Connected {
+        self.stream.connected().extra(self.current.clone())
+    }
+}
+
+impl Read for CheckedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        // The server has answered or closed the connection: the request is written.
+        self.current.clear();
+        Poll::Ready(result)
+    }
+}
+
+impl Write for CheckedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.current.check()?;
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.finish_write(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.current.check()?;
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
+        self.finish_write(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod body;
 pub mod client;
+mod condition;
 mod connect;
 pub mod events;
 pub mod handler;
@@ -11,6 +12,7 @@
 pub use body::Reply;
 pub use client::Client;
 pub use client::SendError;
+pub use condition::SendCondition;
 pub use handler::Call;
 pub use handler::HandlerFn;
 pub use server::Drain;
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -1,6 +1,10 @@
 //! Tests of the HTTP client.
 
 use std::io::ErrorKind;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,3 +44,130 @@
         "{kind}"
     );
 }
+
+/// Accepts one connection, calls `accepted`, and returns the bytes that arrive until the client closes it.
+async fn received_bytes(listener: TcpListener, accepted: impl FnOnce()) -> Vec<u8> {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    accepted();
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes).await;
+    bytes
+}
+
+// Guards against a request that is sent after the right to send it has expired: the right still stands when the
+// sender checks it, and ends before the connection's task writes.
+#[tokio::test]
+async fn a_request_whose_condition_ends_before_the_write_is_not_sent() {
+    for body in ["order", ""] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let uri = format!("http://{}/", listener.local_addr().unwrap());
+        let server = tokio::spawn(received_bytes(listener, || ()));
+        let checks = Arc::new(AtomicUsize::new(0));
+        let condition = {
+            let checks = checks.clone();
+            net::SendCondition::new(move || checks.fetch_add(1, Ordering::SeqCst) == 0)
+        };
+        let request = Request::post(uri).body(Full::new(Bytes::from(body)));
+
+        let client = net::Client::new();
+        let limit = Duration::from_secs(5);
+        let response = client.send_if(request.unwrap(), limit, condition).await;
+
+        assert!(
+            matches!(response, Err(net::SendError::Forbidden)),
+            "{response:?}"
+        );
+        assert_eq!(server.await.unwrap(), b"");
+        assert_eq!(checks.load(Ordering::SeqCst), 2);
+    }
+}
+
+// Guards against a request that runs to its end although the right to send it ended just before the write, after the
+// last check, as happens when the process is paused there.
+#[tokio::test]
+async fn a_request_whose_condition_ends_during_the_write_is_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let uri = format!("http://{}/", listener.local_addr().unwrap());
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.read_to_end(&mut Vec::new()).await
+    });
+    let checks = AtomicUsize::new(0);
+    // The first check is that of the sender, the second one that before the write.
+    let condition = net::SendCondition::new(move || checks.fetch_add(1, Ordering::SeqCst) < 2);
+    let request = Request::post(uri).body(Full::new(Bytes::from("order")));
+
+    let client = net::Client::new();
+    let limit = Duration::from_secs(5);
+    let response = client.send_if(request.unwrap(), limit, condition).await;
+
+    assert!(
+        matches!(response, Err(net::SendError::Broken)),
+        "{response:?}"
+    );
+    let read = tokio::time::timeout(Duration::from_secs(1), server).await;
+    let kind = read.unwrap().unwrap().unwrap_err().kind();
+    assert_eq!(kind, ErrorKind::ConnectionReset);
+}
+
+// Guards against the rest of a long request that is sent after the right to send it has expired: its first part fills
+// the connection, and the right ends while the rest waits.
+#[tokio::test]
+async fn the_rest_of_a_request_is_not_sent_once_its_condition_ends() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let uri = format!("http://{}/", listener.local_addr().unwrap());
+    let holds = Arc::new(AtomicBool::new(true));
+    let condition = {
+        let holds = holds.clone();
+        net::SendCondition::new(move || holds.load(Ordering::SeqCst))
+    };
+    let length = 64 << 20;
+    let request = Request::post(uri).body(Full::new(Bytes::from(vec![b'x'; length])));
+    let server = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        received_bytes(listener, || holds.store(false, Ordering::SeqCst)).await
+    });
+
+    let client = net::Client::new();
+    let limit = Duration::from_secs(5);
+    let response = client.send_if(request.unwrap(), limit, condition).await;
+
+    // A part of it has been sent, so it is not certain that it did not run.
+    assert!(
+        matches!(response, Err(net::SendError::Broken)),
+        "{response:?}"
+    );
+    assert!(server.await.unwrap().len() < length);
+}
+
+// Guards against a condition that stays with a pooled connection and stops the next request there.
+#[tokio::test]
+async fn a_condition_does_not_apply_to_the_next_request_on_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let uri = format!("http://{}/", listener.local_addr().unwrap());
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 1_024];
+        for _ in 0..2 {
+            assert!(stream.read(&mut bytes).await.unwrap() > 0);
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(answer).await.unwrap();
+        }
+    });
+    let holds = Arc::new(AtomicBool::new(true));
+    let condition = {
+        let holds = holds.clone();
+        net::SendCondition::new(move || holds.load(Ordering::SeqCst))
+    };
+    let request = || Request::get(&uri).body(Full::default()).unwrap();
+    let client = net::Client::new();
+    let limit = Duration::from_secs(5);
+
+    let first = client.fetch_if(request(), limit, 1, condition).await;
+    holds.store(false, Ordering::SeqCst);
+    let second = client.fetch(request(), limit, 1).await;
+
+    assert!(first.is_ok(), "{first:?}");
+    assert!(second.is_ok(), "{second:?}");
+    server.await.unwrap();
+}
--- a/crates/node/src/owner/owned_step.rs
+++ b/crates/node/src/owner/owned_step.rs
@@ -21,6 +21,7 @@
 use kernel::Map;
 use kernel::Millis;
 use kernel::Set;
+use net::SendCondition;
 use parking_lot::Mutex;
 use table::Route;
 use team::Principal;
@@ -158,6 +159,14 @@
         self.confirmation.lock().permit(app.clock.now())
     }
 
+    /// Returns the condition under which a request with this permit may be sent.
+    pub(crate) fn send_condition(self: &Arc<Self>, app: &App, permit: Permit) -> SendCondition {
+        let (owned, clock) = (self.clone(), app.clock);
+        SendCondition::new(move || {
+            clock.now() < permit.deadline() && !owned.has_ended() && !owned.is_lost()
+        })
+    }
+
     /// Applies the result of a check of the head; returns whether the step is open and still owned by this instance.
     pub(super) fn apply_state(&self, app: &App, state: OwnershipState) -> bool {
         match state {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -205,14 +205,12 @@
                 return RunOutcome::Rejected;
             }
         };
-        // The process may have been paused since the permit was given. After this check, the time limit of the request
-        // bounds when it is sent.
-        let left = self.permit.deadline().saturating_sub(self.app.clock.now());
-        if left == 0 {
-            return RunOutcome::PermitExpired;
-        }
-        match self.app.http.send(request, ANSWER_TIMEOUT).await {
+        // The process may be paused, or the step may end, until the request is written.
+        let condition = self.owned.send_condition(&self.app, self.permit);
+        let answer = self.app.http.send_if(request, ANSWER_TIMEOUT, condition);
+        match answer.await {
             Ok(answer) => self.handle_answer(sample, draft, answer, slot).await,
+            Err(net::SendError::Forbidden) => RunOutcome::PermitExpired,
             Err(net::SendError::Unconnected) => RunOutcome::Broken("no connection"),
             Err(net::SendError::Timeout) => RunOutcome::Broken("no answer"),
             Err(_) => RunOutcome::Broken(CONNECTION_BROKE),
