Send no call after its deadline and no score after its permit

Cause: the same fault as in samples, found by looking for it: a request for a score compared its permit, and a call its deadline, before the request went to the client; both could be written after a pause. Change: forwarded requests have a SendCondition of their deadline and, for scores, of the step's permit. One that is kept back does not count as a failure of the upstream, and is reported as not executed.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -275,10 +275,11 @@
     let started = request.app.clock.now();
     let number = request.record_send();
     let limit = Duration::from_millis(limit_ms);
+    let condition = request.send_condition();
     let answer = request
         .app
         .http
-        .fetch(http_request, limit, MAX_ANSWER_BYTES)
+        .fetch_if(http_request, limit, MAX_ANSWER_BYTES, condition)
         .await;
     let took = request.app.clock.now() - started;
     let is_broken = matches!(answer, Err(SendError::Broken));
@@ -308,11 +309,10 @@
     let answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
-            request
-                .app
-                .service_tracker
-                .lock()
-                .engine_failed(&upstream.id, now);
+            if !matches!(error, SendError::Forbidden) {
+                let mut tracker = request.app.service_tracker.lock();
+                tracker.engine_failed(&upstream.id, now);
+            }
             let why = error.to_string();
             log::info!(target: "forward", id = &*request.id, upstream = &*upstream.id,
                 took_ms = took, why = why.as_str(); "attempt failed");
--- a/crates/node/src/forwarded_request.rs
+++ b/crates/node/src/forwarded_request.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::OnceLock;
 
-use batch::Permit;
 use bytes::Bytes;
 use crash::SuspectGuard;
 use http::HeaderValue;
@@ -13,6 +12,7 @@
 use http::request::Parts;
 use http_body_util::Full;
 use kernel::Millis;
+use net::SendCondition;
 use parking_lot::Mutex;
 use place::EngineMemory;
 use place::PlacementRequest;
@@ -49,8 +49,8 @@
     attempts: Mutex<Option<RequestAttempts>>,
     /// Whether it asks for the score of a sample.
     is_score: bool,
-    /// Permission to send it, for a request that belongs to a step.
-    permit: Option<Permit>,
+    /// The condition under which it may be sent, for a request that belongs to a step.
+    condition: Option<SendCondition>,
     identity: OnceLock<Identity>,
 }
 
@@ -74,7 +74,7 @@
             principal,
             attempts: Mutex::new(Some(RequestAttempts::default())),
             is_score: false,
-            permit: None,
+            condition: None,
             identity: OnceLock::new(),
         }
     }
@@ -97,21 +97,29 @@
             principal,
             attempts: Mutex::new(Some(RequestAttempts::default())),
             is_score: true,
-            permit: None,
+            condition: None,
             identity: OnceLock::new(),
         }
     }
 
-    /// Restricts sending to the time before the permit's deadline.
-    pub(crate) fn with_permit(mut self, permit: Permit) -> Self {
-        self.permit = Some(permit);
+    /// Restricts sending to the time while a condition holds.
+    pub(crate) fn with_condition(mut self, condition: SendCondition) -> Self {
+        self.condition = Some(condition);
         self
     }
 
     /// Returns whether it may be sent now.
     fn is_permitted(&self) -> bool {
-        let now = self.app.clock.now();
-        self.permit.is_none_or(|permit| now < permit.deadline())
+        self.condition.as_ref().is_none_or(SendCondition::holds)
+    }
+
+    /// Returns the condition for sending it: its time limit has not passed, and it may be sent otherwise.
+    pub(crate) fn send_condition(&self) -> SendCondition {
+        let (clock, deadline) = (self.app.clock, self.deadline);
+        let condition = self.condition.clone();
+        SendCondition::new(move || {
+            clock.now() < deadline && condition.as_ref().is_none_or(SendCondition::holds)
+        })
     }
 
     /// The identity by which its crashes of upstreams are tracked.
--- a/crates/node/src/score.rs
+++ b/crates/node/src/score.rs
@@ -35,7 +35,7 @@
 /// allow more.
 pub(crate) async fn score(
     app: &Arc<App>,
-    owned: &OwnedStep,
+    owned: &Arc<OwnedStep>,
     scoring: &Scoring,
     principal: &Principal,
     max_failures: u32,
@@ -73,7 +73,7 @@
                 principal.clone(),
             );
             // The second upstream is tried only while the step is known to be open, too.
-            let request = request.with_permit(permit);
+            let request = request.with_condition(owned.send_condition(app, permit));
             result = attempt(request, &route).await;
         }
         attempts += 1;
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -139,14 +139,15 @@
     ) -> AttemptOutcome {
         let upstream = &slot.upstream;
         let left = Duration::from_millis(self.request.time_left());
-        let answer = match self.request.app.http.send(request, left).await {
+        let app = &self.request.app;
+        let condition = self.request.send_condition();
+        let answer = match app.http.send_if(request, left, condition).await {
             Ok(answer) => answer,
             Err(error) => {
-                self.request
-                    .app
-                    .service_tracker
-                    .lock()
-                    .engine_failed(&upstream.id, self.request.app.clock.now());
+                if !matches!(error, SendError::Forbidden) {
+                    let mut tracker = app.service_tracker.lock();
+                    tracker.engine_failed(&upstream.id, app.clock.now());
+                }
                 let why = error.to_string();
                 log::info!(target: "stream", id = &*self.request.id, upstream = &*upstream.id,
                     why = why.as_str(); "attempt failed");
