Send no order or report after the leadership may have ended

Change: Leadership::order_condition, which is checked when the order is written. What is kept back is logged, and counts neither as unanswered nor as a failure of the address. Conclusion: orders rely on the token at the engine no more than before.

--- a/crates/fleet/src/election.rs
+++ b/crates/fleet/src/election.rs
@@ -217,7 +217,12 @@
 impl Leader {
     /// Returns whether an order may be given now. Call it before each order, and not once for several.
     pub fn may_order(&self, now: Millis) -> bool {
-        self.orders_from <= now && now < self.renewed + LEADER_TTL
+        self.orders_from <= now && now < self.order_deadline()
+    }
+
+    /// The time before which an order that may be given now must be sent.
+    pub fn order_deadline(&self) -> Millis {
+        self.renewed + LEADER_TTL
     }
 
     /// The fencing token of its orders; a later leader always has a higher one.
--- a/crates/node/src/control/leadership.rs
+++ b/crates/node/src/control/leadership.rs
@@ -10,6 +10,7 @@
 use fleet::election::ProcessId;
 use fleet::election::Record;
 use kernel::Millis;
+use net::SendCondition;
 use parking_lot::Mutex;
 use plat::Guard;
 use plat::PlatError;
@@ -42,6 +43,17 @@
         self.leader.lock().may_order(now)
     }
 
+    /// Returns the condition under which an order may be sent, or [`None`] if none may be given now. Call it before each
+    /// order, and not once for several.
+    pub fn order_condition(&self, app: &App) -> Option<SendCondition> {
+        let clock = app.clock;
+        let leader = self.leader.lock();
+        let deadline = leader.order_deadline();
+        leader
+            .may_order(clock.now())
+            .then(|| SendCondition::new(move || clock.now() < deadline))
+    }
+
     /// The fencing token of orders.
     pub fn fencing_token(&self) -> i64 {
         self.leader.lock().fencing_token().0
--- a/crates/node/src/control/load_orders.rs
+++ b/crates/node/src/control/load_orders.rs
@@ -7,6 +7,8 @@
 use kernel::Map;
 use kernel::Millis;
 use kernel::Set;
+use net::SendCondition;
+use net::SendError;
 use table::Upstream;
 use tokio::task::JoinSet;
 use weight::Target;
@@ -194,11 +196,7 @@
         load: &LoadOrder,
         state: &ReportedState,
     ) -> Option<(Arc<str>, OrderedLoad)> {
-        let now = self.app.clock.now();
-        // Checked right before each order, since the process may have been paused since the last renewal.
-        if !self.leadership.may_order(now) {
-            return None;
-        }
+        let condition = self.leadership.order_condition(self.app)?;
         let order = EngineOrder {
             name: engine.incarnation.name.clone(),
             addr: engine.addr,
@@ -209,13 +207,18 @@
             fencing_token: self.leadership.fencing_token(),
             prior_orders: state.accepted_orders,
         };
-        let result = self.send(&order).await;
+        let result = self.send(&order, condition).await;
         let (label, pause) = match result {
-            Some(EngineOrderOutcome::Accepted) => ("taken", LOAD_TIME),
-            Some(EngineOrderOutcome::Conflict) => ("conflict", ENGINE_BACKOFF),
-            Some(EngineOrderOutcome::Fenced) => ("fenced", ENGINE_BACKOFF),
-            Some(EngineOrderOutcome::Refused) => ("refused", ENGINE_BACKOFF),
-            None => ("unanswered", ENGINE_BACKOFF),
+            Ok(EngineOrderOutcome::Accepted) => ("taken", LOAD_TIME),
+            Ok(EngineOrderOutcome::Conflict) => ("conflict", ENGINE_BACKOFF),
+            Ok(EngineOrderOutcome::Fenced) => ("fenced", ENGINE_BACKOFF),
+            Ok(EngineOrderOutcome::Refused) => ("refused", ENGINE_BACKOFF),
+            Err(SendError::Forbidden) => {
+                log::warn!(target: "control", upstream = &*engine.id, version = load.version,
+                    fence = order.fencing_token; "load order not sent: the leadership may have ended");
+                return None;
+            }
+            Err(_) => ("unanswered", ENGINE_BACKOFF),
         };
         let ordered = OrderedLoad {
             model: load.model.clone(),
@@ -242,21 +245,24 @@
         }
     }
 
-    async fn send(&self, order: &EngineOrder) -> Option<EngineOrderOutcome> {
+    async fn send(
+        &self,
+        order: &EngineOrder,
+        condition: SendCondition,
+    ) -> Result<EngineOrderOutcome, SendError> {
         let request = match self.app.dialect.engine_order_request(order) {
             Ok(request) => request,
             Err(error) => {
                 let error = error.to_string();
                 log::error!(target: "control", error = error.as_str(); "could not build the load order");
-                return None;
+                return Err(SendError::Garbled);
             }
         };
         let answer = self
             .app
             .http
-            .fetch(request, ORDER_TIMEOUT, MAX_ANSWER_BYTES)
-            .await
-            .ok()?;
-        Some(self.app.dialect.engine_order_outcome(answer.status()))
+            .fetch_if(request, ORDER_TIMEOUT, MAX_ANSWER_BYTES, condition)
+            .await?;
+        Ok(self.app.dialect.engine_order_outcome(answer.status()))
     }
 }
--- a/crates/node/src/control/upstream_orders.rs
+++ b/crates/node/src/control/upstream_orders.rs
@@ -14,6 +14,8 @@
 use capacity::ScalingBounds;
 use capacity::plan_orders;
 use kernel::Millis;
+use net::SendCondition;
+use net::SendError;
 use plat::PlatError;
 use table::Config;
 use table::Service;
@@ -190,28 +192,36 @@
                 domain.regular
             }
         });
-        // Checked right before each order, since the process may have been paused since the last renewal.
-        if !self.retries.is_due(order, count, now) || !self.leadership.may_order(now) {
+        if !self.retries.is_due(order, count, now) {
             return;
         }
-        let result = self.send(order).await;
+        let Some(condition) = self.leadership.order_condition(self.app) else {
+            return;
+        };
+        let result = self.send(order, condition).await;
         let now: Millis = self.app.clock.now();
         let outcome = match result {
-            Some(CapacityOrderOutcome::Accepted) => "taken",
-            Some(CapacityOrderOutcome::Unavailable) => "none to be had",
-            Some(CapacityOrderOutcome::Busy) => "busy",
-            Some(CapacityOrderOutcome::Fenced) => "fenced",
-            Some(CapacityOrderOutcome::Refused) => "refused",
-            None => "unanswered",
+            Ok(CapacityOrderOutcome::Accepted) => "taken",
+            Ok(CapacityOrderOutcome::Unavailable) => "none to be had",
+            Ok(CapacityOrderOutcome::Busy) => "busy",
+            Ok(CapacityOrderOutcome::Fenced) => "fenced",
+            Ok(CapacityOrderOutcome::Refused) => "refused",
+            Err(SendError::Forbidden) => {
+                log::warn!(target: "capacity", service = &*subject.service, domain = &*subject.domain,
+                    wanted = order.count, fence = self.leadership.fencing_token();
+                    "upstreams not ordered: the leadership may have ended");
+                return;
+            }
+            Err(_) => "unanswered",
         };
         match result {
-            Some(CapacityOrderOutcome::Accepted) => {
+            Ok(CapacityOrderOutcome::Accepted) => {
                 self.retries.accepted(subject, bounds.startup_ms, now)
             }
-            Some(CapacityOrderOutcome::Unavailable | CapacityOrderOutcome::Refused) => {
+            Ok(CapacityOrderOutcome::Unavailable | CapacityOrderOutcome::Refused) => {
                 self.retries.unavailable(subject, now)
             }
-            Some(CapacityOrderOutcome::Busy | CapacityOrderOutcome::Fenced) | None => {
+            Ok(CapacityOrderOutcome::Busy | CapacityOrderOutcome::Fenced) | Err(_) => {
                 self.retries.unanswered(subject, now)
             }
         }
@@ -221,7 +231,11 @@
             "upstreams ordered");
     }
 
-    async fn send(&self, order: &Order) -> Option<CapacityOrderOutcome> {
+    async fn send(
+        &self,
+        order: &Order,
+        condition: SendCondition,
+    ) -> Result<CapacityOrderOutcome, SendError> {
         let capacity_order = CapacityOrder {
             addr: self.settings.address,
             order,
@@ -233,15 +247,14 @@
             Err(error) => {
                 let error = error.to_string();
                 log::error!(target: "capacity", error = error.as_str(); "could not build the order of upstreams");
-                return Some(CapacityOrderOutcome::Refused);
+                return Ok(CapacityOrderOutcome::Refused);
             }
         };
         let answer = self
             .app
             .http
-            .fetch(request, ORDER_TIMEOUT, MAX_ANSWER_BYTES)
-            .await
-            .ok()?;
-        Some(self.app.dialect.capacity_order_outcome(answer.status()))
+            .fetch_if(request, ORDER_TIMEOUT, MAX_ANSWER_BYTES, condition)
+            .await?;
+        Ok(self.app.dialect.capacity_order_outcome(answer.status()))
     }
 }
--- a/crates/node/src/control/usage_reports.rs
+++ b/crates/node/src/control/usage_reports.rs
@@ -11,6 +11,7 @@
 use futures_util::future::join_all;
 use kernel::Millis;
 use kernel::Set;
+use net::SendError;
 use plat::PlatError;
 use tokio::time::sleep;
 use usage::Ledger;
@@ -261,10 +262,7 @@
 
     async fn send(&mut self, report: &Report) -> Option<UsageReportOutcome> {
         let now = self.app.clock.now();
-        // Checked right before each report, since the process may have been paused since the last renewal.
-        if !self.leadership.may_order(now) {
-            return None;
-        }
+        let condition = self.leadership.order_condition(self.app)?;
         let usage_report = UsageReport {
             addr: self.settings.address,
             report,
@@ -282,7 +280,7 @@
         let answer = self
             .app
             .http
-            .fetch(request, REPORT_TIMEOUT, MAX_ANSWER_BYTES)
+            .fetch_if(request, REPORT_TIMEOUT, MAX_ANSWER_BYTES, condition)
             .await;
         let result = match &answer {
             Ok(answer) => {
@@ -290,6 +288,11 @@
                 self.status.mark_restored();
                 Some(self.app.dialect.usage_report_outcome(answer.status()))
             }
+            Err(SendError::Forbidden) => {
+                log::warn!(target: "accounts", window = report.window, fence = usage_report.fencing_token;
+                    "window not reported: the leadership may have ended");
+                return None;
+            }
             Err(_) => {
                 self.failing_since.get_or_insert(now);
                 self.status.mark_lost(&PlatError::Unreachable);
