Check leases, deadlines and starts of samples at the write in the product's own interface

Cause: the same fault in serve and control: samples and their scores (start_until), completions and calls (deadline), load orders (lease) were checked before the request went to the client. Change: each has a SendCondition. An order that runs once is not sent after its deadline any more; its key is given back, since nothing was sent. The typestate's evidence is NothingSent, by a failed connect or a request that was kept back. A score that is kept back does not count as a try. Checks: the tests of route, fleet, control and serve: 0 failed. Conclusion: one mechanism for all rights that run out with time.

--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -9,6 +9,8 @@
 use fleet::lease::HolderAction;
 use http::Method;
 use http::StatusCode;
+use net::SendCondition;
+use net::SendError;
 use net::client::JsonError;
 use route::UpstreamSpec;
 use weight::WeightState;
@@ -49,20 +51,20 @@
     clock: Clock,
     order: impl FnOnce(FencingToken) -> LoadOrder,
 ) -> Outcome {
-    // The lease is checked right before each order, as the process may have been paused since the
-    // last one.
     let fence = match lease.check(clock.now()) {
         HolderAction::Work(fence) | HolderAction::Renew(fence) => fence,
         HolderAction::Expired => return Outcome::Lapsed,
     };
+    let deadline = lease.order_deadline();
+    let condition = SendCondition::new(move || clock.now() < deadline);
     let uri = net::client::uri(engine.addr, ORDER);
-    match http
-        .json(Method::POST, &uri, &order(fence), REQUEST_TIMEOUT)
-        .await
-    {
+    let order = order(fence);
+    let reply = http.json_if(Method::POST, &uri, &order, REQUEST_TIMEOUT, condition);
+    match reply.await {
         Ok(OrderReply::Accepted) => Outcome::Taken,
         Ok(OrderReply::Fenced) => Outcome::Fenced,
         Err(JsonError::Status { status, .. }) if status == StatusCode::CONFLICT => Outcome::Fenced,
+        Err(JsonError::Send(SendError::Forbidden)) => Outcome::Lapsed,
         Err(_) => Outcome::Unclear,
     }
 }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -87,14 +87,18 @@
 }
 
 impl Lease<Held> {
+    /// The time before which an order that may be given now must be sent.
+    pub fn order_deadline(&self) -> Millis {
+        self.since + (self.ttl as f64 * (1.0 - UNUSED_TTL_FRACTION)) as Millis
+    }
+
     /// Returns what the holder may do now. Call it before each order, and not once for several.
     pub fn check(&self, now: Millis) -> HolderAction {
-        let age = now.saturating_sub(self.since) as f64;
-        let ttl = self.ttl as f64;
-        if age >= ttl * (1.0 - UNUSED_TTL_FRACTION) {
+        if now >= self.order_deadline() {
             return HolderAction::Expired;
         }
-        if age >= ttl * RENEW_AT_TTL_FRACTION {
+        let age = now.saturating_sub(self.since) as f64;
+        if age >= self.ttl as f64 * RENEW_AT_TTL_FRACTION {
             return HolderAction::Renew(self.fencing_token);
         }
         HolderAction::Work(self.fencing_token)
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -2,7 +2,7 @@
 //!
 //! An error that reports a request as not executed must be correct, because the caller may then
 //! repeat it. Only an [`Attempt`] in the state [`Unsent`] can end in such an error. Sending consumes
-//! it, and the sent attempt becomes unsent again only when no connection was made.
+//! it, and the sent attempt becomes unsent again only when the transport wrote nothing.
 //!
 //! ```compile_fail
 //! use route::Attempt;
@@ -105,8 +105,8 @@
         Ran::Unknown
     }
 
-    /// Returns to the unsent state: no connection was made, so no byte was sent.
-    pub fn unconnected(self, _: NoConnection) -> Attempt<Unsent> {
+    /// Returns to the unsent state, since no byte was sent.
+    pub fn unsent(self, _: NothingSent) -> Attempt<Unsent> {
         Attempt::make()
     }
 
@@ -114,15 +114,20 @@
     pub fn answer(self) {}
 }
 
-/// Evidence that no connection was made for an attempt.
+/// Evidence that no byte of an attempt was sent.
 ///
-/// Only the transport creates one, where the HTTP library reports that the connect failed.
+/// Only the transport creates one.
 #[derive(Debug)]
-pub struct NoConnection(());
+pub struct NothingSent(());
 
-impl NoConnection {
+impl NothingSent {
     /// Creates the evidence; call it only where the connect itself failed.
     pub fn connect_failed() -> Self {
         Self(())
     }
+
+    /// Creates the evidence; call it only where the transport kept the request back.
+    pub fn kept_back() -> Self {
+        Self(())
+    }
 }
--- a/crates/serve/src/completions.rs
+++ b/crates/serve/src/completions.rs
@@ -172,7 +172,7 @@
         };
         let upstream = permit.spec.name.clone();
         trace.upstream = Some(upstream.clone());
-        let spec = attempt_spec(job, &outgoing, trace);
+        let spec = attempt_spec(app, job, &outgoing, trace);
         trace.attempts += 1;
         let resumed_tokens = assembly.partial().tokens;
         let result = generate::run(app, permit, &spec, &mut assembly, sink).await;
@@ -224,7 +224,12 @@
     }
 }
 
-fn attempt_spec(job: &Job, outgoing: &OutgoingRequest, trace: &Trace) -> generate::AttemptSpec {
+fn attempt_spec(
+    app: &App,
+    job: &Job,
+    outgoing: &OutgoingRequest,
+    trace: &Trace,
+) -> generate::AttemptSpec {
     let attempt = trace.id.attempt(trace.attempts);
     generate::AttemptSpec {
         attempt,
@@ -243,6 +248,7 @@
         },
         min_version: 0,
         deadline: job.deadline,
+        condition: forward::before(app, job.deadline),
     }
 }
 
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -19,6 +19,7 @@
 use limit::order::QueueEntry;
 use net::Call;
 use net::Reply;
+use net::SendCondition;
 use net::SendError;
 use net::body;
 use poison::Fingerprint;
@@ -27,7 +28,7 @@
 use route::LeavingSource;
 use route::Ran;
 use route::UpstreamKind;
-use route::attempt::NoConnection;
+use route::attempt::NothingSent;
 use route::attempt::Unsent;
 use route::pool::Requirements;
 use route::retry::Failure;
@@ -324,10 +325,12 @@
         Err(_) => return Err((attempt.refuse(), "the path is no URI".into())),
     }
     let left = (outbound.deadline + outbound.grace).saturating_sub(app.clock.now());
+    let condition = before(app, outbound.deadline);
     let timeout = Duration::from_millis(left);
     let attempt = attempt.send();
     let max_bytes = app.settings.bounds.max_answer;
-    match app.http.fetch(request, timeout, max_bytes).await {
+    let answer = app.http.fetch_if(request, timeout, max_bytes, condition);
+    match answer.await {
         Ok(response) => {
             record_headers(dispatcher, &permit.spec.name, &response);
             if is_failure(response.status()) && outbound.idempotent {
@@ -341,9 +344,14 @@
         }
         Err(SendError::Unconnected) => {
             permit.finish(false);
-            let attempt = attempt.unconnected(NoConnection::connect_failed());
+            let attempt = attempt.unsent(NothingSent::connect_failed());
             Err((attempt.refuse(), SendError::Unconnected.to_string()))
         }
+        Err(SendError::Forbidden) => {
+            drop(permit);
+            let attempt = attempt.unsent(NothingSent::kept_back());
+            Err((attempt.refuse(), SendError::Forbidden.to_string()))
+        }
         Err(SendError::Timeout) => {
             permit.time_out(left);
             Err((attempt.fail(), SendError::Timeout.to_string()))
@@ -358,6 +366,12 @@
     }
 }
 
+/// Returns the condition for sending a request before its deadline, on the monotonic clock.
+pub fn before(app: &App, deadline: Millis) -> SendCondition {
+    let clock = app.clock;
+    SendCondition::new(move || clock.now() < deadline)
+}
+
 /// Returns whether a status means that the upstream itself failed.
 fn is_failure(status: StatusCode) -> bool {
     matches!(
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -10,11 +10,13 @@
 use http_body_util::Full;
 use kernel::AttemptId;
 use kernel::Millis;
+use net::SendCondition;
+use net::SendError;
 use net::events;
 use net::events::Event;
 use route::Attempt;
 use route::Ran;
-use route::attempt::NoConnection;
+use route::attempt::NothingSent;
 use step::Assembly;
 use step::Chunk;
 use step::assembly::Contradiction;
@@ -50,6 +52,9 @@
     /// The connection to the engine failed.
     #[error("could not connect")]
     Unconnected,
+    /// The request was kept back, since its condition did not hold.
+    #[error("it may no longer be sent")]
+    Forbidden,
     /// The engine responded with a status other than 200.
     #[error("the engine answered with status {0}")]
     Status(u16),
@@ -93,6 +98,8 @@
     pub min_version: u64,
     /// Deadline on the monotonic clock, in milliseconds.
     pub deadline: Millis,
+    /// The condition under which the request may be sent.
+    pub condition: SendCondition,
 }
 
 /// Runs one attempt and places its chunks in `assembly`.
@@ -137,12 +144,18 @@
         return AttemptResult::Failed(attempt.refuse(), AttemptError::Malformed);
     };
     let attempt = attempt.send();
-    let response = match app.http.send(request, STREAM_IDLE_TIMEOUT).await {
+    let condition = spec.condition.clone();
+    let response = app.http.send_if(request, STREAM_IDLE_TIMEOUT, condition);
+    let response = match response.await {
         Ok(response) => response,
-        Err(error) if error.is_unsent() => {
-            let attempt = attempt.unconnected(NoConnection::connect_failed());
+        Err(SendError::Unconnected) => {
+            let attempt = attempt.unsent(NothingSent::connect_failed());
             return AttemptResult::Failed(attempt.refuse(), AttemptError::Unconnected);
         }
+        Err(SendError::Forbidden) => {
+            let attempt = attempt.unsent(NothingSent::kept_back());
+            return AttemptResult::Failed(attempt.refuse(), AttemptError::Forbidden);
+        }
         Err(_) => return AttemptResult::Failed(attempt.fail(), AttemptError::Broken),
     };
     if response.status() != StatusCode::OK {
@@ -239,7 +252,8 @@
     match result {
         AttemptResult::Complete => permit.finish(true),
         // Old weights are not a failure: the engine has not been ordered to load newer ones yet.
-        AttemptResult::Cancelled | AttemptResult::Failed(_, AttemptError::Stale) => drop(permit),
+        AttemptResult::Cancelled
+        | AttemptResult::Failed(_, AttemptError::Stale | AttemptError::Forbidden) => drop(permit),
         AttemptResult::Failed(_, error) => {
             permit.finish(false);
             if let (Some(dispatcher), AttemptError::Contradiction(contradiction)) =
--- a/crates/serve/src/steps/active.rs
+++ b/crates/serve/src/steps/active.rs
@@ -16,6 +16,7 @@
 use kernel::Name;
 use kernel::RequestId;
 use kernel::Set;
+use net::SendCondition;
 use parking_lot::Mutex;
 use step::Cursor;
 use step::Run;
@@ -88,7 +89,7 @@
     /// Monotonic time of the last pull, in milliseconds.
     last_pull: AtomicU64,
     /// Monotonic time until which samples may be started, in milliseconds.
-    start_until: AtomicU64,
+    start_until: Arc<AtomicU64>,
     cancelled: watch::Sender<bool>,
     history: Mutex<Vec<HistoryEntry>>,
 }
@@ -113,7 +114,7 @@
             sample_ready: Notify::new(),
             task_ready: Notify::new(),
             last_pull: AtomicU64::new(clock.now()),
-            start_until: AtomicU64::new(0),
+            start_until: Arc::default(),
             cancelled: watch::Sender::new(false),
             history: Mutex::default(),
         })
@@ -244,6 +245,15 @@
         }
     }
 
+    /// Returns the condition for sending a sample, or a request for its score, to an upstream.
+    pub(super) fn send_condition(&self) -> SendCondition {
+        let (clock, start_until) = (self.clock, self.start_until.clone());
+        let cancelled = self.cancelled.subscribe();
+        SendCondition::new(move || {
+            clock.now() < start_until.load(Ordering::Relaxed) && !*cancelled.borrow()
+        })
+    }
+
     async fn run_worker(&self, app: &Arc<App>) {
         while !app.drain.is_begun() {
             self.wait_to_start().await;
--- a/crates/serve/src/steps/sample.rs
+++ b/crates/serve/src/steps/sample.rs
@@ -187,6 +187,7 @@
         },
         min_version: assignment.min_version,
         deadline: app.clock.now() + ATTEMPT_TIMEOUT,
+        condition: step.send_condition(),
     };
     step.run.lock().mark_sent(index, ordinal, step.clock.now());
     let resumed_tokens = assignment.partial.tokens;
@@ -212,6 +213,11 @@
         (AttemptResult::Failed(_, AttemptError::Stale), Err(_)) => {
             step.run.lock().fail(index, ordinal, Partial::default());
         }
+        (AttemptResult::Failed(_, AttemptError::Forbidden), Err(incomplete)) => {
+            step.run
+                .lock()
+                .fail(index, ordinal, incomplete.partial().clone());
+        }
         (_, Err(incomplete)) => {
             step.avoid.lock().insert(index, engine);
             step.run
--- a/crates/serve/src/steps/score.rs
+++ b/crates/serve/src/steps/score.rs
@@ -70,6 +70,8 @@
                 sample.score = Some(score);
                 return;
             }
+            // The scorer did not fail; the next attempt waits until it may start.
+            Err(ScoreError::Scorer(JsonError::Send(SendError::Forbidden))) => continue,
             Err(error) => {
                 attempts += 1;
                 if attempts == 1 {
@@ -133,9 +135,15 @@
     let timeout = Duration::from_millis(SCORE_TIMEOUT);
     let spec = permit.spec.clone();
     let suspect_guard = outgoing.track_suspect(app, &spec);
-    let result: Result<ScoreResponse, _> =
-        app.http.json(Method::POST, &uri, &request, timeout).await;
-    permit.finish(result.is_ok());
+    let condition = step.send_condition();
+    let scored = app
+        .http
+        .json_if(Method::POST, &uri, &request, timeout, condition);
+    let result: Result<ScoreResponse, _> = scored.await;
+    match &result {
+        Err(JsonError::Send(SendError::Forbidden)) => drop(permit),
+        result => permit.finish(result.is_ok()),
+    }
     match &result {
         Ok(_) => outgoing.record_success(app),
         Err(JsonError::Send(SendError::Broken)) => outgoing.check_crash(app, &spec).await,
