Use a connection only once its server has named itself as the upstream

Cause: another process had taken a port; an instance hands on whatever an address answers. Change: a new connection is asked for the upstream's name, and counts as no connection if it gives another one or none. The setting identifies = false of an upstream turns it off. Conclusion: shown and mended for the product's own interface; the users' platform has names and signatures in its protocol.

--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -38,7 +38,7 @@
 
 /// Fetches the weight versions that an engine reports.
 pub(crate) async fn fetch_stated(http: &net::Client, engine: &UpstreamSpec) -> Option<WeightState> {
-    let uri = net::client::uri(engine.addr, LOAD);
+    let uri = engine.uri(LOAD);
     let load: Result<LoadReport, _> = http.json(Method::GET, &uri, &(), REQUEST_TIMEOUT).await;
     load.ok().map(|load| load.stated)
 }
@@ -57,7 +57,7 @@
     };
     let deadline = lease.order_deadline();
     let condition = SendCondition::new(move || clock.now() < deadline);
-    let uri = net::client::uri(engine.addr, ORDER);
+    let uri = engine.uri(ORDER);
     let order = order(fence);
     let reply = http.json_if(Method::POST, &uri, &order, REQUEST_TIMEOUT, condition);
     match reply.await {
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -28,6 +28,7 @@
 use tower_service::Service;
 
 use crate::condition::CurrentWrite;
+use crate::identity;
 
 /// Connector that wraps [`HttpConnector`].
 #[derive(Clone, Debug)]
@@ -46,14 +47,18 @@
     }
 
     fn call(&mut self, uri: Uri) -> ConnectFuture {
-        let connecting = self.0.call(uri);
+        let connecting = self.0.call(uri.clone());
         Box::pin(async move {
             let stream = connecting.await?;
             reset_on_close(stream.inner())?;
-            Ok(CheckedStream {
+            let stream = CheckedStream {
                 stream,
                 current: CurrentWrite::default(),
-            })
+            };
+            match identity::expected_name(&uri) {
+                Some(name) => Ok(identity::check(stream, &uri, name).await?),
+                None => Ok(stream),
+            }
         })
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 mod connect;
 pub mod events;
 pub mod handler;
+pub mod identity;
 pub mod server;
 
 pub use body::Reply;
--- a/crates/rig/src/standins.rs
+++ b/crates/rig/src/standins.rs
@@ -1,6 +1,7 @@
 //! The stand-ins of a rig, and the settings that list them.
 
 use std::fmt::Write;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -53,7 +54,7 @@
     pub async fn start(config: &RigConfig) -> eyre::Result<Self> {
         let platform = Arc::new(Platform::default());
         let host = platform.serve(loopback_addr()).await?;
-        let platform = standin("platform", platform, host);
+        let platform = standin("platform", platform, host)?;
         let mut standins = Self {
             shared: String::new(),
             platform,
@@ -64,7 +65,7 @@
         if let Some((size, rate)) = config.store {
             let store = Arc::new(WeightStore::new(size, rate));
             let host = store.serve(loopback_addr()).await?;
-            standins.store = Some(standin("store", store, host));
+            standins.store = Some(standin("store", store, host)?);
         }
         standins.write_shared(config)?;
         for domain in &config.domains {
@@ -97,14 +98,14 @@
         for index in 0..config.engines {
             let engine = Arc::new(Engine::new(config.engine));
             let host = engine.serve(loopback_addr()).await?;
-            let standin = standin(&format!("engine-{domain}-{index}"), engine, host);
+            let standin = standin(&format!("engine-{domain}-{index}"), engine, host)?;
             self.write_upstream(&standin, "fitting", domain, config.engine.slots as usize)?;
             self.engines.push(standin);
         }
         for index in 0..config.services {
             let service = Arc::new(Service::new(config.service_time, config.service_slots));
             let host = service.serve(loopback_addr()).await?;
-            let standin = standin(&format!("portal-{domain}-{index}"), service, host);
+            let standin = standin(&format!("portal-{domain}-{index}"), service, host)?;
             self.write_upstream(&standin, "portal", domain, config.service_slots)?;
             self.services.push(standin);
         }
@@ -148,7 +149,8 @@
     }
 }
 
-fn standin<T>(name: &str, state: Arc<T>, host: Server) -> Standin<T> {
+fn standin<T>(name: &str, state: Arc<T>, host: Server) -> io::Result<Standin<T>> {
+    host.set_name(name)?;
     let name = name.to_owned();
-    Standin { name, state, host }
+    Ok(Standin { name, state, host })
 }
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -52,6 +52,40 @@
     pub slots: u32,
     /// Whether it rejects orders with an outdated fencing token.
     pub fencing: bool,
+    /// Whether a server at the address has to name itself before it gets a request.
+    pub identifies: bool,
+}
+
+impl UpstreamSpec {
+    /// Returns the URI of a path at this upstream; the client checks the name before the address where there is one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use route::{UpstreamKind, UpstreamSpec};
+    ///
+    /// let name = |text: &str| text.parse().unwrap();
+    /// let spec = UpstreamSpec {
+    ///     name: name("portal-1"),
+    ///     addr: ([127, 0, 0, 1], 80).into(),
+    ///     kind: UpstreamKind::Service,
+    ///     pool: name("portal"),
+    ///     domain: name("nord"),
+    ///     slots: 4,
+    ///     fencing: false,
+    ///     identifies: true,
+    /// };
+    /// assert_eq!(spec.uri("/size"), "http://portal-1@127.0.0.1:80/size");
+    /// let anonymous = UpstreamSpec { identifies: false, ..spec };
+    /// assert_eq!(anonymous.uri("/size"), "http://127.0.0.1:80/size");
+    /// ```
+    pub fn uri(&self, path: &str) -> String {
+        let Self { name, addr, .. } = self;
+        match self.identifies {
+            true => format!("http://{name}@{addr}{path}"),
+            false => format!("http://{addr}{path}"),
+        }
+    }
 }
 
 /// A load report of an upstream.
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -316,7 +316,7 @@
         ..
     } = job;
     let spec = permit.spec.clone();
-    let uri = net::client::uri(spec.addr, &outbound.path);
+    let uri = spec.uri(&outbound.path);
     let mut request = Request::new(Full::new(outbound.body.clone()));
     *request.method_mut() = outbound.method.clone();
     *request.headers_mut() = outbound.headers.clone();
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -201,7 +201,7 @@
     request.resume = assembly.partial().text.clone();
     request.offset = assembly.partial().tokens;
     let bytes = serde_json::to_vec(&request).ok()?;
-    Request::post(net::client::uri(permit.spec.addr, GENERATE))
+    Request::post(permit.spec.uri(GENERATE))
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(bytes)))
         .ok()
--- a/crates/serve/src/load_reports.rs
+++ b/crates/serve/src/load_reports.rs
@@ -84,7 +84,7 @@
 
 /// Requests an engine's load report, applies it, and gossips it if the version or the leaving state changed.
 async fn poll_engine(app: &Arc<App>, dispatcher: &Arc<Dispatcher>, spec: &UpstreamSpec) {
-    let uri = net::client::uri(spec.addr, LOAD);
+    let uri = spec.uri(LOAD);
     let response: Result<LoadReport, _> =
         app.http.json(Method::GET, &uri, &(), REPORT_TIMEOUT).await;
     let Ok(load) = response else {
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -276,6 +276,7 @@
         let domain = s.require("domain", EXPECTED_NAME);
         let slots = s.get_or("slots", "a number of requests", 16);
         let fencing = s.get_or("fencing", "true or false", false);
+        let identifies = s.get_or("identifies", "true or false", true);
         let pool = s.require::<Name>("pool", "the name of a [pool NAME] section")?;
         let Some(owner) = pools.iter().find(|known| known.name == pool) else {
             s.report_invalid("pool", "the name of a [pool NAME] section");
@@ -292,6 +293,7 @@
             domain: domain?,
             slots,
             fencing,
+            identifies,
         })
     })
 }
--- a/crates/serve/src/steps/score.rs
+++ b/crates/serve/src/steps/score.rs
@@ -9,7 +9,6 @@
 use limit::order::QueueEntry;
 use net::SendError;
 use net::client::JsonError;
-use net::client::uri;
 use poison::Fingerprint;
 use route::UpstreamKind;
 use route::pool::Requirements;
@@ -131,7 +130,7 @@
         prompt: prompt.into(),
         text: text.to_owned(),
     };
-    let uri = uri(permit.spec.addr, SCORE);
+    let uri = permit.spec.uri(SCORE);
     let timeout = Duration::from_millis(SCORE_TIMEOUT);
     let spec = permit.spec.clone();
     let suspect_guard = outgoing.track_suspect(app, &spec);
--- a/crates/serve/tests/once.rs
+++ b/crates/serve/tests/once.rs
@@ -291,6 +291,39 @@
     assert!(rig.standins.executed_orders().is_empty());
 }
 
+// Guards against an order that is sent to another process, which took over the address of a service that has ended, and
+// whose answer counts as that of the service.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_is_not_sent_to_a_stranger_at_the_address_of_a_service() {
+    let rig = rig().await;
+    let mut strangers = Vec::new();
+    for service in &rig.standins.services {
+        service.host.stop();
+        strangers.push(start_stranger(service.host.addr).await);
+    }
+
+    let order = Call::order(rig.addrs()[0], "aarhus", "k");
+    let answer = order.send().await.unwrap();
+
+    let problem = answer.problem().unwrap_or_else(|| panic!("{answer:?}"));
+    assert_eq!(problem.ran, Ran::No, "{problem:?}");
+    for stranger in strangers {
+        assert!(stranger.executed_keys().is_empty());
+    }
+}
+
+/// Starts another service at an address as soon as that is free.
+async fn start_stranger(addr: std::net::SocketAddr) -> std::sync::Arc<standin::Service> {
+    let service = standin::Service::new(std::time::Duration::ZERO, 4);
+    let service = std::sync::Arc::new(service);
+    loop {
+        match service.serve(addr).await {
+            Ok(_) => return service,
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(5)).await,
+        }
+    }
+}
+
 // Guards against an order that runs again at another instance, after the first instance wrote the
 // intent, sent the order and was killed. This happens if only the killed instance knows of the run.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -4,11 +4,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use gotham::router::Router;
 use gotham::router::builder::DefineSingleRoute;
 use gotham::router::builder::DrawRoutes;
 use gotham::router::builder::build_simple_router;
+use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
 use net::Call;
@@ -17,6 +19,7 @@
 use net::Limits;
 use net::Reply;
 use net::body;
+use net::identity;
 use tokio::net::TcpListener;
 
 use crate::Fault;
@@ -36,10 +39,22 @@
     pub addr: SocketAddr,
     /// Its faults.
     pub faults: Faults,
+    name: Arc<OnceLock<HeaderValue>>,
     drain: Drain,
 }
 
 impl Server {
+    /// Sets the name under which the stand-in identifies itself to instances.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the name cannot be the value of a header, or if the stand-in has a name already.
+    pub fn set_name(&self, name: &str) -> io::Result<()> {
+        let name = HeaderValue::from_str(name).map_err(io::Error::other)?;
+        let named = self.name.set(name);
+        named.map_err(|_| io::ErrorKind::AlreadyExists.into())
+    }
+
     /// Stops accepting connections; running requests are completed.
     pub fn stop(&self) {
         self.drain.begin();
@@ -69,7 +84,13 @@
     let addr = listener.local_addr()?;
     let faults = handler.faults().clone();
     let drain = Drain::default();
-    let server = net::server::serve(listener, router(&handler), Limits::default(), drain.clone());
+    let name = Arc::new(OnceLock::new());
+    let named = NamedHandler {
+        handler,
+        name: name.clone(),
+    };
+    let router = router(&Arc::new(named));
+    let server = net::server::serve(listener, router, Limits::default(), drain.clone());
     let server_faults = faults.clone();
     tokio::spawn(async move {
         tokio::select! {
@@ -81,11 +102,18 @@
     Ok(Server {
         addr,
         faults,
+        name,
         drain,
     })
 }
 
-fn router<H: Handler>(handler: &Arc<H>) -> Router {
+/// A stand-in's handler, with the name that its server has once it is set.
+struct NamedHandler<H> {
+    handler: Arc<H>,
+    name: Arc<OnceLock<HeaderValue>>,
+}
+
+fn router<H: Handler>(handler: &Arc<NamedHandler<H>>) -> Router {
     let methods = vec![
         Method::GET,
         Method::HEAD,
@@ -101,7 +129,20 @@
     })
 }
 
-async fn handle_call<H: Handler>(handler: Arc<H>, mut call: Call) -> Reply {
+/// Replies with the name of the stand-in. Faults do not apply: the reply is a part of the connect.
+fn identify(name: &OnceLock<HeaderValue>) -> Reply {
+    let mut reply = body::reply(StatusCode::OK, "text/plain", "");
+    if let Some(name) = name.get() {
+        reply.headers_mut().insert(identity::HEADER, name.clone());
+    }
+    reply
+}
+
+async fn handle_call<H: Handler>(named: Arc<NamedHandler<H>>, mut call: Call) -> Reply {
+    if call.uri.path() == identity::PATH {
+        return identify(&named.name);
+    }
+    let handler = named.handler.clone();
     let body = std::mem::replace(&mut call.body, body::full(""));
     let Ok(bytes) = body::read(body, MAX_BODY_BYTES).await else {
         return body::reply(StatusCode::BAD_REQUEST, "text/plain", "bad body");
