Ask upstreams for an identity, not only for the name

Change: the setting is identity, by default the upstream's name, any to ask nothing; stand-ins of tests get a random one.

--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -55,8 +55,8 @@
                 stream,
                 current: CurrentWrite::default(),
             };
-            match identity::expected_name(&uri) {
-                Some(name) => Ok(identity::check(stream, &uri, name).await?),
+            match identity::expected(&uri) {
+                Some(expected) => Ok(identity::check(stream, &uri, expected).await?),
                 None => Ok(stream),
             }
         })
--- a/crates/net/src/identity.rs
+++ b/crates/net/src/identity.rs
@@ -2,7 +2,7 @@
 //!
 //! The address of an upstream that has ended may be taken over by another process. Whatever answers there would get
 //! the requests of callers, and its answers would count as those of the upstream. A connection is used only once the
-//! server has named itself as the expected upstream. A URI names it before the address: `http://NAME@ADDRESS/`.
+//! server has given the expected identity. A URI has that before the address: `http://IDENTITY@ADDRESS/`.
 
 use std::io;
 use std::time::Duration;
@@ -19,10 +19,10 @@
 
 use crate::connect::CheckedStream;
 
-/// Path at which an upstream names itself in the header [`HEADER`].
+/// Path at which an upstream gives its identity in the header [`HEADER`].
 pub const PATH: &str = "/v1/identity";
 
-/// Response header with the name of an upstream.
+/// Response header with the identity of an upstream.
 pub const HEADER: &str = "x-upstream";
 
 /// Timeout of the check, as long as that of the connect.
@@ -31,44 +31,41 @@
 /// Limit on the size of the response body, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 10;
 
-/// Returns the name of the upstream that a URI is meant for, if it has one.
-pub(crate) fn expected_name(uri: &Uri) -> Option<&str> {
-    let (name, _) = uri.authority()?.as_str().rsplit_once('@')?;
-    Some(name)
+/// Returns the identity that the server of a URI has to give, if the URI has one.
+pub(crate) fn expected(uri: &Uri) -> Option<&str> {
+    let (identity, _) = uri.authority()?.as_str().rsplit_once('@')?;
+    Some(identity)
 }
 
-/// Returns the connection if its server names itself `name`.
+/// Returns the connection if its server gives this identity.
 ///
 /// # Errors
 ///
-/// Returns an error if the server names itself otherwise or does not answer in time.
+/// Returns an error if the server gives another one or none, or does not answer in time.
 pub(crate) async fn check(
     stream: CheckedStream,
     uri: &Uri,
-    name: &str,
+    identity: &str,
 ) -> io::Result<CheckedStream> {
-    let exchange = timeout(CHECK_TIMEOUT, fetch_name(stream, uri));
+    let exchange = timeout(CHECK_TIMEOUT, fetch(stream, uri));
     let result = exchange
         .await
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
     let why = match result {
-        Ok((stream, found)) if found.as_deref() == Some(name) => return Ok(stream),
+        Ok((stream, found)) if found.as_deref() == Some(identity) => return Ok(stream),
         Ok((_, Some(found))) => format!("it is {found}"),
-        Ok((_, None)) => "it names no upstream".to_owned(),
+        Ok((_, None)) => "it has no identity".to_owned(),
         Err(error) => error.to_string(),
     };
     let addr = uri.host().unwrap_or_default();
     let port = uri.port_u16().unwrap_or_default();
-    log::warn!(target: "net", upstream = name, addr, port, why = why.as_str();
+    log::warn!(target: "net", upstream = identity, addr, port, why = why.as_str();
         "server not identified as the upstream");
     Err(io::Error::other(why))
 }
 
-/// Asks the server for its name; returns the connection as well.
-async fn fetch_name(
-    stream: CheckedStream,
-    uri: &Uri,
-) -> io::Result<(CheckedStream, Option<String>)> {
+/// Asks the server for its identity; returns the connection as well.
+async fn fetch(stream: CheckedStream, uri: &Uri) -> io::Result<(CheckedStream, Option<String>)> {
     let host = uri.host().unwrap_or_default();
     let request = Request::get(PATH)
         .header(HOST, host)
@@ -80,16 +77,16 @@
             .send_request(request)
             .await
             .map_err(io::Error::other)?;
-        let name = response
+        let identity = response
             .headers()
             .get(HEADER)
-            .and_then(|name| name.to_str().ok());
-        let name = name.map(str::to_owned);
+            .and_then(|identity| identity.to_str().ok());
+        let identity = identity.map(str::to_owned);
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
         body.collect().await.map_err(io::Error::other)?;
-        Ok::<_, io::Error>(name)
+        Ok::<_, io::Error>(identity)
     };
     // The connection returns its stream once the exchange has ended and dropped the sender.
-    let (name, parts) = tokio::join!(exchange, connection.without_shutdown());
-    Ok((parts.map_err(io::Error::other)?.io, name?))
+    let (identity, parts) = tokio::join!(exchange, connection.without_shutdown());
+    Ok((parts.map_err(io::Error::other)?.io, identity?))
 }
--- a/crates/rig/src/standins.rs
+++ b/crates/rig/src/standins.rs
@@ -20,6 +20,8 @@
 pub struct Standin<T> {
     /// Name of the stand-in, also in the settings if it is an upstream.
     pub name: String,
+    /// The identity that it gives to instances, unlike that of any other stand-in.
+    pub identity: String,
     /// The state of the stand-in, which its server shares.
     pub state: Arc<T>,
     /// The server, with its address and the faults to inject.
@@ -120,9 +122,10 @@
         slots: usize,
     ) -> std::fmt::Result {
         let (name, addr) = (&standin.name, standin.host.addr);
+        let identity = &standin.identity;
         writeln!(
             self.shared,
-            "[upstream {name}]\naddress = {addr}\npool = {pool}\ndomain = {domain}\n\
+            "[upstream {name}]\nidentity = {identity}\naddress = {addr}\npool = {pool}\ndomain = {domain}\n\
              slots = {slots}\nfencing = true"
         )
     }
@@ -150,7 +153,13 @@
 }
 
 fn standin<T>(name: &str, state: Arc<T>, host: Server) -> io::Result<Standin<T>> {
-    host.set_name(name)?;
     let name = name.to_owned();
-    Ok(Standin { name, state, host })
+    let identity = format!("{name}-{:08x}", rand::random::<u32>());
+    host.set_identity(&identity)?;
+    Ok(Standin {
+        name,
+        identity,
+        state,
+        host,
+    })
 }
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -52,12 +52,12 @@
     pub slots: u32,
     /// Whether it rejects orders with an outdated fencing token.
     pub fencing: bool,
-    /// Whether a server at the address has to name itself before it gets a request.
-    pub identifies: bool,
+    /// The identity that a server at the address has to give before it gets a request; [`None`] if it is not asked.
+    pub identity: Option<Name>,
 }
 
 impl UpstreamSpec {
-    /// Returns the URI of a path at this upstream; the client checks the name before the address where there is one.
+    /// Returns the URI of a path at this upstream; the client checks the identity before the address if there is one.
     ///
     /// # Examples
     ///
@@ -73,17 +73,17 @@
     ///     domain: name("nord"),
     ///     slots: 4,
     ///     fencing: false,
-    ///     identifies: true,
+    ///     identity: Some(name("portal-1-7f3a")),
     /// };
-    /// assert_eq!(spec.uri("/size"), "http://portal-1@127.0.0.1:80/size");
-    /// let anonymous = UpstreamSpec { identifies: false, ..spec };
+    /// assert_eq!(spec.uri("/size"), "http://portal-1-7f3a@127.0.0.1:80/size");
+    /// let anonymous = UpstreamSpec { identity: None, ..spec };
     /// assert_eq!(anonymous.uri("/size"), "http://127.0.0.1:80/size");
     /// ```
     pub fn uri(&self, path: &str) -> String {
-        let Self { name, addr, .. } = self;
-        match self.identifies {
-            true => format!("http://{name}@{addr}{path}"),
-            false => format!("http://{addr}{path}"),
+        let addr = self.addr;
+        match &self.identity {
+            Some(identity) => format!("http://{identity}@{addr}{path}"),
+            None => format!("http://{addr}{path}"),
         }
     }
 }
--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -33,7 +33,7 @@
         domain: name("nord"),
         slots: 2,
         fencing: true,
-        identifies: true,
+        identity: None,
     }
 }
 
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -179,6 +179,9 @@
     all
 }
 
+/// Identity of an upstream whose server is not asked for one.
+const ANY_IDENTITY: &str = "any";
+
 const EXPECTED_NAME: &str = "a name of a-z, 0-9, '.', '_' and '-'";
 const EXPECTED_ADDRESS: &str = "an IP address and a port";
 const EXPECTED_DURATION: &str = "a span of time such as 250ms or 5s";
@@ -269,6 +272,12 @@
     })
 }
 
+/// Reads which identity the server of an upstream has to give: by default the upstream's name.
+fn read_identity(s: &mut Section, name: Option<&Name>) -> Option<Name> {
+    let identity = s.get("identity", EXPECTED_NAME).or_else(|| name.cloned());
+    identity.filter(|identity| **identity != *ANY_IDENTITY)
+}
+
 fn read_upstreams(doc: &mut Document, pools: &[Pool]) -> Vec<UpstreamSpec> {
     read_sections(doc, "upstream", |s| {
         let name = section_name(s);
@@ -276,7 +285,7 @@
         let domain = s.require("domain", EXPECTED_NAME);
         let slots = s.get_or("slots", "a number of requests", 16);
         let fencing = s.get_or("fencing", "true or false", false);
-        let identifies = s.get_or("identifies", "true or false", true);
+        let identity = read_identity(s, name.as_ref());
         let pool = s.require::<Name>("pool", "the name of a [pool NAME] section")?;
         let Some(owner) = pools.iter().find(|known| known.name == pool) else {
             s.report_invalid("pool", "the name of a [pool NAME] section");
@@ -293,7 +302,7 @@
             domain: domain?,
             slots,
             fencing,
-            identifies,
+            identity,
         })
     })
 }
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -29,7 +29,7 @@
     for stand_in in stand_ins {
         let server = start(&stand_in).await;
         let server = server.wrap_err_with(|| format!("could not serve {}", stand_in.name))?;
-        server.set_name(&stand_in.name)?;
+        server.set_identity(&stand_in.name)?;
         log::info!(name = stand_in.name.as_str(), addr:% = server.addr; "serving");
     }
     tokio::signal::ctrl_c().await?;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -39,20 +39,20 @@
     pub addr: SocketAddr,
     /// Its faults.
     pub faults: Faults,
-    name: Arc<OnceLock<HeaderValue>>,
+    identity: Arc<OnceLock<HeaderValue>>,
     drain: Drain,
 }
 
 impl Server {
-    /// Sets the name under which the stand-in identifies itself to instances.
+    /// Sets the identity that the stand-in gives to instances.
     ///
     /// # Errors
     ///
-    /// Returns an error if the name cannot be the value of a header, or if the stand-in has a name already.
-    pub fn set_name(&self, name: &str) -> io::Result<()> {
-        let name = HeaderValue::from_str(name).map_err(io::Error::other)?;
-        let named = self.name.set(name);
-        named.map_err(|_| io::ErrorKind::AlreadyExists.into())
+    /// Returns an error if it cannot be the value of a header, or if the stand-in has one already.
+    pub fn set_identity(&self, identity: &str) -> io::Result<()> {
+        let identity = HeaderValue::from_str(identity).map_err(io::Error::other)?;
+        let result = self.identity.set(identity);
+        result.map_err(|_| io::ErrorKind::AlreadyExists.into())
     }
 
     /// Stops accepting connections; running requests are completed.
@@ -84,12 +84,12 @@
     let addr = listener.local_addr()?;
     let faults = handler.faults().clone();
     let drain = Drain::default();
-    let name = Arc::new(OnceLock::new());
-    let named = NamedHandler {
+    let identity = Arc::new(OnceLock::new());
+    let identified = IdentifiedHandler {
         handler,
-        name: name.clone(),
+        identity: identity.clone(),
     };
-    let router = router(&Arc::new(named));
+    let router = router(&Arc::new(identified));
     let server = net::server::serve(listener, router, Limits::default(), drain.clone());
     let server_faults = faults.clone();
     tokio::spawn(async move {
@@ -102,18 +102,18 @@
     Ok(Server {
         addr,
         faults,
-        name,
+        identity,
         drain,
     })
 }
 
-/// A stand-in's handler, with the name that its server has once it is set.
-struct NamedHandler<H> {
+/// A stand-in's handler, and its identity once that is set.
+struct IdentifiedHandler<H> {
     handler: Arc<H>,
-    name: Arc<OnceLock<HeaderValue>>,
+    identity: Arc<OnceLock<HeaderValue>>,
 }
 
-fn router<H: Handler>(handler: &Arc<NamedHandler<H>>) -> Router {
+fn router<H: Handler>(handler: &Arc<IdentifiedHandler<H>>) -> Router {
     let methods = vec![
         Method::GET,
         Method::HEAD,
@@ -129,20 +129,21 @@
     })
 }
 
-/// Replies with the name of the stand-in. Faults do not apply: the reply is a part of the connect.
-fn identify(name: &OnceLock<HeaderValue>) -> Reply {
+/// Replies with the identity of the stand-in. Faults do not apply: the reply is a part of the connect.
+fn identify(identity: &OnceLock<HeaderValue>) -> Reply {
     let mut reply = body::reply(StatusCode::OK, "text/plain", "");
-    if let Some(name) = name.get() {
-        reply.headers_mut().insert(identity::HEADER, name.clone());
+    if let Some(identity) = identity.get() {
+        let headers = reply.headers_mut();
+        headers.insert(identity::HEADER, identity.clone());
     }
     reply
 }
 
-async fn handle_call<H: Handler>(named: Arc<NamedHandler<H>>, mut call: Call) -> Reply {
+async fn handle_call<H: Handler>(identified: Arc<IdentifiedHandler<H>>, mut call: Call) -> Reply {
     if call.uri.path() == identity::PATH {
-        return identify(&named.name);
+        return identify(&identified.identity);
     }
-    let handler = named.handler.clone();
+    let handler = identified.handler.clone();
     let body = std::mem::replace(&mut call.body, body::full(""));
     let Ok(bytes) = body::read(body, MAX_BODY_BYTES).await else {
         return body::reply(StatusCode::BAD_REQUEST, "text/plain", "bad body");
