Leave the last places in queues to teams within their share

Cause: an instance places a call or rejects it, so each call has the same chance whichever team it is of. The flooded instance is the busiest; when it is short of processor time it notices late that slots have become free, the other instances take them, and all calls there have a smaller chance, the small teams' as well. Change: place::TeamShares. While a team within its share was rejected in the last second, teams beyond theirs may fill half of an upstream's queue only. A team that is alone, or whose calls all find a place, is not restricted.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -19,6 +19,7 @@
 use parking_lot::Mutex;
 use place::EngineMemory;
 use place::EngineTracker;
+use place::TeamShares;
 use plat::Client;
 use poison::Identity;
 use spread::Member;
@@ -76,6 +77,8 @@
     pub upstreams: Mutex<UpstreamList>,
     /// Load and failures of the upstreams of plain services, as observed by this instance.
     pub service_tracker: Mutex<EngineTracker>,
+    /// Shares of teams in the requests to each service.
+    pub team_shares: Mutex<Map<Arc<str>, TeamShares>>,
     /// Load, versions and failures of the engines, as observed by this instance.
     pub engine_tracker: Mutex<EngineTracker>,
     /// Tracks which requests crash upstreams.
@@ -147,6 +150,7 @@
             config: ArcSwapOption::empty(),
             upstreams: Mutex::default(),
             service_tracker: Mutex::default(),
+            team_shares: Mutex::default(),
             engine_tracker: Mutex::default(),
             crashes: Arc::default(),
             capacity_changed: Notify::new(),
--- a/crates/node/src/forwarded_request.rs
+++ b/crates/node/src/forwarded_request.rs
@@ -31,6 +31,9 @@
 /// latency each way within a region, and the rest for processing in this instance.
 pub(crate) const RESPONSE_ALLOWANCE: Millis = 10;
 
+/// Divisor of the number of requests that may wait in an upstream, for teams that are beyond their share.
+const RESTRICTED_QUEUE_DIVISOR: u32 = 2;
+
 /// The header that names the last event that was received before a stream broke.
 const LAST_EVENT_HEADER: &str = "last-event-id";
 
@@ -234,6 +237,32 @@
         Some(request)
     }
 
+    /// Returns how many requests may wait in an upstream with these slots, for this one to wait there as well.
+    fn queue_limit(&self, service: &str, slots: u32, now: Millis) -> u32 {
+        let shares = self.app.team_shares.lock();
+        let team = self.principal.team();
+        let is_restricted = team
+            .zip(shares.get(service))
+            .is_some_and(|(team, shares)| shares.is_restricted(team, now));
+        match is_restricted {
+            true => slots / RESTRICTED_QUEUE_DIVISOR,
+            false => slots,
+        }
+    }
+
+    /// Records for the shares of its team whether it found a place.
+    fn record_share(&self, service: &str, is_placed: bool, now: Millis) {
+        let Some(team) = self.principal.team() else {
+            return;
+        };
+        let mut shares = self.app.team_shares.lock();
+        let shares = shares.entry(service.into()).or_default();
+        match is_placed {
+            true => shares.record_sent(team, now),
+            false => shares.record_rejected(team, now),
+        }
+    }
+
     /// Reserves a slot at an upstream of a service, excluding the `used` ones; `queue` is whether the request may wait
     /// in the upstream's queue.
     ///
@@ -249,6 +278,7 @@
             return None;
         }
         let app = &self.app;
+        let now = app.clock.now();
         let upstreams = app.upstreams.lock();
         let slots = upstreams
             .of_service(service)
@@ -261,7 +291,11 @@
             service,
             model: None,
             min_version: 0,
-            queue_limit: if queue { slots } else { 0 },
+            queue_limit: if queue {
+                self.queue_limit(service, slots, now)
+            } else {
+                0
+            },
             domain: &app.settings.domain,
             cached_on: None,
             avoid: used,
@@ -272,11 +306,14 @@
             avoid: &avoid,
             ..fallback
         };
-        let now = app.clock.now();
         let mut tracker = app.service_tracker.lock();
         let upstream = tracker
             .choose(&upstreams, &preferred, now)
-            .or_else(|| tracker.choose(&upstreams, &fallback, now))?;
+            .or_else(|| tracker.choose(&upstreams, &fallback, now));
+        if queue {
+            self.record_share(service, upstream.is_some(), now);
+        }
+        let upstream = upstream?;
         tracker.run_started(&upstream.id, 0);
         let suspect = app.crashes.track_suspect(|| self.identity(), &upstream.id);
         let app = app.clone();
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,6 +10,7 @@
 mod order;
 mod round;
 mod scale;
+mod shares;
 mod tracker;
 
 pub use engine::Load;
@@ -18,5 +19,6 @@
 pub use order::order_samples;
 pub use round::PlacementRound;
 pub use scale::LengthScale;
+pub use shares::TeamShares;
 pub use tracker::EngineTracker;
 pub use tracker::PlacementRequest;
