Log when a team's share decides on a call, and the address of a server that is not the upstream

Cause: a rejected call did not say that its team was beyond its share; the line of an unknown server had keys that are not in the table of docs/OPERATIONS.md. Change: one line a rejected call whose team had to leave places to others; the key address.

--- a/crates/net/src/identity.rs
+++ b/crates/net/src/identity.rs
@@ -57,9 +57,12 @@
         Ok((_, None)) => "it has no identity".to_owned(),
         Err(error) => error.to_string(),
     };
-    let addr = uri.host().unwrap_or_default();
-    let port = uri.port_u16().unwrap_or_default();
-    log::warn!(target: "net", upstream = identity, addr, port, why = why.as_str();
+    let address = format!(
+        "{}:{}",
+        uri.host().unwrap_or_default(),
+        uri.port_u16().unwrap_or_default()
+    );
+    log::warn!(target: "net", upstream = identity, address = address.as_str(), why = why.as_str();
         "server not identified as the upstream");
     Err(io::Error::other(why))
 }
--- a/crates/node/src/forwarded_request.rs
+++ b/crates/node/src/forwarded_request.rs
@@ -237,17 +237,12 @@
         Some(request)
     }
 
-    /// Returns how many requests may wait in an upstream with these slots, for this one to wait there as well.
-    fn queue_limit(&self, service: &str, slots: u32, now: Millis) -> u32 {
+    /// Returns whether its team is beyond its share and leaves places in a service's queues to others.
+    fn is_restricted(&self, service: &str, now: Millis) -> bool {
         let shares = self.app.team_shares.lock();
         let team = self.principal.team();
-        let is_restricted = team
-            .zip(shares.get(service))
-            .is_some_and(|(team, shares)| shares.is_restricted(team, now));
-        match is_restricted {
-            true => slots / RESTRICTED_QUEUE_DIVISOR,
-            false => slots,
-        }
+        team.zip(shares.get(service))
+            .is_some_and(|(team, shares)| shares.is_restricted(team, now))
     }
 
     /// Records for the shares of its team whether it found a place.
@@ -285,17 +280,19 @@
             .map(|upstream| upstream.slots)
             .max()
             .unwrap_or(0);
+        let is_restricted = queue && self.is_restricted(service, now);
+        let queue_limit = match (queue, is_restricted) {
+            (true, false) => slots,
+            (true, true) => slots / RESTRICTED_QUEUE_DIVISOR,
+            (false, _) => 0,
+        };
         let mut avoid = app.crashes.upstreams_to_avoid(|| self.identity());
         avoid.extend_from_slice(used);
         let fallback = PlacementRequest {
             service,
             model: None,
             min_version: 0,
-            queue_limit: if queue {
-                self.queue_limit(service, slots, now)
-            } else {
-                0
-            },
+            queue_limit,
             domain: &app.settings.domain,
             cached_on: None,
             avoid: used,
@@ -313,6 +310,9 @@
         if queue {
             self.record_share(service, upstream.is_some(), now);
         }
+        if upstream.is_none() && is_restricted {
+            log::info!(target: "forward", id = &*self.id, service; "team is beyond its share");
+        }
         let upstream = upstream?;
         tracker.run_started(&upstream.id, 0);
         let suspect = app.crashes.track_suspect(|| self.identity(), &upstream.id);
