--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -14,13 +14,19 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
+/// Listens on a free port; returns the URI as well.
+async fn listen() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let uri = format!("http://{}/", listener.local_addr().unwrap());
+    (listener, uri)
+}
+
 // Guards against an engine that executes an order of a former leaseholder: the order is sent during a network
 // partition and times out, and the partition heals. After an ordinary close the kernel would still deliver the bytes;
 // only a reset discards them.
 #[tokio::test]
 async fn a_request_that_times_out_resets_its_connection() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let uri = format!("http://{}/", listener.local_addr().unwrap());
+    let (listener, uri) = listen().await;
     let server = tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut bytes = Vec::new();
@@ -45,6 +51,12 @@
     );
 }
 
+/// Returns a condition that holds while the flag is set.
+fn condition_of(flag: &Arc<AtomicBool>) -> net::SendCondition {
+    let flag = flag.clone();
+    net::SendCondition::new(move || flag.load(Ordering::SeqCst))
+}
+
 /// Accepts one connection, calls `accepted`, and returns the bytes that arrive until the client closes it.
 async fn received_bytes(listener: TcpListener, accepted: impl FnOnce()) -> Vec<u8> {
     let (mut stream, _) = listener.accept().await.unwrap();
@@ -59,8 +71,7 @@
 #[tokio::test]
 async fn a_request_whose_condition_ends_before_the_write_is_not_sent() {
     for body in ["order", ""] {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let uri = format!("http://{}/", listener.local_addr().unwrap());
+        let (listener, uri) = listen().await;
         let server = tokio::spawn(received_bytes(listener, || ()));
         let checks = Arc::new(AtomicUsize::new(0));
         let condition = {
@@ -86,8 +97,7 @@
 // last check, as happens when the process is paused there.
 #[tokio::test]
 async fn a_request_whose_condition_ends_during_the_write_is_reset() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let uri = format!("http://{}/", listener.local_addr().unwrap());
+    let (listener, uri) = listen().await;
     let server = tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         stream.read_to_end(&mut Vec::new()).await
@@ -114,13 +124,9 @@
 // the connection, and the right ends while the rest waits.
 #[tokio::test]
 async fn the_rest_of_a_request_is_not_sent_once_its_condition_ends() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let uri = format!("http://{}/", listener.local_addr().unwrap());
+    let (listener, uri) = listen().await;
     let holds = Arc::new(AtomicBool::new(true));
-    let condition = {
-        let holds = holds.clone();
-        net::SendCondition::new(move || holds.load(Ordering::SeqCst))
-    };
+    let condition = condition_of(&holds);
     let length = 64 << 20;
     let request = Request::post(uri).body(Full::new(Bytes::from(vec![b'x'; length])));
     let server = tokio::spawn(async move {
@@ -143,8 +149,7 @@
 // Guards against a condition that stays with a pooled connection and stops the next request there.
 #[tokio::test]
 async fn a_condition_does_not_apply_to_the_next_request_on_its_connection() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let uri = format!("http://{}/", listener.local_addr().unwrap());
+    let (listener, uri) = listen().await;
     let server = tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut bytes = [0; 1_024];
@@ -155,10 +160,7 @@
         }
     });
     let holds = Arc::new(AtomicBool::new(true));
-    let condition = {
-        let holds = holds.clone();
-        net::SendCondition::new(move || holds.load(Ordering::SeqCst))
-    };
+    let condition = condition_of(&holds);
     let request = || Request::get(&uri).body(Full::default()).unwrap();
     let client = net::Client::new();
     let limit = Duration::from_secs(5);
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -1,19 +1,16 @@
 //! Calls to services, which are forwarded to an upstream.
 
 mod keyed;
+mod outbound;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use contract::Contract;
-use http::HeaderMap;
-use http::HeaderName;
-use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::header;
 use http_body_util::Full;
 use kernel::Millis;
 use limit::order::QueueEntry;
@@ -34,10 +31,14 @@
 use route::retry::Failure;
 use route::retry::StopReason;
 use wire::Problem;
-use wire::caller::TIMEOUT;
 use wire::engine::RUNNING;
 use wire::problem::Type;
 
+use self::outbound::OutboundCall;
+use self::outbound::UNFORWARDED_HEADERS;
+use self::outbound::outbound;
+pub use self::outbound::read_body;
+pub use self::outbound::timeout;
 use crate::App;
 use crate::auth;
 use crate::crashes::OutgoingRequest;
@@ -54,34 +55,6 @@
 /// Retry delay for callers after a failure of an upstream, in milliseconds.
 const RETRY_AFTER: Millis = 1_000;
 
-/// A call as it is sent to an upstream in each attempt.
-#[derive(Clone)]
-struct OutboundCall {
-    method: Method,
-    path: String,
-    headers: HeaderMap,
-    body: Bytes,
-    idempotent: bool,
-    /// Deadline of the caller, on the monotonic clock in milliseconds.
-    deadline: Millis,
-    /// Time beyond the deadline for which a response is awaited, in milliseconds.
-    grace: Millis,
-}
-
-/// Headers that are not forwarded: they apply to one connection, or only to this instance.
-const UNFORWARDED_HEADERS: [HeaderName; 10] = [
-    header::AUTHORIZATION,
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::HOST,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// Serves `/v1/services/{service}/{path}`.
 pub async fn serve(app: Arc<App>, call: Call) -> Reply {
     let mut trace = Trace::begin("service", app.clock);
@@ -146,67 +119,6 @@
     }
 }
 
-/// Returns the timeout of a call in milliseconds: the one in its header, but at most the
-/// contract's.
-///
-/// # Errors
-///
-/// Returns a refusal if the header is not a positive integer.
-pub fn timeout(call: &Call, contract: &Contract) -> Result<Millis, Problem> {
-    let Some(text) = call.header(TIMEOUT) else {
-        return Ok(contract.deadline);
-    };
-    match text.parse::<Millis>() {
-        Ok(timeout) if timeout > 0 => Ok(timeout.min(contract.deadline)),
-        _ => Err(deny(Type::BadRequest).with_detail(format!("{TIMEOUT}: expected milliseconds"))),
-    }
-}
-
-/// Reads the body of a call, within the limits in the settings.
-///
-/// # Errors
-///
-/// Returns a refusal if the body is too large, arrives too slowly or is incomplete.
-pub async fn read_body(app: &App, body: gotham::helpers::http::Body) -> Result<Bytes, Problem> {
-    let bounds = &app.settings.bounds;
-    let read = body::read(body, bounds.max_body);
-    let with_error =
-        |kind: Type, error: &body::ReadError| deny(kind).with_detail(error.to_string());
-    match tokio::time::timeout(bounds.body_timeout, read).await {
-        Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(error @ body::ReadError::TooLong(_))) => Err(with_error(Type::TooLarge, &error)),
-        Ok(Err(error)) => Err(with_error(Type::BadRequest, &error)),
-        Err(_) => Err(with_error(Type::SlowRequest, &body::ReadError::Timeout)),
-    }
-}
-
-async fn outbound(
-    app: &App,
-    call: Call,
-    path: String,
-    non_idempotent: bool,
-    deadline: Millis,
-) -> Result<OutboundCall, Problem> {
-    let mut headers = HeaderMap::new();
-    let timeout = HeaderName::from_static(TIMEOUT);
-    for (name, value) in &call.headers {
-        if !UNFORWARDED_HEADERS.contains(name) && *name != timeout {
-            headers.append(name, value.clone());
-        }
-    }
-    let idempotent = !non_idempotent && call.method.is_idempotent();
-    let body = read_body(app, call.body).await?;
-    Ok(OutboundCall {
-        method: call.method,
-        path,
-        headers,
-        body,
-        idempotent,
-        deadline,
-        grace: 0,
-    })
-}
-
 /// Makes attempts at upstreams until one responds or no retry is allowed.
 async fn run_attempts(
     app: &Arc<App>,
