Read priorities and target latencies from the configuration

Cause: the priority of a team was read and decided nothing, that of a route was not read, and neither was the target latency of a route.

Nothing decides by these values yet.

--- a/crates/table/src/config.rs
+++ b/crates/table/src/config.rs
@@ -5,6 +5,8 @@
 use capacity::ScalingBounds;
 use kernel::Map;
 use kernel::Millis;
+use kernel::Priority;
+use team::Principal;
 use team::Teams;
 
 /// Whether requests of a route may be retried, and the form of their responses.
@@ -42,6 +44,10 @@
     pub kind: RouteKind,
     /// Maximum time that a client waits for a response, in milliseconds.
     pub timeout: Millis,
+    /// Time within which a response is as useful to the client as an immediate one, in milliseconds.
+    pub target_latency: Option<Millis>,
+    /// Priority of its requests, unless their team has one.
+    pub priority: Option<Priority>,
     /// Maximum number of upstreams that one request is sent to.
     pub max_attempts: u32,
     /// Time after which an unfinished sample of a step may be abandoned, in milliseconds.
@@ -85,12 +91,14 @@
 /// # Examples
 ///
 /// ```
+/// use kernel::Priority;
 /// use table::{Config, Route, RouteKind};
 ///
 /// let route = |prefix: &str| Route {
 ///     name: prefix.into(), host: "shop.example".into(), prefix: prefix.into(),
-///     kind: RouteKind::Idempotent, timeout: 1_000, max_attempts: 2, ttl: 0,
-///     single_version: false, resumable: false, open: false, services: Vec::new(),
+///     kind: RouteKind::Idempotent, timeout: 1_000, target_latency: Some(150),
+///     priority: Priority::new(2), max_attempts: 2, ttl: 0, single_version: false,
+///     resumable: false, open: false, services: Vec::new(),
 /// };
 /// let config = Config::new(7, vec![route("/a/"), route("/a/b/")], Vec::new(), 1 << 20);
 /// let found = config.find_route("Shop.example:80", "/a/b/c");
@@ -148,6 +156,15 @@
             .find(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&*route.prefix))
     }
 
+    /// Returns the priority of a request: its team's, else its route's, else the default.
+    pub fn priority(&self, route: &Route, principal: &Principal) -> Priority {
+        let team = principal.team().zip(self.teams.as_ref());
+        let team = team.and_then(|(name, teams)| teams.get(name));
+        team.and_then(|team| team.priority)
+            .or(route.priority)
+            .unwrap_or_default()
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -94,6 +94,8 @@
         prefix: "/".into(),
         kind: RouteKind::Idempotent,
         timeout: 1,
+        target_latency: None,
+        priority: None,
         max_attempts: 1,
         ttl: 0,
         single_version: false,
--- a/crates/team/src/teams.rs
+++ b/crates/team/src/teams.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use kernel::Map;
+use kernel::Priority;
 
 use crate::Key;
 
@@ -11,8 +12,8 @@
 pub struct Team {
     /// Unique name.
     pub name: Arc<str>,
-    /// Priority of its requests, 0 for the first; it takes precedence over the priority of the route.
-    pub priority: Option<u32>,
+    /// Priority of its requests; it takes precedence over the priority of the route.
+    pub priority: Option<Priority>,
 }
 
 /// Error for teams that cannot be told apart.
@@ -81,6 +82,11 @@
         self.keys.get(key)
     }
 
+    /// Returns the team with a name.
+    pub fn get(&self, name: &str) -> Option<&Arc<Team>> {
+        self.names.get(name)
+    }
+
     /// Returns the number of teams.
     pub fn len(&self) -> usize {
         self.names.len()
