Add the settings for the parts of hard load

Cause: the parts are built side by side and each is off unless a setting switches it on.

Change: `[overload] max_delay_ms`, `[placement] load_notices`, `share_slots` and `critical_moves`, and `[calls] queue`. Nothing reads them yet.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -46,6 +46,17 @@
     pub deadline: Millis,
 }
 
+/// Which decisions on the placement of samples are switched on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    /// Whether owners of steps are told which engines load weights.
+    pub load_notices: bool,
+    /// Whether owners of steps share the slots of engines.
+    pub share_slots: bool,
+    /// Whether only samples that decide when their step ends move to faster engines.
+    pub critical_moves: bool,
+}
+
 /// The settings of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -89,6 +100,12 @@
     pub loading_share: f64,
     /// Fraction of the samples that may have to run at the same time for which capacity is ordered.
     pub capacity_fill: f64,
+    /// Delay in handling requests above which new ones are shed, in milliseconds; none are shed if [`None`].
+    pub max_delay: Option<Millis>,
+    /// Which decisions on the placement of samples are switched on.
+    pub placement: Placement,
+    /// Number of calls that may wait for each service; 0 if none may.
+    pub call_queue: usize,
     /// The log settings.
     pub logs: logs::Settings,
 }
@@ -163,6 +180,22 @@
     );
     doc.finish_section(weights);
 
+    let mut overload = doc.take_section("overload");
+    let max_delay = overload.get::<Millis>("max_delay_ms", "milliseconds");
+    doc.finish_section(overload);
+
+    let mut section = doc.take_section("placement");
+    let placement = Placement {
+        load_notices: section.get_or("load_notices", "true or false", false),
+        share_slots: section.get_or("share_slots", "true or false", false),
+        critical_moves: section.get_or("critical_moves", "true or false", false),
+    };
+    doc.finish_section(section);
+
+    let mut calls = doc.take_section("calls");
+    let call_queue = calls.get_or("queue", "a number of calls", 0);
+    doc.finish_section(calls);
+
     let mut log = doc.take_section("log");
     let level = log.get_or(
         "level",
@@ -200,6 +233,9 @@
         result_retention: millis(result_retention),
         loading_share: loading_share.clamp(0.0, 1.0),
         capacity_fill: capacity_fill.max(0.0),
+        max_delay,
+        placement,
+        call_queue,
         logs: logs::Settings {
             level,
             format: logs::Format::Json,
