Tell engines the priority of samples

Cause: the priority of a team and of a route ended at the entry; engines order and preempt their requests by one, and got none.

Change: a sample's request carries the priority that the configuration gives its step (the team's before the route's). Without a configured priority nothing is set. `Config::configured_priority` tells the two cases apart.

--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -16,6 +16,7 @@
 use http::request::Parts;
 use http_body_util::Full;
 use kernel::Millis;
+use kernel::Priority;
 use place::Load;
 use table::Config;
 use table::Upstream;
@@ -322,7 +323,7 @@
     fn reply_headers(&self, head: &HeaderMap) -> HeaderMap;
 
     /// Builds the request for a sample's tokens after event `last`, which is 0 for the first, on behalf of a
-    /// principal.
+    /// principal. The engine is told the priority, if there is one.
     ///
     /// # Errors
     ///
@@ -334,6 +335,7 @@
         upstream: &Upstream,
         last: u64,
         principal: &Principal,
+        priority: Option<Priority>,
     ) -> Result<Request<Full<Bytes>>, DialectError>;
 
     /// Builds the head of the request for a sample's score.
--- a/crates/node/src/owner/owned_step.rs
+++ b/crates/node/src/owner/owned_step.rs
@@ -20,6 +20,7 @@
 use batch::keys;
 use kernel::Map;
 use kernel::Millis;
+use kernel::Priority;
 use kernel::Set;
 use net::SendCondition;
 use parking_lot::Mutex;
@@ -256,6 +257,13 @@
         Principal::from_record(self.head.team.as_ref(), configured)
     }
 
+    /// The priority of the step's samples, if its team or its route has one.
+    pub(crate) fn priority(&self, app: &App) -> Option<Priority> {
+        let config = app.config.load_full()?;
+        let route = config.find_route(&self.head.host, &self.head.path)?;
+        config.configured_priority(route, &self.principal(app))
+    }
+
     /// The fingerprint of a sample's request and its team, so that a draft is never given to another team.
     pub(super) fn fingerprint(&self, sample: &Sample) -> u64 {
         fingerprint::leftover(self.head.team.as_deref(), sample)
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -197,6 +197,7 @@
             &self.engine,
             last_event,
             &self.principal,
+            self.owned.priority(&self.app),
         ) {
             Ok(request) => request,
             Err(error) => {
--- a/crates/table/src/config.rs
+++ b/crates/table/src/config.rs
@@ -158,11 +158,15 @@
 
     /// Returns the priority of a request: its team's, else its route's, else the default.
     pub fn priority(&self, route: &Route, principal: &Principal) -> Priority {
+        self.configured_priority(route, principal)
+            .unwrap_or_default()
+    }
+
+    /// Returns the priority of a request: its team's, else its route's; [`None`] if neither has one.
+    pub fn configured_priority(&self, route: &Route, principal: &Principal) -> Option<Priority> {
         let team = principal.team().zip(self.teams.as_ref());
         let team = team.and_then(|(name, teams)| teams.get(name));
-        team.and_then(|team| team.priority)
-            .or(route.priority)
-            .unwrap_or_default()
+        team.and_then(|team| team.priority).or(route.priority)
     }
 
     /// Returns a service by name.
