Track which engines load which model

Cause: an engine that loads a model rejects runs of it while it has free slots. An owner doesn't know of the load, sends up to 8 samples at once, and then backs off from the whole engine for 150 ms.

Change: `place::loads` keeps the loads of an engine by model, from the leader's notices and from rejections by engines with free slots. A newer version, or the engine's report that it executes no order, ends the avoidance. `EngineTracker::evaluate` asks it, also when an engine is evaluated again within a round. Nothing records loads yet.

Conclusion: placement is unchanged until an instance records loads.

--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -5,6 +5,8 @@
 use kernel::Map;
 use kernel::Millis;
 
+use crate::loads::Loads;
+
 /// Weight of the newest gap between two events in the moving average, which spans about ten events.
 const SMOOTHING_FACTOR: f64 = 0.1;
 
@@ -38,6 +40,8 @@
     pub(crate) mean_gap: f64,
     /// Newest weight version of each model that the engine has reported itself.
     pub(crate) versions: Map<Arc<str>, u64>,
+    /// Loads of weights at the engine.
+    pub(crate) loads: Loads,
     failures: u32,
     /// Whether a run is probing if the engine responds again after a failure.
     probing: bool,
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -6,6 +6,7 @@
 //! so no engine gets more samples than it has slots; the rest wait here.
 
 mod engine;
+mod loads;
 mod memory;
 mod order;
 mod round;
@@ -14,6 +15,8 @@
 mod tracker;
 
 pub use engine::Load;
+pub use loads::LoadNotice;
+pub use loads::Rejection;
 pub use memory::EngineMemory;
 pub use order::PendingSample;
 pub use order::order_samples;
--- a/crates/place/src/tracker.rs
+++ b/crates/place/src/tracker.rs
@@ -12,7 +12,10 @@
 use crate::EngineMemory;
 use crate::LengthScale;
 use crate::Load;
+use crate::LoadNotice;
+use crate::Rejection;
 use crate::engine::EngineState;
+use crate::loads;
 
 /// Minimum expected gain of a move, in milliseconds: the new engine takes a few milliseconds to process
 /// the prompt and the text so far, and the new connection takes a few more.
@@ -145,8 +148,65 @@
     /// Records the version of a model's weights that an engine reported itself; the list of upstreams has it
     /// a second or two later.
     pub fn version_seen(&mut self, id: &Arc<str>, model: &Arc<str>, version: u64) {
-        let newest = self.engine(id).versions.entry(model.clone()).or_default();
+        let engine = self.engine(id);
+        let newest = engine.versions.entry(model.clone()).or_default();
         *newest = version.max(*newest);
+        engine.loads.version_reported(model, version);
+    }
+
+    /// Records the notice that an engine loads weights; returns false if the engine has them already.
+    pub fn load_notified(&mut self, engine: &Upstream, notice: &LoadNotice, now: Millis) -> bool {
+        let version = self.version(engine, &notice.model);
+        self.engine(&engine.id).loads.notified(notice, version, now)
+    }
+
+    /// Records that an engine which reported `load` has rejected a run of a model that was started at `started`.
+    /// Only an engine that loads the model rejects runs while it has free slots.
+    pub fn run_rejected(
+        &mut self,
+        engine: &Upstream,
+        model: &Arc<str>,
+        load: Option<Load>,
+        started: Millis,
+        now: Millis,
+    ) -> Rejection {
+        if !load.is_some_and(|load| loads::has_free_slot(load, engine.slots)) {
+            return Rejection::Full;
+        }
+        let version = self.version(engine, model);
+        let loads = &mut self.engine(&engine.id).loads;
+        match loads.rejected(model, version, started, now) {
+            Some(backoff) => Rejection::Loading(backoff),
+            None => Rejection::KnownLoading,
+        }
+    }
+
+    /// Records that a run of a model was started, in addition to [`EngineTracker::run_started`]. An engine whose load
+    /// may have ended gets one run until that one is executed.
+    pub fn model_run_started(&mut self, id: &Arc<str>, model: &str, now: Millis) {
+        self.engine(id).loads.run_started(model, now);
+    }
+
+    /// Records that an engine executes a run of a model that was started at `started`; returns whether a load has
+    /// ended.
+    pub fn model_run_accepted(&mut self, id: &Arc<str>, model: &str, started: Millis) -> bool {
+        self.engine(id).loads.run_accepted(model, started)
+    }
+
+    /// Records whether an engine executes an order, as it answered to a query that was sent at `sent`.
+    pub fn order_state_reported(&mut self, id: &str, is_busy: bool, sent: Millis) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.loads.state_reported(is_busy, sent);
+        }
+    }
+
+    /// Returns whether an engine gets no run of a model now because it loads that model.
+    pub fn is_loading(&self, engine: &Upstream, model: &str, now: Millis) -> bool {
+        let Some(state) = self.engines.get(&engine.id) else {
+            return false;
+        };
+        let version = newest_version(engine, Some(state), model);
+        state.loads.are_avoided(model, version, now)
     }
 
     /// Returns the newest known version of a model's weights on an engine; [`None`] if it lacks the model.
@@ -213,10 +273,12 @@
         if engine.leaving || own_runs >= slots {
             return Evaluation::Unavailable;
         }
-        if let Some(model) = request.model
-            && newest_version(engine, state, model) < Some(request.min_version)
-        {
-            return Evaluation::Unavailable;
+        if let Some(model) = request.model {
+            let version = newest_version(engine, state, model);
+            let may_run = || state.is_none_or(|state| state.loads.admit(model, version, now));
+            if version < Some(request.min_version) || !may_run() {
+                return Evaluation::Unavailable;
+            }
         }
         if let Some(state) = state {
             // Only samples can wait for a probe; other requests would be rejected, so they try the upstream.
