Notify owners of steps of loads

Cause: the leader orders loads at the moment at which steps begin, and the owners of these steps don't know which engines load. Their runs are rejected.

Change: with `[placement] load_notices`, the leader sends `PeerRequest::LoadStarted` after accepted orders to the owners of open or recent steps of the model, which it knows from the heads of steps. Owners record notices, and rejections by engines with free slots, per engine and model. While samples wait, an owner asks loading engines for their state every 150 ms, so that a load that ends earlier than announced is noticed. Without the setting, a rejection is handled as before.

Conclusion: the first samples may still meet a load that began within the last milliseconds.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -2,6 +2,7 @@
 //! of teams, taking over steps whose owner is gone, and removing records that are no longer needed.
 
 pub mod leadership;
+mod load_notices;
 pub mod load_orders;
 pub mod orphans;
 pub mod targets;
@@ -72,8 +73,13 @@
     let targets = targets::Targets::default();
     tasks.spawn(targets::follow(app.clone(), targets.clone()));
     tasks.spawn(orphans::run(app.clone(), targets.clone()));
+    let notices = app.settings.placement.load_notices.then(|| {
+        let (notices, accepted) = load_notices::channel();
+        tasks.spawn(load_notices::run(app.clone(), targets.clone(), accepted));
+        notices
+    });
     let load_orders = async {
-        let mut orders = load_orders::LoadOrders::new(app, &leadership);
+        let mut orders = load_orders::LoadOrders::new(app, &leadership, notices);
         while !app.is_leaving() {
             orders.issue_due(&targets).await;
             sleep(ORDER_INTERVAL).await;
@@ -137,6 +143,7 @@
         .method(method)
         .uri(net::client::uri(engine.addr, path))
         .body(http_body_util::Full::default())?;
+    let sent_at = app.clock.now();
     let answer = app
         .http
         .fetch(request, STATE_TIMEOUT, MAX_STATE_BYTES)
@@ -152,5 +159,6 @@
     for (model, version) in &state.models {
         tracker.version_seen(&engine.id, model, *version);
     }
+    tracker.order_state_reported(&engine.id, state.busy, sent_at);
     Ok(state)
 }
--- a/crates/node/src/control/load_orders.rs
+++ b/crates/node/src/control/load_orders.rs
@@ -18,6 +18,8 @@
 use weight::scheduler::LoadScheduler;
 
 use super::leadership::Leadership;
+use super::load_notices::AcceptedLoad;
+use super::load_notices::LoadNotices;
 use super::targets::Targets;
 use crate::App;
 use crate::dialect::EngineOrder;
@@ -32,7 +34,7 @@
 /// Time for which an engine counts as loading after an order, in milliseconds. A load takes 0.9 s on the users'
 /// deployments. The engine itself reports the new version some hundred milliseconds later; waiting for that report
 /// would leave a fifth of the time between loads unused.
-const LOAD_TIME: Millis = 900;
+pub(super) const LOAD_TIME: Millis = 900;
 
 /// Time for which an engine gets no requests after a query that it did not answer or an order that it did not accept,
 /// in milliseconds. It may carry out an unanswered order late; the next order is conditional on its not having done so.
@@ -48,6 +50,8 @@
 pub struct LoadOrders<'a> {
     app: &'a Arc<App>,
     leadership: &'a Leadership,
+    /// Notifies the owners of steps, if they are to be notified of loads.
+    notices: Option<LoadNotices>,
     /// The scheduler of each service.
     schedulers: Map<Arc<str>, LoadScheduler>,
     /// Engines that were recently ordered to load; they get no other order meanwhile.
@@ -66,10 +70,15 @@
 
 impl<'a> LoadOrders<'a> {
     /// Creates the orders of a new leader.
-    pub fn new(app: &'a Arc<App>, leadership: &'a Leadership) -> Self {
+    pub(super) fn new(
+        app: &'a Arc<App>,
+        leadership: &'a Leadership,
+        notices: Option<LoadNotices>,
+    ) -> Self {
         Self {
             app,
             leadership,
+            notices,
             schedulers: Map::default(),
             ordered: Map::default(),
             unresponsive: Map::default(),
@@ -225,6 +234,14 @@
             version: load.version,
             until: self.app.clock.now() + pause,
         };
+        if let (Ok(EngineOrderOutcome::Accepted), Some(notices)) = (&result, &self.notices) {
+            notices.send(AcceptedLoad {
+                model: load.model.clone(),
+                version: load.version,
+                engine: engine.id.clone(),
+                ends_at: ordered.until,
+            });
+        }
         metrics::counter!(telemetry::LOAD_ORDERS, "result" => label).increment(1);
         log::info!(target: "control", upstream = &*engine.id, model = &*load.model,
             version = load.version, fence = self.leadership.fencing_token(), orders = state.accepted_orders,
--- a/crates/node/src/control/orphans.rs
+++ b/crates/node/src/control/orphans.rs
@@ -49,6 +49,10 @@
 /// clocks of instances may differ by seconds.
 const REMOVAL_DELAY: Millis = 30_000;
 
+/// Time after its submission for which the owner of an ended step counts as an owner, in milliseconds: it probably
+/// runs the next step of the model, of which the leader learns up to half a second late.
+const RECENT_STEP: Millis = 10_000;
+
 /// Maximum number of keys in one delete: platforms accept 32 operations in a transaction.
 const MAX_DELETED_KEYS: usize = 30;
 
@@ -88,7 +92,9 @@
 impl StepMonitor {
     async fn pass(&mut self, app: &Arc<App>, targets: &Targets) -> Result<(), PlatError> {
         let heads = app.plat.list_stale(keys::HEADS_PREFIX).await?;
-        if !heads.items.is_empty() {
+        if heads.items.is_empty() {
+            targets.replace_owners(std::iter::empty());
+        } else {
             let entries = app.plat.list_stale(member::KEY_PREFIX).await?;
             let live: Set<_> = entries
                 .items
@@ -98,6 +104,7 @@
                 .collect();
             let heads = self.decode(&heads.items);
             self.record_new(&heads, targets);
+            record_owners(app, &heads, targets);
             for head in heads {
                 self.check(app, head, &live).await?;
             }
@@ -203,6 +210,17 @@
     }
 }
 
+/// Records which instances run steps of which models.
+fn record_owners(app: &App, heads: &[StepHead<'_>], targets: &Targets) {
+    let now = app.clock.wall();
+    let heads = heads.iter().map(|step_head| &step_head.head);
+    let current = heads.filter(|head| {
+        let age = now.saturating_sub(head.opened);
+        age <= RECENT_STEP || head.ended.is_none() && age <= app.settings.result_retention
+    });
+    targets.replace_owners(current.map(|head| (&head.model, &head.owner.instance)));
+}
+
 /// Continues the steps that this instance owned before it was restarted, without waiting for the leader: after a power
 /// loss of all instances, it would take seconds until there is one that takes them over.
 ///
--- a/crates/node/src/control/targets.rs
+++ b/crates/node/src/control/targets.rs
@@ -6,6 +6,7 @@
 use batch::Head;
 use kernel::Map;
 use kernel::Millis;
+use kernel::Set;
 use parking_lot::Mutex;
 use plat::Change;
 use plat::Item;
@@ -30,10 +31,14 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// The instances that run steps, by model.
+type Owners = Map<Arc<str>, Set<Arc<str>>>;
+
 /// The demand of each model's trainers.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     demands: Arc<Mutex<Map<Arc<str>, Demand>>>,
+    owners: Arc<Mutex<Owners>>,
 }
 
 impl Targets {
@@ -65,6 +70,21 @@
         let samples = u64::from(head.total);
         demand.record_step(head.min_version, head.work, samples, head.opened);
     }
+
+    /// Replaces the owners of steps. `owners` has the model and the owner of each step.
+    pub fn replace_owners<'a>(&self, owners: impl Iterator<Item = (&'a Arc<str>, &'a Arc<str>)>) {
+        let mut by_model = Owners::default();
+        for (model, owner) in owners {
+            let known = by_model.entry(model.clone()).or_default();
+            known.insert(owner.clone());
+        }
+        *self.owners.lock() = by_model;
+    }
+
+    /// Returns the instances that run steps of a model.
+    pub fn owners(&self, model: &str) -> Set<Arc<str>> {
+        self.owners.lock().get(model).cloned().unwrap_or_default()
+    }
 }
 
 /// Follows the announcements of trainers.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod control;
 mod dependency;
 pub mod dialect;
+mod engine_loads;
 pub mod events;
 mod fingerprint;
 pub mod forward;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -73,6 +73,13 @@
     /// Reports that another instance has taken over a step whose head had this revision.
     #[serde(rename = "Taken")]
     TakenOver { step: Arc<str>, rev: i64 },
+    /// Reports that engines have begun to load a version of a model, which takes this many milliseconds more.
+    LoadStarted {
+        model: Arc<str>,
+        version: u64,
+        engines: Vec<Arc<str>>,
+        duration: Millis,
+    },
 }
 
 /// A reply.
--- a/crates/node/src/owner/runner.rs
+++ b/crates/node/src/owner/runner.rs
@@ -22,6 +22,7 @@
 use super::OwnedStep;
 use super::RETRY_PAUSE;
 use super::checks::Checks;
+use super::load_probes::LoadProbes;
 use super::version_probes::VersionProbes;
 use super::write::WriteOutcome;
 use super::write::write_segment;
@@ -62,6 +63,7 @@
     writes: JoinSet<WriteOutcome>,
     checks: Checks,
     probes: VersionProbes,
+    load_probes: LoadProbes,
     /// When no engine had a free slot, at the last attempt.
     engines_full_at: Millis,
     /// Failed runs of each sample.
@@ -105,6 +107,7 @@
             writes: JoinSet::new(),
             checks: Checks::default(),
             probes: VersionProbes::default(),
+            load_probes: LoadProbes::default(),
             engines_full_at: 0,
             failures: Map::default(),
             group_engines: Map::default(),
@@ -136,6 +139,7 @@
                 Some(Ok(outcome)) = self.writes.join_next() => self.handle_write(outcome).await,
                 Some(()) = self.checks.finished() => (),
                 Some(()) = self.probes.finished() => (),
+                Some(()) = self.load_probes.finished() => (),
                 () = self.owned.changed.notified() => (),
                 () = self.app.capacity_changed.notified() => (),
                 () = sleep(pause) => ()
--- a/crates/node/src/owner/runner/placement.rs
+++ b/crates/node/src/owner/runner/placement.rs
@@ -85,6 +85,7 @@
                     self.engines_full_at = now;
                     self.probes
                         .begin(self.app, self.owned, &route, self.pending.len());
+                    self.load_probes.begin(self.app, self.owned, &route);
                     break;
                 }
             }
@@ -165,6 +166,7 @@
             .choose(&tracker, &upstreams, &preferred, now)
             .or_else(|| round.choose(&tracker, &upstreams, &fallback, now))?;
         tracker.run_started(&engine.id, preferred.tokens);
+        tracker.model_run_started(&engine.id, &self.owned.head.model, now);
         Some((service.clone(), engine))
     }
 
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -16,6 +16,7 @@
 use kernel::Millis;
 use net::Reply;
 use net::SendError;
+use place::LoadNotice;
 use plat::Answer;
 use plat::Call;
 use plat::PlatError;
@@ -196,6 +197,22 @@
     notify(app, owner, &PeerRequest::TakenOver { step, rev }).await
 }
 
+/// Notifies an owner of steps that engines have begun to load weights; returns whether it has replied.
+pub async fn notify_load_started(
+    app: &App,
+    owner: &str,
+    notice: LoadNotice,
+    engines: Vec<Arc<str>>,
+) -> bool {
+    let request = PeerRequest::LoadStarted {
+        model: notice.model,
+        version: notice.version,
+        engines,
+        duration: notice.duration,
+    };
+    notify(app, owner, &request).await
+}
+
 /// Sends a notice to an instance, also to one that is alive though its entry has expired. Returns whether it has
 /// replied.
 async fn notify(app: &App, instance: &str, notice: &PeerRequest) -> bool {
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use kernel::Millis;
 use net::Reply;
+use place::LoadNotice;
 use plat::Answer;
 use plat::Call;
 use plat::PlatError;
@@ -14,6 +15,7 @@
 use spread::Update;
 
 use crate::App;
+use crate::engine_loads;
 use crate::hint;
 use crate::message::MAX_MESSAGE_BYTES;
 use crate::message::PeerReply;
@@ -102,6 +104,20 @@
             }
             PeerReply::Acknowledged
         }
+        PeerRequest::LoadStarted {
+            model,
+            version,
+            engines,
+            duration,
+        } => {
+            let notice = LoadNotice {
+                model,
+                version,
+                duration,
+            };
+            engine_loads::record_notice(app, &notice, &engines);
+            PeerReply::Acknowledged
+        }
         PeerRequest::ReachesReportAddress => PeerReply::ReachesReportAddress(
             crate::request_counts::can_reach_report_address(app).await,
         ),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::App;
+use crate::engine_loads;
 use crate::events::Events;
 use crate::events::NextEvent;
 use crate::fingerprint;
@@ -34,7 +35,7 @@
 const EVENT_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Time for which an engine that rejected a run as busy gets no other run, in milliseconds.
-const BUSY_BACKOFF: Millis = 150;
+pub(crate) const BUSY_BACKOFF: Millis = 150;
 
 /// Interval, in events, at which a run checks whether another engine would complete the sample sooner.
 const MOVE_CHECK_EVENTS: u64 = 4;
@@ -94,6 +95,7 @@
 /// Counts a run against an engine's slots and memory until it is dropped.
 struct EngineSlot<'a> {
     run: &'a Run,
+    started_at: Millis,
     tokens: AtomicU64,
 }
 
@@ -112,9 +114,14 @@
 
 impl Drop for EngineSlot<'_> {
     fn drop(&mut self) {
-        let Run { app, engine, .. } = self.run;
+        let Run {
+            app, engine, model, ..
+        } = self.run;
         let tokens = self.tokens.load(Ordering::Relaxed);
-        app.engine_tracker.lock().run_ended(&engine.id, tokens);
+        let mut tracker = app.engine_tracker.lock();
+        tracker.run_ended(&engine.id, tokens);
+        tracker.model_run_ended(&engine.id, model, self.started_at);
+        drop(tracker);
         app.capacity_changed.notify_waiters();
     }
 }
@@ -128,6 +135,7 @@
         let memory = self.app.engine_memory(&self.service);
         let slot = EngineSlot {
             run: self,
+            started_at,
             tokens: AtomicU64::new(memory.run_tokens(sample.prompt, first)),
         };
         let result = self.attempt(sample, draft, &slot).await;
@@ -234,11 +242,15 @@
             if let Some(load) = head.load {
                 tracker.load_reported(&self.engine.id, load, now);
             }
-            if head.not_executed || head.misdirected {
+            if head.misdirected {
                 tracker.engine_busy(&self.engine.id, now + BUSY_BACKOFF);
                 return RunOutcome::NotExecuted;
             }
         }
+        if head.not_executed {
+            engine_loads::record_rejection(self, head.load, slot.started_at);
+            return RunOutcome::NotExecuted;
+        }
         if head.attempt_id.as_deref() != Some(&*sample.id) || head.signature.is_none() {
             return RunOutcome::Broken("answer of something else");
         }
@@ -247,6 +259,7 @@
             StatusCode::UNPROCESSABLE_ENTITY => return RunOutcome::Rejected,
             _ => return RunOutcome::Failed,
         }
+        engine_loads::record_accepted(self, slot.started_at);
         let mut events = Events::new(answer.into_body());
         let Some(version) = head.version else {
             return read_unversioned(draft, &mut events).await;
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -28,6 +28,12 @@
 /// Orders to engines, by result.
 pub const LOAD_ORDERS: &str = "snipeway_orders_total";
 
+/// Notices of loads to owners of steps, by result at the leader or at the owner.
+pub const LOAD_NOTICES: &str = "snipeway_load_notices_total";
+
+/// Runs that engines rejected, by cause.
+pub const REJECTIONS: &str = "snipeway_rejected_runs_total";
+
 /// Reports of the requests of teams, by result.
 pub const USAGE_REPORTS: &str = "snipeway_usage_reports_total";
 
@@ -72,6 +78,11 @@
     metrics::describe_gauge!(crash::QUARANTINED_METRIC, "requests that crash upstreams");
     metrics::describe_counter!(STEPS, "steps by what became of them here");
     metrics::describe_counter!(LOAD_ORDERS, "orders to engines by result");
+    metrics::describe_counter!(
+        LOAD_NOTICES,
+        "notices of loads to owners of steps by result"
+    );
+    metrics::describe_counter!(REJECTIONS, "runs that engines rejected by cause");
     metrics::describe_counter!(USAGE_REPORTS, "reports of the requests of teams by result");
     metrics::describe_counter!(CAPACITY_ORDERS, "orders of upstreams by result");
     metrics::describe_gauge!(PLATFORM_CALLS, "calls of the platform by kind");
--- a/crates/place/src/loads.rs
+++ b/crates/place/src/loads.rs
@@ -193,6 +193,15 @@
         self.by_model.get(model).is_some_and(is_trial) && self.by_model.remove(model).is_some()
     }
 
+    /// Records that a run which was started at `started` has ended. If it tried the engine, another one may.
+    pub(crate) fn run_ended(&mut self, model: &str, started: Millis) {
+        if let Some(load) = self.by_model.get_mut(model)
+            && load.is_trial(started)
+        {
+            load.trial = None;
+        }
+    }
+
     /// Records the version of a model that the engine has reported itself.
     pub(crate) fn version_reported(&mut self, model: &str, version: u64) {
         if self
--- a/crates/place/src/tracker.rs
+++ b/crates/place/src/tracker.rs
@@ -193,6 +193,14 @@
         self.engine(id).loads.run_accepted(model, started)
     }
 
+    /// Records that a run of a model that was started at `started` has ended, in addition to
+    /// [`EngineTracker::run_ended`].
+    pub fn model_run_ended(&mut self, id: &str, model: &str, started: Millis) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.loads.run_ended(model, started);
+        }
+    }
+
     /// Records whether an engine executes an order, as it answered to a query that was sent at `sent`.
     pub fn order_state_reported(&mut self, id: &str, is_busy: bool, sent: Millis) {
         if let Some(engine) = self.engines.get_mut(id) {
