Test versions that engines report and trials that end

Cause: the tests of loads still passed when a reported version did not end the avoidance after a rejection, and when the end of a trial run was not recorded.

Change: two assertions for them.

Result: 23 tests of loads pass; with either line removed, one fails.

Conclusion: that a run reports its end to the tracker is still not tested in `node`.

--- a/crates/place/tests/loads.rs
+++ b/crates/place/tests/loads.rs
@@ -188,6 +188,8 @@
 
     assert_eq!(owner.count_placed(1_499), 0);
     assert_eq!(owner.count_placed(1_500), 1);
+    owner.tracker.model_run_ended("a", "m", 1_501);
+    assert_eq!(owner.count_placed(1_520), 1);
 }
 
 // Guards against a backoff from models that a full engine would reject as well, or the other way round.
@@ -206,25 +208,27 @@
 // Guards against a wait for the announced time when the engine has the new weights earlier.
 #[test]
 fn a_newer_version_ends_the_avoidance() {
-    let mut owner = Owner::new(&["a", "b", "c"]);
+    let mut owner = Owner::new(&["a", "b", "c", "d"]);
     owner.tracker.load_notified(&engine("a"), &notice(), 0);
     owner.tracker.load_notified(&engine("b"), &notice(), 0);
     owner.reject("c", FREE, 0, 0);
+    owner.reject("d", FREE, 0, 0);
     assert_eq!(owner.place("m", 100).len(), 0);
 
     owner.tracker.version_seen(&"a".into(), &"m".into(), 2);
+    owner.tracker.version_seen(&"d".into(), &"m".into(), 2);
     let listed = |id| Upstream {
         weights: vec![("m".into(), 2)],
         ..engine(id)
     };
     owner
         .list
-        .update(vec![engine("a"), listed("b"), listed("c")], 1);
+        .update(vec![engine("a"), listed("b"), listed("c"), engine("d")], 1);
 
     let placed = owner.place("m", 100);
     let count = |id: &str| placed.iter().filter(|placed| ***placed == *id).count();
     // Without a notice, the list may name the version of an earlier load.
-    assert_eq!((count("a"), count("b"), count("c")), (8, 8, 1));
+    assert_eq!(["a", "b", "c", "d"].map(count), [8, 8, 1, 8]);
 }
 
 // Guards against 900 ms without a run on an engine that has loaded already when the notice arrives.
