Send the first notice of a load at once

Cause: loads were collected for 10 ms before the first notice.

Change: the first notice is sent at once, and loads that are accepted within the next 10 ms share the second one.

Conclusion: a few more messages for fewer rejections; there are at most 100 a second of each model to each owner.

--- a/crates/node/src/control/load_notices.rs
+++ b/crates/node/src/control/load_notices.rs
@@ -18,9 +18,9 @@
 use crate::engine_loads;
 use crate::peer;
 
-/// Time for which accepted loads are collected into one notice. An owner may send a few samples to an engine in this
-/// time; without it, each owner would get a message for each engine.
-const BATCH_TIME: Duration = Duration::from_millis(10);
+/// Minimum interval between two notices. Loads that are accepted meanwhile are collected into the second one; otherwise,
+/// each owner would get a message for each engine.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A load that an engine has accepted.
 pub(super) struct AcceptedLoad {
@@ -55,13 +55,13 @@
 ) {
     let mut sends = JoinSet::new();
     while let Some(first) = accepted.recv().await {
-        sleep(BATCH_TIME).await;
         let mut loads = vec![first];
         while let Ok(load) = accepted.try_recv() {
             loads.push(load);
         }
         while sends.try_join_next().is_some() {}
         notify_owners(&app, &targets, loads, &mut sends);
+        sleep(NOTICE_INTERVAL).await;
     }
 }
 
