Move only runs that decide when their step ends

An engine's mean gap is set by its first measurement and follows each late event, so that a single gap of 150 ms let runs leave an engine.

Change: with `[placement] critical_moves`, a run moves for speed only if its sample's expected remaining time is at least half of the longest one that the trainer waits for, the median of its own gaps confirms that the engine is slow, and the other engine was measured over ten events. Moves for memory stay. The pace that engines report is parsed, smoothed and used for engines without measurements; values out of range are ignored with a rate-limited log line.

--- a/crates/batch/src/groups.rs
+++ b/crates/batch/src/groups.rs
@@ -20,6 +20,7 @@
 /// assert!(!groups.mark_ended(0) && !groups.mark_ended(2));
 /// // The second complete group lets the trainer continue.
 /// assert!(groups.mark_ended(1));
+/// assert_eq!(groups.missing_groups(), 0);
 /// assert!(groups.mark_ended(3));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -58,6 +59,16 @@
         self.group_of.len()
     }
 
+    /// The number of a sample's group; [`None`] if the step has no such sample.
+    pub fn group_of(&self, index: u32) -> Option<usize> {
+        self.group_of.get(index as usize).copied()
+    }
+
+    /// Number of groups that must still complete before the trainer can continue.
+    pub fn missing_groups(&self) -> u32 {
+        self.required.saturating_sub(self.complete)
+    }
+
     /// Marks a sample as ended; must be called once per sample. Returns whether it lets the trainer
     /// continue: it completes its group, and at least the required number of groups are complete.
     pub fn mark_ended(&mut self, index: u32) -> bool {
--- a/crates/batch/src/ledger.rs
+++ b/crates/batch/src/ledger.rs
@@ -203,6 +203,11 @@
         self.unconfirmed.is_some()
     }
 
+    /// The groups of the step.
+    pub fn groups(&self) -> &Groups {
+        &self.groups
+    }
+
     /// Returns whether a sample has ended.
     pub fn has_ended(&self, index: u32) -> bool {
         self.ended.get(index as usize).copied().unwrap_or(true)
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -3,6 +3,7 @@
 mod checks;
 mod owned_step;
 mod runner;
+mod step_end;
 mod version_probes;
 mod write;
 
--- a/crates/node/src/owner/owned_step.rs
+++ b/crates/node/src/owner/owned_step.rs
@@ -29,6 +29,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use super::step_end::StepProgress;
 use crate::App;
 use crate::fingerprint;
 use crate::result_cache::ResultPage;
@@ -57,6 +58,7 @@
     /// When the step was opened, on this instance's clock.
     pub(super) opened_at: Millis,
     pub(super) ledger: Mutex<Ledger>,
+    pub(super) progress: Mutex<StepProgress>,
     /// Number of results that were written to the platform.
     pub(super) listed: watch::Sender<usize>,
     /// The last confirmation that the step is open.
@@ -93,6 +95,7 @@
             spec: Arc::new(spec),
             opened_at,
             ledger: Mutex::new(ledger),
+            progress: Mutex::default(),
             listed: watch::Sender::new(0),
             confirmation: Mutex::new(Confirmation::new(
                 app.settings.end_limit,
--- a/crates/node/src/owner/runner/placement.rs
+++ b/crates/node/src/owner/runner/placement.rs
@@ -189,6 +189,7 @@
             single_version: route.single_version,
             engine: engine.clone(),
             permit,
+            index: pending.sample.index,
         };
         let owned = self.owned.clone();
         let index = pending.sample.index;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -13,7 +13,11 @@
 use hyper::body::Incoming;
 use kernel::Millis;
 use parking_lot::Mutex;
+use place::EngineTracker;
+use place::MoveReason;
+use place::PaceOutcome;
 use place::PlacementRequest;
+use place::RecentGaps;
 use poison::Identity;
 use table::Upstream;
 use team::Principal;
@@ -89,6 +93,8 @@
     pub engine: Arc<Upstream>,
     /// Permission to start the run, since the step is known to be open.
     pub permit: Permit,
+    /// The sample's index in the step.
+    pub index: u32,
 }
 
 /// Counts a run against an engine's slots and memory until it is dropped.
@@ -115,6 +121,7 @@
         let Run { app, engine, .. } = self.run;
         let tokens = self.tokens.load(Ordering::Relaxed);
         app.engine_tracker.lock().run_ended(&engine.id, tokens);
+        self.run.owned.run_ended(self.run.index);
         app.capacity_changed.notify_waiters();
     }
 }
@@ -130,6 +137,7 @@
             run: self,
             tokens: AtomicU64::new(memory.run_tokens(sample.prompt, first)),
         };
+        self.owned.run_started(self.index, &self.engine.id);
         let result = self.attempt(sample, draft, &slot).await;
         if result == RunOutcome::Completed {
             draft.lock().complete = true;
@@ -233,6 +241,7 @@
             let mut tracker = self.app.engine_tracker.lock();
             if let Some(load) = head.load {
                 tracker.load_reported(&self.engine.id, load, now);
+                self.record_pace(&mut tracker, load.pace, now);
             }
             if head.not_executed || head.misdirected {
                 tracker.engine_busy(&self.engine.id, now + BUSY_BACKOFF);
@@ -257,6 +266,16 @@
         self.read_events(sample, draft, version, events, slot).await
     }
 
+    /// Records the pace that the engine has reported.
+    fn record_pace(&self, tracker: &mut EngineTracker, pace: Option<u32>, now: Millis) {
+        let Some(pace) = pace.filter(|_| self.app.settings.placement.critical_moves) else {
+            return;
+        };
+        if tracker.pace_reported(&self.engine.id, pace, now) == PaceOutcome::IgnoredAndLog {
+            log::warn!(target: "run", upstream = &*self.engine.id, pace; "pace out of range ignored");
+        }
+    }
+
     /// Records the engine's version, and returns whether events of that version may be added to the draft.
     fn accepts_version(&self, draft: &Draft, version: u64) -> bool {
         self.app
@@ -278,6 +297,7 @@
         let tokens = u64::from(self.app.engine_memory(&self.service).event_tokens);
         let mut previous_at = self.app.clock.now();
         let mut received: u64 = 0;
+        let mut gaps = RecentGaps::default();
         loop {
             let next = timeout(EVENT_TIMEOUT, events.next()).await;
             let block = match next {
@@ -303,10 +323,13 @@
             received += 1;
             let gap = (received > 1).then_some((now - previous_at) as f64);
             slot.record_event(gap, tokens);
+            if let Some(gap) = gap {
+                gaps.record(gap);
+            }
             previous_at = now;
             if received.is_multiple_of(MOVE_CHECK_EVENTS)
                 && self.may_move()
-                && self.is_move_faster(sample, &draft.lock())
+                && self.is_move_faster(sample, draft, &gaps)
             {
                 return RunOutcome::Moved;
             }
@@ -319,7 +342,8 @@
     }
 
     /// Returns whether another engine is expected to complete the sample sooner.
-    fn is_move_faster(&self, sample: &Sample, draft: &Draft) -> bool {
+    fn is_move_faster(&self, sample: &Sample, draft: &Mutex<Draft>, gaps: &RecentGaps) -> bool {
+        let last_event = draft.lock().last_event;
         let memory = self.app.engine_memory(&self.service);
         let request = PlacementRequest {
             service: &self.service,
@@ -329,16 +353,34 @@
             domain: &self.app.settings.domain,
             cached_on: None,
             avoid: &[],
-            tokens: memory.run_tokens(sample.prompt, draft.last_event),
+            tokens: memory.run_tokens(sample.prompt, last_event),
             memory,
         };
         let upstreams = self.app.upstreams.lock();
         let tracker = self.app.engine_tracker.lock();
-        let remaining = tracker.remaining_events(sample.expected, draft.last_event);
+        let remaining = tracker.remaining_events(sample.expected, last_event);
         let now = self.app.clock.now();
-        tracker
-            .choose_better(&upstreams, &request, &self.engine.id, remaining, now)
-            .is_some()
+        let current = &*self.engine.id;
+        if !self.app.settings.placement.critical_moves {
+            let better = tracker.choose_better(&upstreams, &request, current, remaining, now);
+            return better.is_some();
+        }
+        let better = tracker.choose_confirmed(&upstreams, &request, current, remaining, gaps, now);
+        let time = tracker.remaining_time(Some(current), sample.expected, last_event, now);
+        drop(tracker);
+        drop(upstreams);
+        let Some((_, reason)) = better else {
+            return false;
+        };
+        let (moves, outcome) = match reason {
+            MoveReason::Memory => (true, "memory"),
+            MoveReason::Speed if self.owned.is_end_decided_by(&self.app, self.index, time) => {
+                (true, "speed")
+            }
+            MoveReason::Speed => (false, "not critical"),
+        };
+        metrics::counter!(crate::telemetry::MOVES, "outcome" => outcome).increment(1);
+        moves
     }
 }
 
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -16,6 +16,9 @@
 /// Attempts at upstreams, by outcome.
 pub const ATTEMPTS: &str = "snipeway_upstream_attempts_total";
 
+/// Runs for which a better engine was found, by outcome.
+pub const MOVES: &str = "snipeway_moves_total";
+
 /// Samples that ended, by outcome.
 pub const SAMPLES: &str = "snipeway_samples_total";
 
@@ -63,6 +66,7 @@
         "time until callers had their answer"
     );
     metrics::describe_counter!(ATTEMPTS, "attempts at upstreams by outcome");
+    metrics::describe_counter!(MOVES, "runs for which a better engine was found by outcome");
     metrics::describe_counter!(SAMPLES, "samples that ended by outcome");
     metrics::describe_counter!(SCORES, "requests for the score of a sample by outcome");
     metrics::describe_counter!(
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -5,6 +5,8 @@
 use kernel::Map;
 use kernel::Millis;
 
+use crate::pace::Pace;
+
 /// Weight of the newest gap between two events in the moving average, which spans about ten events.
 const SMOOTHING_FACTOR: f64 = 0.1;
 
@@ -25,6 +27,9 @@
     pub running: u32,
     /// Number of requests queued in the engine.
     pub waiting: u32,
+    /// How long work takes on the engine now, in percent of the usual time, if it says so; 0 if the figure is not a
+    /// number.
+    pub pace: Option<u32>,
 }
 
 /// State of one engine as known to one instance.
@@ -36,6 +41,10 @@
     pub(crate) tokens: u64,
     /// Mean time between two events of a run, in milliseconds; 0 before the first measurement.
     pub(crate) mean_gap: f64,
+    /// Number of measurements in it.
+    pub(crate) measured_events: u32,
+    /// Pace that the engine has reported.
+    pub(crate) pace: Pace,
     /// Newest weight version of each model that the engine has reported itself.
     pub(crate) versions: Map<Arc<str>, u64>,
     failures: u32,
@@ -48,17 +57,19 @@
 impl EngineState {
     pub(crate) fn event_received(&mut self, gap: f64) {
         self.responded();
+        self.measured_events = self.measured_events.saturating_add(1);
         self.mean_gap = match self.mean_gap {
             0.0 => gap,
             mean => mean + SMOOTHING_FACTOR * (gap - mean),
         };
     }
 
-    /// Returns the engine's event gap, or `default` if none has been measured.
-    pub(crate) fn mean_gap_or(&self, default: f64) -> f64 {
+    /// Returns the engine's event gap; if none has been measured, the gap `default` of a typical engine at the pace
+    /// that this one has reported.
+    pub(crate) fn mean_gap_or(&self, default: f64, now: Millis) -> f64 {
         match self.mean_gap > 0.0 {
             true => self.mean_gap,
-            false => default,
+            false => default * self.pace.factor(now),
         }
     }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -5,18 +5,25 @@
 //! samples run far longer than the rest. A sample queued inside an engine cannot be placed elsewhere,
 //! so no engine gets more samples than it has slots; the rest wait here.
 
+mod critical;
 mod engine;
 mod memory;
 mod order;
+mod pace;
 mod round;
 mod scale;
 mod shares;
 mod tracker;
 
+pub use critical::MoveReason;
+pub use critical::RecentGaps;
+pub use critical::StepEnd;
+pub use critical::UnfinishedSample;
 pub use engine::Load;
 pub use memory::EngineMemory;
 pub use order::PendingSample;
 pub use order::order_samples;
+pub use pace::PaceOutcome;
 pub use round::PlacementRound;
 pub use scale::LengthScale;
 pub use shares::TeamShares;
--- a/crates/place/src/tracker.rs
+++ b/crates/place/src/tracker.rs
@@ -12,18 +12,21 @@
 use crate::EngineMemory;
 use crate::LengthScale;
 use crate::Load;
+use crate::PaceOutcome;
 use crate::engine::EngineState;
+use crate::pace;
+use crate::pace::IgnoredPaces;
 
 /// Minimum expected gain of a move, in milliseconds: the new engine takes a few milliseconds to process
 /// the prompt and the text so far, and the new connection takes a few more.
-const MIN_GAIN_MS: f64 = 150.0;
+pub(crate) const MIN_GAIN_MS: f64 = 150.0;
 
 /// Maximum number of engines among which a run looks for a better one. Each run does so several times a
 /// second, and any subset of thousands of engines contains some idle ones.
 const MAX_CANDIDATES: usize = 512;
 
 /// Minimum ratio of speeds, new engine to current engine, for a run to move.
-const MIN_SPEEDUP: f64 = 1.25;
+pub(crate) const MIN_SPEEDUP: f64 = 1.25;
 
 /// Assumed time between two events before any was measured, in milliseconds.
 const DEFAULT_GAP_MS: f64 = 40.0;
@@ -89,6 +92,7 @@
     engines: Map<Arc<str>, EngineState>,
     scale: LengthScale,
     gap_stats: Cell<Option<GapStats>>,
+    ignored_paces: IgnoredPaces,
 }
 
 impl EngineTracker {
@@ -142,6 +146,15 @@
         self.engine(id).load_reported(load, now);
     }
 
+    /// Records the pace that an engine reported, in percent of the usual time.
+    pub fn pace_reported(&mut self, id: &Arc<str>, percent: u32, now: Millis) -> PaceOutcome {
+        if !pace::is_valid(percent) {
+            return self.ignored_paces.record(now);
+        }
+        self.engine(id).pace.record(percent, now);
+        PaceOutcome::Recorded
+    }
+
     /// Records the version of a model's weights that an engine reported itself; the list of upstreams has it
     /// a second or two later.
     pub fn version_seen(&mut self, id: &Arc<str>, model: &Arc<str>, version: u64) {
@@ -169,10 +182,27 @@
         self.engines.get(id).map_or(0, |engine| engine.own_runs)
     }
 
-    /// Returns the event gap of an engine, or `default` if none has been measured.
-    fn mean_gap(&self, id: &str, default: f64) -> f64 {
+    /// Returns the event gap of an engine; if none has been measured, one derived from `default`.
+    pub(crate) fn mean_gap(&self, id: &str, default: f64, now: Millis) -> f64 {
+        let engine = self.engines.get(id);
+        engine.map_or(default, |engine| engine.mean_gap_or(default, now))
+    }
+
+    /// Returns the number of events from which an engine's event gap was measured.
+    pub(crate) fn measured_events(&self, id: &str) -> u32 {
+        self.engines
+            .get(id)
+            .map_or(0, |engine| engine.measured_events)
+    }
+
+    /// Returns whether an engine is about to run out of memory.
+    pub(crate) fn is_nearly_full(&self, request: &PlacementRequest<'_>, id: &str) -> bool {
         let engine = self.engines.get(id);
-        engine.map_or(default, |engine| engine.mean_gap_or(default))
+        engine.is_some_and(|engine| {
+            request
+                .memory
+                .is_nearly_full(engine.tokens, engine.own_runs)
+        })
     }
 
     /// Returns event gap statistics that are at most [`GAP_STATS_TTL`] old.
@@ -234,7 +264,7 @@
             true => 0.0,
             false => REMOTE_COST_MS,
         };
-        let gap = state.map_or(default_gap, |state| state.mean_gap_or(default_gap));
+        let gap = state.map_or(default_gap, |state| state.mean_gap_or(default_gap, now));
         let used_slots = f64::from(own_runs) / f64::from(engine.slots.max(1));
         let utilization = used_slots.max(request.memory.used_fraction(tokens));
         // A fuller engine is a little slower, and its last slots are reserved for later samples.
@@ -266,8 +296,8 @@
         };
         match cached.filter(fits) {
             Some(cached)
-                if self.mean_gap(&cached.id, default_gap)
-                    <= self.mean_gap(&best.id, default_gap) * MIN_SPEEDUP =>
+                if self.mean_gap(&cached.id, default_gap, now)
+                    <= self.mean_gap(&best.id, default_gap, now) * MIN_SPEEDUP =>
             {
                 cached.clone()
             }
@@ -316,10 +346,8 @@
     ) -> Option<Arc<Upstream>> {
         let stats = self.gap_stats(now);
         let default_gap = stats.median;
-        let current_gap = self.mean_gap(current, default_gap);
-        let state = self.engines.get(current);
-        let nearly_full =
-            state.is_some_and(|state| request.memory.is_nearly_full(state.tokens, state.own_runs));
+        let current_gap = self.mean_gap(current, default_gap, now);
+        let nearly_full = self.is_nearly_full(request, current);
         if !nearly_full && f64::from(remaining) * current_gap <= MIN_GAIN_MS {
             // Not even an infinitely fast engine would gain enough.
             return None;
@@ -334,7 +362,7 @@
             MAX_CANDIDATES,
         );
         let best = self.choose_among(subset, list, request, now)?;
-        let best_gap = self.mean_gap(&best.id, default_gap);
+        let best_gap = self.mean_gap(&best.id, default_gap, now);
         let gain = f64::from(remaining) * (current_gap - best_gap);
         let worthwhile = match nearly_full {
             true => best_gap <= current_gap * MAX_SLOWDOWN,
--- a/crates/place/tests/place.rs
+++ b/crates/place/tests/place.rs
@@ -92,6 +92,7 @@
     let load = Load {
         running: 2,
         waiting: 0,
+        pace: None,
     };
 
     tracker.load_reported(&id("a"), load, 0);
