--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -4,6 +4,7 @@
 mod load_probes;
 mod owned_step;
 mod runner;
+mod step_end;
 mod version_probes;
 mod write;
 
--- a/crates/place/tests/loads.rs
+++ b/crates/place/tests/loads.rs
@@ -17,11 +17,13 @@
 const FREE: Option<Load> = Some(Load {
     running: 1,
     waiting: 0,
+    pace: None,
 });
 
 const FULL: Option<Load> = Some(Load {
     running: 8,
     waiting: 0,
+    pace: None,
 });
 
 /// An engine with 8 slots that has version 1 of the models `m` and `n`.
@@ -196,7 +198,7 @@
 #[parameterized(
     free = { FREE, Rejection::Loading(150) },
     full = { FULL, Rejection::Full },
-    queued = { Some(Load { running: 0, waiting: u32::MAX }), Rejection::Full },
+    queued = { Some(Load { running: 0, waiting: u32::MAX, pace: None }), Rejection::Full },
     unknown = { None, Rejection::Full },
 )]
 fn a_rejection_by_a_full_engine_is_no_load(load: Option<Load>, expected: Rejection) {
