Decide how owners share the slots of engines

Cause: trainers submit at the same moment, and each owner fills every engine up to its slots, because load reports come only with answers. Runs beyond the slots get no answer in time.

Change: `place::slots` decides by the reports of owners how many runs this instance may have on an engine. An engine that several owners with waiting samples could use has a home owner, found by weighted rendezvous hashing; the others use slots there only after it has left them free for 140 ms. `EngineTracker::evaluate` asks it once slots are shared, which no instance does yet.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -11,6 +11,7 @@
 mod round;
 mod scale;
 mod shares;
+pub mod slots;
 mod tracker;
 
 pub use engine::Load;
@@ -20,5 +21,9 @@
 pub use round::PlacementRound;
 pub use scale::LengthScale;
 pub use shares::TeamShares;
+pub use slots::ModelDemand;
+pub use slots::ReportOutcome;
+pub use slots::SlotReport;
+pub use slots::SlotShares;
 pub use tracker::EngineTracker;
 pub use tracker::PlacementRequest;
--- /dev/null
+++ b/crates/place/src/slots.rs
@@ -0,0 +1,487 @@
+//! Shares the slots of engines among the owners of steps.
+//!
+//! Load pattern: several trainers submit a step at the same moment, and each step has another owner. Load reports come
+//! only with engines' answers, so each owner would fill every engine up to its slots, and runs beyond the slots get no
+//! answer in time.
+//!
+//! Owners report to each other how many samples wait and which runs they have. An engine that several of them could
+//! use has a home owner, chosen by weighted rendezvous hashing over those that have waiting samples. It may fill the
+//! engine; the others leave it alone until the home owner has waited for nothing, or has left slots free for
+//! [`SPARE_DELAY`].
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use kernel::Map;
+use kernel::Millis;
+use kernel::rendezvous_rank;
+use serde::Deserialize;
+use serde::Serialize;
+use table::Upstream;
+
+/// Minimum time between two periodic reports of an owner, in milliseconds.
+pub const REPORT_INTERVAL: Millis = 100;
+
+/// Time after which a report expires, in milliseconds.
+const REPORT_TTL: Millis = 1_000;
+
+/// Time after which an unchanged report is repeated, in milliseconds: two reports may get lost before one expires.
+const REPEAT_INTERVAL: Millis = 300;
+
+/// Time for which an owner that begins or returns starts no runs before others have replied, in milliseconds. Within a
+/// region replies take a few milliseconds; a run takes seconds.
+pub const HOLD_TIME: Millis = 40;
+
+/// Time for which a home owner must have left a slot free before others use it, in milliseconds. A run that the home
+/// owner has started meanwhile is reported within [`REPORT_INTERVAL`] and 40 ms of transmission. Free slots are to
+/// be used within 300 ms, and the report that shows one is up to [`REPORT_INTERVAL`] late.
+const SPARE_DELAY: Millis = 140;
+
+/// Time between two checks of a spare slot after which it may have been used in between, in milliseconds: twice the
+/// interval at which a step with waiting samples looks for free slots.
+const MAX_CHECK_GAP: Millis = 100;
+
+/// Time for which the sequence number of a silent owner is kept, in milliseconds, longer than any report is underway.
+const SEQUENCE_TTL: Millis = 60_000;
+
+/// Time for which reports are sent to an owner that has sent one, in milliseconds: trainers submit a step every few
+/// seconds.
+const SENDER_TTL: Millis = 10_000;
+
+/// Largest valid number of samples or runs in one entry of a report, and of entries: far more than one instance runs.
+const MAX_COUNT: u32 = 1 << 16;
+
+/// The samples of one model that an owner has for the engines of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ModelDemand {
+    /// The service.
+    pub service: Arc<str>,
+    /// The model.
+    pub model: Arc<str>,
+    /// The oldest weight version that is accepted.
+    pub min_version: u64,
+    /// Number of samples that wait for an engine.
+    pub waiting: u32,
+    /// Number of samples that run.
+    pub running: u32,
+}
+
+/// What an owner has to run, and what it runs on which engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct SlotReport {
+    /// The instance.
+    pub owner: Arc<str>,
+    /// Identifies the start among those of the instance; later starts have higher values.
+    pub start: u64,
+    /// Sequence number of the report since the start.
+    pub seq: u64,
+    /// Demand for each service and model.
+    pub demands: Vec<ModelDemand>,
+    /// Number of runs on each engine, by the hash of the engine's identifier.
+    pub runs: Vec<(u32, u32)>,
+}
+
+impl SlotReport {
+    /// Returns whether the owner has neither runs nor waiting samples.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty() && !self.has_waiting()
+    }
+
+    fn has_waiting(&self) -> bool {
+        self.demands.iter().any(|demand| demand.waiting > 0)
+    }
+
+    fn is_valid(&self) -> bool {
+        let counts = self.demands.iter();
+        let counts = counts.flat_map(|demand| [demand.waiting, demand.running]);
+        let mut counts = counts.chain(self.runs.iter().map(|(_, count)| *count));
+        self.demands.len().max(self.runs.len()) <= MAX_COUNT as usize
+            && counts.all(|count| count <= MAX_COUNT)
+    }
+
+    /// Number of waiting and running samples that an engine can serve.
+    fn weight(&self, service: &str, version: impl Fn(&str) -> Option<u64>) -> u32 {
+        let demands = self.demands.iter();
+        let servable = demands.filter(|demand| {
+            *demand.service == *service && version(&demand.model) >= Some(demand.min_version)
+        });
+        let (waiting, running) = servable.fold((0_u32, 0_u32), |(waiting, running), demand| {
+            (
+                waiting.saturating_add(demand.waiting),
+                running.saturating_add(demand.running),
+            )
+        });
+        match waiting {
+            0 => 0,
+            _ => waiting.saturating_add(running),
+        }
+    }
+}
+
+/// Result of [`SlotShares::record`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportOutcome {
+    /// The report is the first one of its owner in a while.
+    AppliedFirst,
+    /// The report replaces the previous one of its owner.
+    Applied,
+    /// A newer report of the owner is known.
+    Outdated,
+    /// The report has values out of range, or claims to be this instance's.
+    Invalid,
+}
+
+/// A report that is due, and whether its receivers have to reply with theirs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DueReport {
+    /// The report.
+    pub report: SlotReport,
+    /// Whether this instance may lack reports of others, since it was paused.
+    pub wants_replies: bool,
+}
+
+/// A report and when it was received or made.
+#[derive(Clone, Debug)]
+struct Known {
+    report: SlotReport,
+    at: Millis,
+    expired: bool,
+}
+
+/// Slots that the home owner of an engine leaves free.
+#[derive(Clone, Copy, Debug)]
+struct Spare {
+    /// The smallest number of runs that this instance could have had since then.
+    room: u32,
+    since: Millis,
+    checked_at: Millis,
+}
+
+/// The reports of owners, and what follows from them for this instance's runs.
+///
+/// # Examples
+///
+/// ```
+/// use place::{ModelDemand, ReportOutcome, SlotShares};
+///
+/// let demand = ModelDemand {
+///     service: "fit".into(), model: "m".into(), min_version: 1, waiting: 5, running: 0,
+/// };
+/// let mut a = SlotShares::new("a".into(), 1);
+/// let mut b = SlotShares::new("b".into(), 1);
+/// let report = a.report(vec![demand], 0);
+///
+/// assert_eq!(b.record(report.clone(), 0), ReportOutcome::AppliedFirst);
+/// assert_eq!(b.record(report, 10), ReportOutcome::Outdated);
+/// assert_eq!(b.active_owners(), 1);
+/// ```
+#[derive(Debug)]
+pub struct SlotShares {
+    me: Arc<str>,
+    start: u64,
+    seq: u64,
+    own_runs: Map<u32, u32>,
+    /// The last report of this instance. Decisions use it as others do, so that all choose the same home owners.
+    own: Option<Known>,
+    others: Map<Arc<str>, Known>,
+    /// Runs of the other owners on each engine.
+    others_runs: Map<u32, u32>,
+    /// The owners that have waiting samples, as last reported.
+    contenders: Vec<SlotReport>,
+    hold_until: Millis,
+    /// The sequence number of this instance's report that was found to be expired, and when.
+    stale: Cell<Option<(u64, Millis)>>,
+    spares: RefCell<Map<u32, Spare>>,
+}
+
+impl SlotShares {
+    /// Creates the state of an instance that knows of no other owner.
+    pub fn new(me: Arc<str>, start: u64) -> Self {
+        Self {
+            me,
+            start,
+            seq: 0,
+            own_runs: Map::default(),
+            own: None,
+            others: Map::default(),
+            others_runs: Map::default(),
+            contenders: Vec::new(),
+            hold_until: 0,
+            stale: Cell::default(),
+            spares: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn run_started(&mut self, engine: &str) {
+        *self.own_runs.entry(engine_key(engine)).or_default() += 1;
+    }
+
+    pub(crate) fn run_ended(&mut self, engine: &str) {
+        let key = engine_key(engine);
+        match self.own_runs.get_mut(&key) {
+            Some(runs) if *runs > 1 => *runs -= 1,
+            _ => drop(self.own_runs.remove(&key)),
+        }
+    }
+
+    /// Makes a report to be sent at once.
+    pub fn report(&mut self, demands: Vec<ModelDemand>, now: Millis) -> SlotReport {
+        self.seq += 1;
+        let report = SlotReport {
+            owner: self.me.clone(),
+            start: self.start,
+            seq: self.seq,
+            runs: self.sorted_runs(),
+            demands,
+        };
+        self.own = Some(Known {
+            report: report.clone(),
+            at: now,
+            expired: false,
+        });
+        self.update_contenders();
+        report
+    }
+
+    /// Returns the periodic report if one is due: something has changed, or the last report is about to expire.
+    pub fn next_report(&mut self, demands: Vec<ModelDemand>, now: Millis) -> Option<DueReport> {
+        self.expire(now);
+        let runs = self.sorted_runs();
+        let is_idle = runs.is_empty() && demands.iter().all(|demand| demand.waiting == 0);
+        let own = self.own.as_ref();
+        if own.is_none_or(|own| own.report.is_idle()) && is_idle {
+            return None;
+        }
+        let elapsed = own.map_or(REPORT_TTL, |own| now - own.at);
+        let unchanged =
+            own.is_some_and(|own| own.report.demands == demands && own.report.runs == runs);
+        if elapsed < REPORT_INTERVAL || (unchanged && elapsed < REPEAT_INTERVAL) {
+            return None;
+        }
+        let wants_replies = elapsed >= REPORT_TTL;
+        if wants_replies {
+            self.hold_until = now + HOLD_TIME;
+        }
+        Some(DueReport {
+            report: self.report(demands, now),
+            wants_replies,
+        })
+    }
+
+    /// Ends the wait for replies to a report that wanted them.
+    pub fn release(&mut self) {
+        self.hold_until = 0;
+    }
+
+    /// Records the report of another owner.
+    pub fn record(&mut self, report: SlotReport, now: Millis) -> ReportOutcome {
+        if report.owner == self.me || !report.is_valid() {
+            return ReportOutcome::Invalid;
+        }
+        let previous = self.others.get(&report.owner);
+        let sequence = (report.start, report.seq);
+        if previous.is_some_and(|known| sequence <= (known.report.start, known.report.seq)) {
+            return ReportOutcome::Outdated;
+        }
+        let is_first = previous.is_none_or(|known| known.expired);
+        let known = Known {
+            report,
+            at: now,
+            expired: false,
+        };
+        self.others.insert(known.report.owner.clone(), known);
+        self.update_runs();
+        self.update_contenders();
+        match is_first {
+            true => ReportOutcome::AppliedFirst,
+            false => ReportOutcome::Applied,
+        }
+    }
+
+    /// Returns the number of other owners that have runs or waiting samples.
+    pub fn active_owners(&self) -> usize {
+        let others = self.others.values();
+        let active = others.filter(|known| !known.expired && !known.report.is_idle());
+        active.count()
+    }
+
+    /// Returns the owners that have sent a report recently.
+    pub fn recent_senders(&self, now: Millis) -> impl Iterator<Item = &Arc<str>> {
+        let recent = self.others.iter();
+        let recent = recent.filter(move |(_, known)| now < known.at + SENDER_TTL);
+        recent.map(|(owner, _)| owner)
+    }
+
+    /// Returns how many runs this instance may have on an engine that has `slots` slots; `own_runs` is the number that
+    /// it has, and `version` returns the version of a model's weights on the engine.
+    pub fn max_runs(
+        &self,
+        engine: &Upstream,
+        slots: u32,
+        own_runs: u32,
+        version: impl Fn(&str) -> Option<u64>,
+        now: Millis,
+    ) -> u32 {
+        if self.is_held(now) {
+            return 0;
+        }
+        if self.others_runs.is_empty() && self.contenders.is_empty() {
+            return slots;
+        }
+        let key = engine_key(&engine.id);
+        let others_runs = self.others_runs.get(&key).copied().unwrap_or(0);
+        let room = slots.saturating_sub(others_runs);
+        if room <= own_runs {
+            self.spares.borrow_mut().remove(&key);
+            return room;
+        }
+        match self.home_owner(engine, key, version) {
+            Some(home) if home != &*self.me => self.spare_runs(key, own_runs, room, now),
+            _ => room,
+        }
+    }
+
+    /// Returns the owner with waiting samples that may fill an engine.
+    fn home_owner(
+        &self,
+        engine: &Upstream,
+        key: u32,
+        version: impl Fn(&str) -> Option<u64>,
+    ) -> Option<&str> {
+        let mut home: Option<(f64, &str)> = None;
+        for contender in &self.contenders {
+            let weight = contender.weight(&engine.service, &version);
+            if weight == 0 {
+                continue;
+            }
+            let score = score(&contender.owner, key, weight);
+            if home.is_none_or(|best| best < (score, &contender.owner)) {
+                home = Some((score, &contender.owner));
+            }
+        }
+        home.map(|(_, owner)| owner)
+    }
+
+    /// Returns how many runs this instance may have on an engine of which another owner is the home owner.
+    fn spare_runs(&self, key: u32, own_runs: u32, room: u32, now: Millis) -> u32 {
+        // The home owner doesn't know yet of runs that have ended since the last report.
+        let own = self.own.as_ref();
+        let reported = own.map_or(0, |own| count(&own.report.runs, key));
+        let room = room.saturating_sub(reported.saturating_sub(own_runs));
+        let mut spares = self.spares.borrow_mut();
+        let new = Spare {
+            room,
+            since: now,
+            checked_at: now,
+        };
+        let spare = spares.entry(key).or_insert(new);
+        let is_used_up = now >= spare.since + SPARE_DELAY && own_runs >= spare.room;
+        if now > spare.checked_at + MAX_CHECK_GAP || is_used_up {
+            *spare = new;
+        }
+        spare.checked_at = now;
+        spare.room = spare.room.min(room);
+        match now >= spare.since + SPARE_DELAY {
+            true => spare.room,
+            false => 0,
+        }
+    }
+
+    /// Returns whether this instance, after a pause, has to learn of others before it starts runs: its own report has
+    /// expired, and so have those of others. It waits at most [`HOLD_TIME`] for its next report, and as long for replies.
+    fn is_held(&self, now: Millis) -> bool {
+        if now < self.hold_until {
+            return true;
+        }
+        let Some(own) = &self.own else { return false };
+        if own.report.is_idle() || now < own.at + REPORT_TTL {
+            return false;
+        }
+        let stale = self.stale.get().filter(|(seq, _)| *seq == own.report.seq);
+        let (_, since) = stale.unwrap_or((own.report.seq, now));
+        self.stale.set(Some((own.report.seq, since)));
+        now < since + HOLD_TIME
+    }
+
+    /// Forgets what reports that have expired say, and spare slots that are no longer checked.
+    fn expire(&mut self, now: Millis) {
+        self.others.retain(|_, known| now < known.at + SEQUENCE_TTL);
+        let mut changed = false;
+        for known in self.others.values_mut() {
+            if !known.expired && now >= known.at + REPORT_TTL {
+                known.expired = true;
+                changed = true;
+            }
+        }
+        if changed {
+            self.update_runs();
+            self.update_contenders();
+        }
+        self.spares
+            .get_mut()
+            .retain(|_, spare| now <= spare.checked_at + MAX_CHECK_GAP);
+    }
+
+    fn update_runs(&mut self) {
+        self.others_runs.clear();
+        let others = self.others.values().filter(|known| !known.expired);
+        for (engine, count) in others.flat_map(|known| &known.report.runs) {
+            let runs = self.others_runs.entry(*engine).or_default();
+            *runs = runs.saturating_add(*count);
+        }
+    }
+
+    /// Updates the owners that have waiting samples; there are none if no other owner has any.
+    fn update_contenders(&mut self) {
+        let others = self.others.values().filter(|known| !known.expired);
+        let others = others.filter(|known| known.report.has_waiting());
+        self.contenders = others.map(|known| without_runs(&known.report)).collect();
+        let own = self.own.as_ref().filter(|own| own.report.has_waiting());
+        if !self.contenders.is_empty() {
+            self.contenders
+                .extend(own.map(|own| without_runs(&own.report)));
+        }
+    }
+
+    fn sorted_runs(&self) -> Vec<(u32, u32)> {
+        let mut runs: Vec<_> = self
+            .own_runs
+            .iter()
+            .map(|(engine, count)| (*engine, *count))
+            .collect();
+        runs.sort_unstable();
+        runs
+    }
+}
+
+fn without_runs(report: &SlotReport) -> SlotReport {
+    SlotReport {
+        owner: report.owner.clone(),
+        demands: report.demands.clone(),
+        runs: Vec::new(),
+        ..*report
+    }
+}
+
+/// Returns the number of runs on an engine in a sorted list.
+fn count(runs: &[(u32, u32)], key: u32) -> u32 {
+    let found = runs.binary_search_by_key(&key, |(engine, _)| *engine);
+    found.map_or(0, |index| runs[index].1)
+}
+
+/// Returns the hash by which reports name an engine. Of 10,000 engines two have the same with a probability of 1%;
+/// the runs on either then count for both, and their slots are used less.
+fn engine_key(id: &str) -> u32 {
+    (rendezvous_rank("engine", id) >> 32) as u32
+}
+
+/// Returns the score of an owner for an engine in weighted rendezvous hashing: each owner has the highest score for a
+/// share of the engines that is proportional to its weight.
+fn score(owner: &str, key: u32, weight: u32) -> f64 {
+    let rank = rendezvous_rank(owner, key) as f64;
+    let uniform = (rank + 0.5) / (u64::MAX as f64);
+    f64::from(weight) / -uniform.ln()
+}
--- a/crates/place/src/tracker.rs
+++ b/crates/place/src/tracker.rs
@@ -12,6 +12,7 @@
 use crate::EngineMemory;
 use crate::LengthScale;
 use crate::Load;
+use crate::SlotShares;
 use crate::engine::EngineState;
 
 /// Minimum expected gain of a move, in milliseconds: the new engine takes a few milliseconds to process
@@ -88,6 +89,7 @@
 pub struct EngineTracker {
     engines: Map<Arc<str>, EngineState>,
     scale: LengthScale,
+    slots: Option<SlotShares>,
     gap_stats: Cell<Option<GapStats>>,
 }
 
@@ -96,6 +98,16 @@
         self.engines.entry(id.clone()).or_default()
     }
 
+    /// Shares the slots of engines with other owners from now on.
+    pub fn share_slots(&mut self, slots: SlotShares) {
+        self.slots = Some(slots);
+    }
+
+    /// Returns the shares of owners in the slots of engines, if they are shared.
+    pub fn slot_shares(&mut self) -> Option<&mut SlotShares> {
+        self.slots.as_mut()
+    }
+
     /// Removes engines that are no longer listed and have no runs.
     pub fn prune(&mut self, list: &UpstreamList) {
         self.engines
@@ -105,6 +117,9 @@
     /// Records that a run which occupies `tokens` has started on an engine.
     pub fn run_started(&mut self, id: &Arc<str>, tokens: u64) {
         self.engine(id).run_started(tokens);
+        if let Some(slots) = &mut self.slots {
+            slots.run_started(id);
+        }
     }
 
     /// Records that a run on an engine has grown by `tokens`.
@@ -115,6 +130,9 @@
     /// Records that a run which occupied `tokens` has left an engine.
     pub fn run_ended(&mut self, id: &Arc<str>, tokens: u64) {
         self.engine(id).run_ended(tokens);
+        if let Some(slots) = &mut self.slots {
+            slots.run_ended(id);
+        }
     }
 
     /// Records an event and the time since the previous one, in milliseconds.
@@ -225,6 +243,12 @@
                 return Evaluation::Unavailable;
             }
         }
+        if let Some(shares) = &self.slots {
+            let version = |model: &str| newest_version(engine, state, model);
+            if own_runs >= shares.max_runs(engine, slots, own_runs, version, now) {
+                return Evaluation::Unavailable;
+            }
+        }
         if !request.memory.admits(tokens, own_runs, request.tokens)
             || request.avoid.contains(&engine.id)
         {
