--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -4,6 +4,7 @@
 
 use batch::Owner;
 use kernel::Millis;
+use place::SlotReport;
 use plat::Answer;
 use plat::Call;
 use plat::PlatError;
@@ -80,6 +81,11 @@
         engines: Vec<Arc<str>>,
         duration: Millis,
     },
+    /// The samples and runs of the sender; the receiver replies with its own if that is wanted.
+    SlotReport {
+        report: SlotReport,
+        wants_reply: bool,
+    },
 }
 
 /// A reply.
@@ -103,4 +109,6 @@
     WindowCounts(Vec<WindowCounts>),
     #[serde(rename = "Reaches")]
     ReachesReportAddress(bool),
+    /// [`None`] when there is nothing to report.
+    SlotReport(Option<SlotReport>),
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,6 +14,7 @@
 mod round;
 mod scale;
 mod shares;
+pub mod slots;
 mod tracker;
 
 pub use critical::MoveReason;
@@ -30,5 +31,9 @@
 pub use round::PlacementRound;
 pub use scale::LengthScale;
 pub use shares::TeamShares;
+pub use slots::ModelDemand;
+pub use slots::ReportOutcome;
+pub use slots::SlotReport;
+pub use slots::SlotShares;
 pub use tracker::EngineTracker;
 pub use tracker::PlacementRequest;
