--- a/crates/limit/src/order.rs
+++ b/crates/limit/src/order.rs
@@ -12,7 +12,8 @@
     pub customer: Name,
     /// Weight of the customer's contract.
     pub weight: u32,
-    /// Priority class of the contract.
+    /// Priority class. A higher class gets a larger share in the order `fair`; 0 is the most urgent in the order
+    /// `priority`.
     pub class: u8,
     /// Expected work, in any unit that is the same for the whole queue.
     pub cost: f64,
@@ -25,6 +26,9 @@
 
     /// Records that the request with this rank has left the queue to run.
     fn dispatched(&mut self, rank: f64);
+
+    /// Records that a ranked request was rejected or has left the queue without running.
+    fn withdrawn(&mut self, _: &QueueEntry) {}
 }
 
 /// A queue order that the settings select by name.
@@ -97,6 +101,42 @@
     }
 }
 
+/// Distance between the ranks of adjacent classes. It exceeds the virtual time of decades of requests, and leaves
+/// ten bits of an `f64` for fractions of a request in the last class.
+const CLASS_DISTANCE: f64 = (1_u64 << 40) as f64;
+
+/// Strict priority between classes, and start-time fair queueing within each.
+#[derive(Debug, Default)]
+struct Prioritized {
+    classes: Map<u8, Fair>,
+}
+
+impl Ranker for Prioritized {
+    fn rank(&mut self, entry: &QueueEntry) -> f64 {
+        let class = self.classes.entry(entry.class).or_default();
+        let equal = QueueEntry {
+            class: 0,
+            ..entry.clone()
+        };
+        f64::from(entry.class) * CLASS_DISTANCE + class.rank(&equal)
+    }
+
+    fn dispatched(&mut self, rank: f64) {
+        let class = (rank / CLASS_DISTANCE) as u8;
+        if let Some(fair) = self.classes.get_mut(&class) {
+            fair.dispatched(rank % CLASS_DISTANCE);
+        }
+    }
+
+    // Without this, a customer whose requests are rejected would be ranked behind all others for a long time.
+    fn withdrawn(&mut self, entry: &QueueEntry) {
+        let fair = self.classes.get_mut(&entry.class);
+        if let Some(finish) = fair.and_then(|fair| fair.finish_times.get_mut(&entry.customer)) {
+            *finish -= entry.cost / f64::from(entry.weight.max(1));
+        }
+    }
+}
+
 inventory::submit! {
     QueueOrder { name: "fifo", make: || Box::<Fifo>::default() }
 }
@@ -104,3 +144,7 @@
 inventory::submit! {
     QueueOrder { name: "fair", make: || Box::<Fair>::default() }
 }
+
+inventory::submit! {
+    QueueOrder { name: "priority", make: || Box::<Prioritized>::default() }
+}
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
+use kernel::Map;
 use kernel::Millis;
 
 use crate::order::QueueEntry;
@@ -28,9 +29,41 @@
     },
 }
 
+/// Times that decide whether a request may wait.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitBounds {
+    /// The current time.
+    pub now: Millis,
+    /// Time after which the request must not leave the queue to run.
+    pub latest: Millis,
+    /// Time until the next request can leave, in milliseconds.
+    pub first: f64,
+    /// Time between the departures after that, in milliseconds.
+    pub interval: f64,
+}
+
+/// Decision of [`Queue::push_within`] on an arriving request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission<T> {
+    /// It waits.
+    Queued {
+        /// Identifies the request.
+        ticket: Ticket,
+        /// The last request of a full queue, which was removed for a request that precedes it.
+        displaced: Option<T>,
+    },
+    /// Its expected wait ends after its latest time.
+    TooLong,
+    /// The queue is full of requests that precede it.
+    Full,
+}
+
 #[derive(Debug)]
 struct QueuedRequest<T> {
+    /// Whether it leaves before all others, whatever their ranks.
+    first: bool,
     rank: f64,
+    entry: QueueEntry,
     ticket: Ticket,
     deadline: Millis,
     value: T,
@@ -53,9 +86,9 @@
 impl<T> Ord for QueuedRequest<T> {
     // Reversed, since a binary heap returns the greatest item first and the lowest rank must leave first.
     fn cmp(&self, other: &Self) -> Ordering {
-        other
-            .rank
-            .total_cmp(&self.rank)
+        self.first
+            .cmp(&other.first)
+            .then(other.rank.total_cmp(&self.rank))
             .then(other.ticket.cmp(&self.ticket))
     }
 }
@@ -85,6 +118,14 @@
 /// Weight of the newest departure interval in the moving average.
 const SMOOTHING_FACTOR: f64 = 0.05;
 
+/// One in this many departures of [`Queue::pop_in_turn`] goes to the request that has waited longest, so that
+/// continuous requests of an urgent class do not starve the others.
+const TURN_INTERVAL: u32 = 8;
+
+/// Time after the refusal of a request for which less urgent ones give way to its retry, in milliseconds. Where few
+/// requests wait, the order of the queue alone would serve all classes alike.
+const CONTENTION_TIME: Millis = 1_000;
+
 /// A bounded queue in front of a pool of upstreams.
 pub struct Queue<T> {
     ranker: Box<dyn Ranker>,
@@ -94,6 +135,13 @@
     /// Mean time between two departures while requests waited, in milliseconds.
     mean_interval: f64,
     last_departure: Option<Millis>,
+    /// Departures since the last one in the order of arrival.
+    departures: u32,
+    /// Whether the last departure in the order of arrival was as urgent as any, so that the next less urgent request
+    /// may take its place.
+    has_spare_turn: bool,
+    /// When [`Queue::push_within`] last refused a request of each class.
+    refusals: Map<u8, Millis>,
 }
 
 impl<T> Queue<T> {
@@ -106,6 +154,9 @@
             last_ticket: 0,
             mean_interval: 0.0,
             last_departure: None,
+            departures: 0,
+            has_spare_turn: false,
+            refusals: Map::default(),
         }
     }
 
@@ -154,7 +205,9 @@
         }
         self.last_ticket += 1;
         self.heap.push(QueuedRequest {
+            first: false,
             rank,
+            entry: entry.clone(),
             ticket: self.last_ticket,
             deadline,
             value,
@@ -162,6 +215,107 @@
         QueueDecision::Queued(self.last_ticket)
     }
 
+    /// Queues an arriving request if its expected wait, which follows from the requests ahead of it, ends in time.
+    ///
+    /// Unlike [`Queue::push`], it uses the departure times that the caller expects. A full queue makes room by removing
+    /// its last request if that leaves after this one.
+    pub fn push_within(
+        &mut self,
+        bounds: WaitBounds,
+        entry: &QueueEntry,
+        value: T,
+    ) -> Admission<T> {
+        let mut request = QueuedRequest {
+            first: false,
+            rank: self.ranker.rank(entry),
+            entry: entry.clone(),
+            ticket: self.last_ticket + 1,
+            deadline: bounds.latest,
+            value,
+        };
+        let ahead = self.heap.iter().filter(|queued| **queued > request).count();
+        let end = |ahead: usize| bounds.now as f64 + bounds.first + bounds.interval * ahead as f64;
+        let latest = bounds.latest as f64;
+        let gives_way = self.gives_way(entry.class, bounds.now);
+        if gives_way || end(ahead) > latest {
+            let is_less_urgent = |queued: &QueuedRequest<T>| queued.entry.class < entry.class;
+            let takes_turn = gives_way || self.heap.iter().any(is_less_urgent);
+            if !self.has_spare_turn || !takes_turn || end(0) > latest {
+                self.refuse(entry, bounds.now);
+                return Admission::TooLong;
+            }
+            self.has_spare_turn = false;
+            request.first = true;
+        }
+        let mut displaced = None;
+        if self.heap.len() >= self.capacity {
+            let last = self.heap.iter().min();
+            let last = last.filter(|last| **last < request);
+            let Some(last) = last.map(|last| last.ticket) else {
+                self.refuse(entry, bounds.now);
+                return Admission::Full;
+            };
+            displaced = self.withdraw(last);
+        }
+        self.last_ticket += 1;
+        self.heap.push(request);
+        Admission::Queued {
+            ticket: self.last_ticket,
+            displaced,
+        }
+    }
+
+    fn refuse(&mut self, entry: &QueueEntry, now: Millis) {
+        self.ranker.withdrawn(entry);
+        self.refusals.insert(entry.class, now);
+    }
+
+    /// Returns whether a more urgent request was refused lately.
+    fn gives_way(&self, class: u8, now: Millis) -> bool {
+        let mut refusals = self.refusals.iter();
+        refusals.any(|(other, at)| *other < class && now < at + CONTENTION_TIME)
+    }
+
+    /// Removes the next request; one in [`TURN_INTERVAL`] departures is the request that has waited longest. It is
+    /// [`Dequeued::Expired`] after its latest time.
+    pub fn pop_in_turn(&mut self, now: Millis) -> Option<Dequeued<T>> {
+        let is_turn = self.departures + 1 >= TURN_INTERVAL;
+        let queued = match is_turn {
+            true => {
+                let oldest = self.heap.iter().map(|queued| queued.ticket).min()?;
+                self.remove(oldest)?
+            }
+            false => self.heap.pop()?,
+        };
+        if queued.deadline < now {
+            self.ranker.withdrawn(&queued.entry);
+            return Some(Dequeued::Expired(queued.value));
+        }
+        self.departures = (self.departures + 1) % TURN_INTERVAL;
+        if is_turn {
+            let class = queued.entry.class;
+            self.has_spare_turn = self.heap.iter().all(|other| other.entry.class >= class);
+        }
+        self.ranker.dispatched(queued.rank);
+        self.record_departure(now);
+        Some(Dequeued::Ready(queued.value))
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<QueuedRequest<T>> {
+        let mut requests = std::mem::take(&mut self.heap).into_vec();
+        let index = requests.iter().position(|queued| queued.ticket == ticket);
+        let removed = index.map(|index| requests.swap_remove(index));
+        self.heap = requests.into();
+        removed
+    }
+
+    /// Removes a request that will not run.
+    fn withdraw(&mut self, ticket: Ticket) -> Option<T> {
+        let removed = self.remove(ticket)?;
+        self.ranker.withdrawn(&removed.entry);
+        Some(removed.value)
+    }
+
     /// Returns the request that leaves next, and whether it has expired: at most `service_time` milliseconds are
     /// left before its deadline, so running it would be wasted work.
     pub fn peek(&self, now: Millis, service_time: Millis) -> Option<(&T, bool)> {
@@ -196,6 +350,6 @@
 
     /// Removes a request whose client has disconnected.
     pub fn cancel(&mut self, ticket: Ticket) {
-        self.heap.retain(|queued| queued.ticket != ticket);
+        self.withdraw(ticket);
     }
 }
