Queue calls at the instance while their service is busy

A call that found no slot was refused at once, all refused callers returned after the same 0.25 s, and up to as many calls as slots queued in upstreams.

With [calls] queue, calls and streams need a place in their service's window for each attempt and wait for it in limit::CallGate. Retry-After follows from the queue, with jitter. Without the setting, they are sent as before.

The tests of limit and node and the 20 tests of platform/tests/calls.rs pass with the setting on.

--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -9,8 +9,8 @@
 use crate::Signal;
 use crate::Ticket;
 use crate::Window;
+use crate::order;
 use crate::order::QueueEntry;
-use crate::order::Ranker;
 use crate::queue::Admission;
 use crate::queue::Dequeued;
 use crate::queue::WaitBounds;
@@ -65,13 +65,11 @@
 /// # Examples
 ///
 /// ```
-/// use kernel::plugin;
-/// use limit::{CallGate, QueueOrder, Signal};
+/// use limit::{CallGate, Signal};
 /// use limit::gate::GateCall;
 /// use limit::order::QueueEntry;
 ///
-/// let order = plugin::find::<QueueOrder>("priority")?;
-/// let mut gate = CallGate::new((order.make)(), 64);
+/// let mut gate = CallGate::new(64);
 /// gate.window_mut().set_max(1);
 /// let entry = QueueEntry { customer: "a".parse()?, weight: 1, class: 5, cost: 1.0 };
 /// let call = GateCall { entry, arrived: 0, deadline: 1_000, target: Some(150) };
@@ -81,7 +79,7 @@
 /// assert_eq!(gate.next(0), None);
 /// gate.finish(20, 0, Some(Signal::OnTime(20)));
 /// assert_eq!(gate.next(20), Some("second"));
-/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// # Ok::<(), kernel::NameError>(())
 /// ```
 pub struct CallGate<T> {
     queue: Queue<T>,
@@ -91,9 +89,9 @@
 
 impl<T> CallGate<T> {
     /// Creates a gate at which at most `capacity` calls wait.
-    pub fn new(ranker: Box<dyn Ranker>, capacity: usize) -> Self {
+    pub fn new(capacity: usize) -> Self {
         Self {
-            queue: Queue::new(ranker, capacity),
+            queue: Queue::new(order::prioritized(), capacity),
             window: Window::default(),
             hedges: MAX_HEDGES,
         }
--- a/crates/limit/src/order.rs
+++ b/crates/limit/src/order.rs
@@ -145,6 +145,11 @@
     QueueOrder { name: "fair", make: || Box::<Fair>::default() }
 }
 
+/// Creates a ranker of the order `priority`.
+pub fn prioritized() -> Box<dyn Ranker> {
+    Box::<Prioritized>::default()
+}
+
 inventory::submit! {
-    QueueOrder { name: "priority", make: || Box::<Prioritized>::default() }
+    QueueOrder { name: "priority", make: prioritized }
 }
--- a/crates/limit/src/window.rs
+++ b/crates/limit/src/window.rs
@@ -20,9 +20,13 @@
 /// window would overrun the upstreams again after one or two answers.
 const MAX_GROWTH: f64 = 1.0 / 8.0;
 
-/// The smallest window, which bounds the pause to 32 service times.
+/// The smallest window: a call every 32 service times.
 const MIN_SIZE: f64 = 1.0 / 32.0;
 
+/// Longest time between two calls of a window below 1, in milliseconds. A service whose calls take seconds is probed
+/// often enough to notice that it has room again.
+const MAX_PERIOD: f64 = 1_500.0;
+
 /// Weight of the newest answer in the service time.
 const SMOOTHING_FACTOR: f64 = 0.125;
 
@@ -117,7 +121,7 @@
     pub fn start(&mut self, now: Millis) {
         self.running += 1;
         if self.size() < 1.0 {
-            let period = (self.mean_time() / self.size()) as Millis;
+            let period = self.period() as Millis;
             // After an idle period a second call may follow at once: calls arrive at random, and the mean is kept.
             let due = now.saturating_sub(period).max(self.resume_at);
             self.resume_at = due + period;
@@ -155,10 +159,15 @@
     fn cut(&mut self, size: f64, now: Millis) {
         self.size = size.max(MIN_SIZE);
         self.cut_at = now;
-        let pause = self.mean_time() / self.size() - self.mean_time();
+        let pause = self.period() - self.mean_time();
         self.resume_at = self.resume_at.max(now + pause as Millis);
     }
 
+    /// Returns the time between the starts of two calls of a window below 1, in milliseconds.
+    fn period(&self) -> f64 {
+        (self.mean_time() / self.size()).min(MAX_PERIOD)
+    }
+
     fn record_time(&mut self, took: f64) {
         let (mean, deviation) = self.service_time.unwrap_or((took, 0.0));
         let distance = (took - mean).abs();
--- a/crates/limit/tests/window.rs
+++ b/crates/limit/tests/window.rs
@@ -50,8 +50,7 @@
 }
 
 fn gate<T>(max: u32) -> CallGate<T> {
-    let order = plugin::find::<QueueOrder>("priority").unwrap();
-    let mut gate = CallGate::new((order.make)(), 64);
+    let mut gate = CallGate::new(64);
     gate.window_mut().set_max(max);
     gate
 }
@@ -286,8 +285,7 @@
 // Guards against an urgent call that is refused because less urgent ones fill the queue.
 #[test]
 fn an_urgent_call_displaces_the_last_one_of_a_full_queue() {
-    let order = plugin::find::<QueueOrder>("priority").unwrap();
-    let mut small = CallGate::new((order.make)(), 1);
+    let mut small = CallGate::new(1);
     small.window_mut().start(0);
 
     let first = small.arrive(0, &call(0, "a", 5), "waiting");
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -40,6 +40,7 @@
 use crate::Dialect;
 use crate::Settings;
 use crate::access;
+use crate::call_queue::CallQueues;
 use crate::hint::Hint;
 use crate::member::OwnEntry;
 use crate::owner::OwnedStep;
@@ -77,6 +78,8 @@
     pub upstreams: Mutex<UpstreamList>,
     /// Load and failures of the upstreams of plain services, as observed by this instance.
     pub service_tracker: Mutex<EngineTracker>,
+    /// The calls that wait for each service.
+    pub(crate) call_queues: CallQueues,
     /// Shares of teams in the requests to each service.
     pub team_shares: Mutex<Map<Arc<str>, TeamShares>>,
     /// Load, versions and failures of the engines, as observed by this instance.
@@ -150,6 +153,7 @@
             config: ArcSwapOption::empty(),
             upstreams: Mutex::default(),
             service_tracker: Mutex::default(),
+            call_queues: CallQueues::default(),
             team_shares: Mutex::default(),
             engine_tracker: Mutex::default(),
             crashes: Arc::default(),
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: a low rate of calls with a short deadline, to upstreams that crash, stop responding or become
 //! slow. A call that may run twice is sent to a second upstream as soon as it takes longer than nearly all calls
-//! do; one that may not is sent again only when it is certain not to have run.
+//! do; one that may not is sent again only when it is certain not to have run. Each attempt needs a place in the window
+//! of its service, where calls wait for one ([`crate::call_queue`]).
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,13 +18,15 @@
 use table::Config;
 use table::Route;
 use table::RouteKind;
-use table::Upstream;
 use team::Principal;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::App;
+use crate::call_queue::PlaceResult;
+use crate::call_queue::QueueRefusal;
+use crate::call_queue::QueuedCall;
 use crate::dialect::Caller;
 use crate::forwarded_request::ForwardedRequest;
 use crate::forwarded_request::UpstreamSlot;
@@ -129,6 +132,8 @@
     request: Arc<ForwardedRequest>,
     route: &'a Route,
     service: Option<Arc<str>>,
+    /// The call in the queue of its service, if calls wait here.
+    queued: Option<QueuedCall>,
     tried: Vec<Arc<str>>,
     running: JoinSet<AttemptOutcome>,
     requester: Requester,
@@ -138,10 +143,16 @@
 
 impl<'a> Attempts<'a> {
     fn new(request: Arc<ForwardedRequest>, route: &'a Route, requester: Requester) -> Self {
+        let service = Config::pick_service(route, rand::random()).cloned();
+        let queued = match requester {
+            Requester::Caller => QueuedCall::new(&request, route, service.as_ref()),
+            Requester::Scorer => None,
+        };
         Self {
             request,
             route,
-            service: Config::pick_service(route, rand::random()).cloned(),
+            service,
+            queued,
             tried: Vec::new(),
             running: JoinSet::new(),
             requester,
@@ -158,14 +169,14 @@
         if let Some(left) = self.request.admit().await {
             return self.refuse(Refusal::Quarantined(left), QUARANTINE_REASON);
         }
-        if !self.start_attempt(queue) {
-            return self.fail("no upstream has a free slot");
+        if let Err(refusal) = self.start_next(queue).await {
+            return self.fail(refusal.reason());
         }
         loop {
             let outcome = tokio::select! {
                 Some(outcome) = self.running.join_next() => outcome,
                 () = sleep(HEDGE_DELAY), if self.may_hedge() => {
-                    self.start_attempt(false);
+                    self.start_hedge();
                     continue;
                 }
             };
@@ -183,8 +194,8 @@
             if self.request.admit().await.is_some() {
                 return self.fail(QUARANTINE_REASON);
             }
-            if !self.start_attempt(queue) && self.running.is_empty() {
-                return self.fail("no upstream left");
+            if let Some(why) = self.start_replacement(queue).await {
+                return self.fail(why);
             }
         }
     }
@@ -200,17 +211,54 @@
         self.route.max_attempts.max(1) as usize
     }
 
-    /// Starts an attempt if one is allowed and an upstream has room; `queue` permits queueing inside the upstream.
-    /// Returns whether one was started.
-    fn start_attempt(&mut self, queue: bool) -> bool {
+    /// Starts an attempt as soon as the call has a place at its service; `queue` permits queueing inside the upstream.
+    async fn start_next(&mut self, queue: bool) -> Result<(), QueueRefusal> {
+        if self.tried.len() >= self.max_attempts() {
+            return Err(QueueRefusal::NoUpstream);
+        }
+        let slot = match &self.queued {
+            Some(queued) => queued.acquire(&self.request, &self.tried).await?,
+            None => self.reserve_slot(queue).ok_or(QueueRefusal::NoUpstream)?,
+        };
+        self.send(slot);
+        Ok(())
+    }
+
+    /// Starts an attempt after another one has failed. Returns why the call fails, if it does.
+    async fn start_replacement(&mut self, queue: bool) -> Option<&'static str> {
+        if self.queued.is_some() && !self.running.is_empty() {
+            // The answer to the attempt that still runs must not wait for a place.
+            self.start_hedge();
+            return None;
+        }
+        match self.start_next(queue).await {
+            Ok(()) => None,
+            Err(_) if !self.running.is_empty() => None,
+            Err(QueueRefusal::NoUpstream) => Some("no upstream left"),
+            Err(refusal) => Some(refusal.reason()),
+        }
+    }
+
+    /// Starts an attempt beside one that runs, if one is allowed and an upstream has a free slot.
+    fn start_hedge(&mut self) {
         if self.tried.len() >= self.max_attempts() {
-            return false;
+            return;
         }
-        let service = self.service.as_deref();
-        let slot = service.and_then(|name| self.request.reserve_slot(name, &self.tried, queue));
-        let Some(slot) = slot else {
-            return false;
+        let slot = match &self.queued {
+            Some(queued) => queued.hedge(&self.request, &self.tried),
+            None => self.reserve_slot(false),
         };
+        if let Some(slot) = slot {
+            self.send(slot);
+        }
+    }
+
+    fn reserve_slot(&self, queue: bool) -> Option<UpstreamSlot> {
+        let service = self.service.as_deref()?;
+        self.request.reserve_slot(service, &self.tried, queue)
+    }
+
+    fn send(&mut self, slot: UpstreamSlot) {
         let upstream = &slot.upstream;
         self.tried.push(upstream.id.clone());
         let left = self.request.time_left();
@@ -223,7 +271,14 @@
         let request = self.request.clone();
         self.running
             .spawn(async move { attempt(&request, slot, limit).await });
-        true
+    }
+
+    /// Returns the refusal of a call that was not executed.
+    fn not_executed(&self) -> Refusal {
+        let queued = self.queued.as_ref();
+        queued.map_or(Refusal::NotExecuted, |queued| {
+            Refusal::Busy(queued.retry_after())
+        })
     }
 
     /// Returns the refusal after the deadline. A call that is still at an upstream may have run there.
@@ -232,7 +287,7 @@
         let refusal = if may_have_run {
             Refusal::TimedOut
         } else {
-            Refusal::NotExecuted
+            self.not_executed()
         };
         self.refuse(refusal, "deadline exceeded")
     }
@@ -242,7 +297,7 @@
         let refusal = if may_have_run {
             Refusal::OutcomeUnknown
         } else {
-            Refusal::NotExecuted
+            self.not_executed()
         };
         self.refuse(refusal, why)
     }
@@ -257,7 +312,8 @@
                 .lock()
                 .age(self.request.app.clock.now());
             log::info!(target: "forward", id = &*self.request.id, why, attempts = self.tried.len(),
-                outcome = refusal.name(), list_age_ms = age.unwrap_or(0); "call failed");
+                outcome = refusal.name(), retry_ms = refusal.retry_after().unwrap_or(0),
+                list_age_ms = age.unwrap_or(0); "call failed");
         }
         ForwardOutcome::Refused(refusal)
     }
@@ -265,11 +321,11 @@
 
 async fn attempt(
     request: &ForwardedRequest,
-    slot: UpstreamSlot,
+    mut slot: UpstreamSlot,
     limit_ms: Millis,
 ) -> AttemptOutcome {
-    let upstream = &slot.upstream;
-    let Some(http_request) = request.build_request(upstream, None) else {
+    let upstream = slot.upstream.clone();
+    let Some(http_request) = request.build_request(&upstream, None) else {
         return AttemptOutcome::NotExecuted;
     };
     let started = request.app.clock.now();
@@ -283,9 +339,9 @@
         .await;
     let took = request.app.clock.now() - started;
     let is_broken = matches!(answer, Err(SendError::Broken));
-    let result = classify(request, upstream, answer, took);
+    let result = classify(request, &mut slot, answer, took);
     if is_broken {
-        request.check_crash(upstream).await;
+        request.check_crash(&upstream).await;
     }
     if matches!(result, AttemptOutcome::NotExecuted) {
         request.mark_unexecuted(number);
@@ -301,14 +357,16 @@
 
 fn classify(
     request: &ForwardedRequest,
-    upstream: &Arc<Upstream>,
+    slot: &mut UpstreamSlot,
     answer: Result<Response<Bytes>, SendError>,
     took: Millis,
 ) -> AttemptOutcome {
+    let upstream = slot.upstream.clone();
     let now = request.app.clock.now();
     let answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
+            slot.record(PlaceResult::Unanswered, took);
             if !matches!(error, SendError::Forbidden) {
                 let mut tracker = request.app.service_tracker.lock();
                 tracker.engine_failed(&upstream.id, now);
@@ -330,6 +388,9 @@
     if let Some(load) = head.load {
         tracker.load_reported(&upstream.id, load, now);
     }
+    if head.not_executed {
+        slot.record(PlaceResult::Rejected, took);
+    }
     if head.not_executed || head.misdirected {
         tracker.engine_busy(&upstream.id, now + BUSY_BACKOFF);
         return AttemptOutcome::NotExecuted;
@@ -339,6 +400,7 @@
     {
         tracker.event_received(&upstream.id, took as f64);
         drop(tracker);
+        slot.record_answer(head.load, took);
         request.record_answer(answer.status());
         return AttemptOutcome::Answer(answer, signature);
     }
--- a/crates/node/src/forwarded_request.rs
+++ b/crates/node/src/forwarded_request.rs
@@ -15,6 +15,7 @@
 use net::SendCondition;
 use parking_lot::Mutex;
 use place::EngineMemory;
+use place::Load;
 use place::PlacementRequest;
 use poison::Identity;
 use poison::Verdict;
@@ -24,6 +25,8 @@
 use usage::RequestAttempts;
 
 use crate::App;
+use crate::call_queue::Place;
+use crate::call_queue::PlaceResult;
 use crate::dialect::Caller;
 use crate::fingerprint;
 
@@ -238,7 +241,7 @@
     }
 
     /// Returns whether its team is beyond its share and leaves places in a service's queues to others.
-    fn is_restricted(&self, service: &str, now: Millis) -> bool {
+    pub(crate) fn is_restricted(&self, service: &str, now: Millis) -> bool {
         let shares = self.app.team_shares.lock();
         let team = self.principal.team();
         team.zip(shares.get(service))
@@ -246,7 +249,7 @@
     }
 
     /// Records for the shares of its team whether it found a place.
-    fn record_share(&self, service: &str, is_placed: bool, now: Millis) {
+    pub(crate) fn record_share(&self, service: &str, is_placed: bool, now: Millis) {
         let Some(team) = self.principal.team() else {
             return;
         };
@@ -280,7 +283,9 @@
             .map(|upstream| upstream.slots)
             .max()
             .unwrap_or(0);
-        let is_restricted = queue && self.is_restricted(service, now);
+        // Calls that wait here are shared out among teams by the order in which they leave.
+        let shares_places = queue && app.settings.call_queue == 0;
+        let is_restricted = shares_places && self.is_restricted(service, now);
         let queue_limit = match (queue, is_restricted) {
             (true, false) => slots,
             (true, true) => slots / RESTRICTED_QUEUE_DIVISOR,
@@ -307,7 +312,7 @@
         let upstream = tracker
             .choose(&upstreams, &preferred, now)
             .or_else(|| tracker.choose(&upstreams, &fallback, now));
-        if queue {
+        if shares_places {
             self.record_share(service, upstream.is_some(), now);
         }
         if upstream.is_none() && is_restricted {
@@ -320,6 +325,7 @@
         Some(UpstreamSlot {
             app,
             upstream,
+            place: None,
             _suspect: suspect,
         })
     }
@@ -337,10 +343,31 @@
     app: Arc<App>,
     /// The upstream.
     pub(crate) upstream: Arc<Upstream>,
+    /// The place in the window of the service, if calls wait here.
+    pub(crate) place: Option<Place>,
     /// Held until the slot is dropped.
     _suspect: Option<SuspectGuard>,
 }
 
+impl UpstreamSlot {
+    /// Records what became of the request after `took` milliseconds.
+    pub(crate) fn record(&mut self, result: PlaceResult, took: Millis) {
+        if let Some(place) = &mut self.place {
+            place.record(result, took);
+        }
+    }
+
+    /// Records an answer with the load that the upstream reported.
+    pub(crate) fn record_answer(&mut self, load: Option<Load>, took: Millis) {
+        let is_crowded = load.is_some_and(|load| load.waiting >= self.upstream.slots.max(1));
+        let result = match is_crowded {
+            true => PlaceResult::AnsweredCrowded,
+            false => PlaceResult::Answered,
+        };
+        self.record(result, took);
+    }
+}
+
 impl Drop for UpstreamSlot {
     fn drop(&mut self) {
         self.app
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod access;
 pub mod app;
+mod call_queue;
 pub mod control;
 mod dependency;
 pub mod dialect;
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -11,9 +11,9 @@
 use net::Reply;
 use net::body;
 
-/// Delay after which a refused caller should retry, in seconds: long enough for a slot to become free or for a
+/// Delay after which a refused caller should retry, in milliseconds: long enough for a slot to become free or for a
 /// restarted instance to load its configuration.
-const RETRY_AFTER_SECONDS: &str = "0.25";
+const RETRY_DELAY: Millis = 250;
 
 /// Authentication scheme for callers' keys.
 const AUTH_SCHEME: &str = "Token";
@@ -26,6 +26,8 @@
 pub enum Refusal {
     /// The request has not been executed and never will be; the caller may retry.
     NotExecuted,
+    /// The request has not been executed, because its service is busy; the caller may retry after so many milliseconds.
+    Busy(Millis),
     /// Upstreams crash under the request: it was not executed, and may be retried after so many milliseconds.
     Quarantined(Millis),
     /// Whether the request was executed is unknown.
@@ -46,7 +48,7 @@
     /// Returns the name used in logs, metrics and bodies.
     pub fn name(self) -> &'static str {
         match self {
-            Self::NotExecuted => "refused",
+            Self::NotExecuted | Self::Busy(_) => "refused",
             Self::Quarantined(_) => "quarantined",
             Self::OutcomeUnknown => "unknown",
             Self::TimedOut => "late",
@@ -59,7 +61,9 @@
 
     fn status(self) -> StatusCode {
         match self {
-            Self::NotExecuted | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotExecuted | Self::Busy(_) | Self::Quarantined(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::NotFound => StatusCode::NOT_FOUND,
@@ -76,20 +80,29 @@
             let scheme = HeaderValue::from_static(AUTH_SCHEME);
             reply.headers_mut().insert(WWW_AUTHENTICATE, scheme);
         }
-        if let Some(delay) = self.retry_after() {
+        if let Some(delay) = self.retry_header() {
             reply.headers_mut().insert(RETRY_AFTER, delay);
         }
         reply
     }
 
-    /// Returns the value of the Retry-After header, if the caller should retry.
-    fn retry_after(self) -> Option<HeaderValue> {
+    /// Returns the delay after which the caller should retry, in milliseconds.
+    pub(crate) fn retry_after(self) -> Option<Millis> {
         match self {
-            Self::NotExecuted => Some(HeaderValue::from_static(RETRY_AFTER_SECONDS)),
-            Self::Quarantined(left) => Some(left.div_ceil(MILLIS_PER_SECOND).into()),
+            Self::NotExecuted => Some(RETRY_DELAY),
+            Self::Busy(delay) => Some(delay),
+            // Whole seconds, so that the caller does not return a moment too early.
+            Self::Quarantined(left) => Some(left.next_multiple_of(MILLIS_PER_SECOND)),
             _ => None,
         }
     }
+
+    /// Returns the value of the Retry-After header in seconds, with a fraction where there is one.
+    fn retry_header(self) -> Option<HeaderValue> {
+        let delay = self.retry_after()?;
+        let seconds = delay as f64 / MILLIS_PER_SECOND as f64;
+        HeaderValue::from_str(&seconds.to_string()).ok()
+    }
 }
 
 /// Asks the caller to close the connection, so that it opens its next one elsewhere.
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -24,6 +24,9 @@
 use tokio::time::timeout;
 
 use crate::App;
+use crate::call_queue::PlaceResult;
+use crate::call_queue::QueueRefusal;
+use crate::call_queue::QueuedCall;
 use crate::dialect::Caller;
 use crate::events::Events;
 use crate::events::NextEvent;
@@ -43,6 +46,8 @@
     Stream(Box<Response<Incoming>>, UpstreamSlot),
     /// The upstream has not executed the request and never will.
     NotExecuted,
+    /// The request was not executed: its service is busy for so many milliseconds.
+    Busy(Millis),
     /// Nothing was sent: upstreams crash under the request, which is blocked for so many milliseconds.
     Quarantined(Millis),
     /// Whether the request was executed is unknown.
@@ -55,6 +60,8 @@
     route: Arc<Route>,
     last_event: Option<Arc<str>>,
     tried: Vec<Arc<str>>,
+    /// The stream in the queue of its service until it has started, if calls wait here.
+    queued: Option<QueuedCall>,
 }
 
 /// Forwards a stream to a caller.
@@ -66,19 +73,25 @@
     body: Bytes,
     principal: Principal,
 ) -> Reply {
+    let request = ForwardedRequest::new(app, head, caller, body, route.timeout, principal);
+    let service = Config::pick_service(route, rand::random());
     let mut stream = Stream {
-        request: ForwardedRequest::new(app, head, caller, body, route.timeout, principal),
+        queued: QueuedCall::new(&request, route, service),
+        request,
         route: route.clone(),
         last_event: caller.last_event.clone(),
         tried: Vec::new(),
     };
     match stream.open(None).await {
         AttemptOutcome::Stream(answer, slot) => {
+            // A stream that breaks does not wait again: it keeps its place only while it is open.
+            stream.queued = None;
             // The request counts for its team's report once it has started, however long it runs.
             stream.request.finish_count();
             stream.answer(*answer, slot).await
         }
         AttemptOutcome::NotExecuted => Refusal::NotExecuted.reply(),
+        AttemptOutcome::Busy(delay) => Refusal::Busy(delay).reply(),
         AttemptOutcome::Quarantined(left) => Refusal::Quarantined(left).reply(),
         AttemptOutcome::Unknown => Refusal::OutcomeUnknown.reply(),
     }
@@ -87,22 +100,45 @@
 impl Stream {
     /// Reserves a slot, where the stream may queue inside the upstream as calls do: if it used free slots only, it
     /// would rarely get one, because queued calls take them first.
-    fn choose(&self) -> Option<UpstreamSlot> {
-        let service = Config::pick_service(&self.route, rand::random())?;
-        self.request.reserve_slot(service, &self.tried, true)
+    async fn choose(&self) -> Result<UpstreamSlot, QueueRefusal> {
+        if let Some(queued) = &self.queued {
+            return queued.acquire(&self.request, &self.tried).await;
+        }
+        let service = Config::pick_service(&self.route, rand::random());
+        service
+            .and_then(|service| self.request.reserve_slot(service, &self.tried, true))
+            .ok_or(QueueRefusal::NoUpstream)
+    }
+
+    /// Returns the outcome of a stream that was not executed.
+    fn not_executed(&self, why: &str) -> AttemptOutcome {
+        let Some(queued) = &self.queued else {
+            return AttemptOutcome::NotExecuted;
+        };
+        let delay = queued.retry_after();
+        log::info!(target: "stream", id = &*self.request.id, why, retry_ms = delay,
+            attempts = self.tried.len(); "stream refused");
+        AttemptOutcome::Busy(delay)
     }
 
     /// Opens the stream after an event, trying one upstream after the other.
     async fn open(&mut self, last: Option<&str>) -> AttemptOutcome {
         let resumable = self.route.resumable;
         let mut may_have_run = false;
+        let mut why = "no upstream left";
         if let Some(left) = self.request.admit().await {
             log::info!(target: "stream", id = &*self.request.id, left_ms = left;
                 "request crashes upstreams");
             return AttemptOutcome::Quarantined(left);
         }
         while self.tried.len() < self.route.max_attempts.max(1) as usize {
-            let Some(slot) = self.choose() else { break };
+            let slot = match self.choose().await {
+                Ok(slot) => slot,
+                Err(refusal) => {
+                    why = refusal.reason();
+                    break;
+                }
+            };
             self.tried.push(slot.upstream.id.clone());
             match self.attempt(slot, last).await {
                 AttemptOutcome::NotExecuted => (),
@@ -115,7 +151,7 @@
         }
         match may_have_run {
             true => AttemptOutcome::Unknown,
-            false => AttemptOutcome::NotExecuted,
+            false => self.not_executed(why),
         }
     }
 
@@ -135,15 +171,17 @@
     async fn send_attempt(
         &self,
         request: Request<Full<Bytes>>,
-        slot: UpstreamSlot,
+        mut slot: UpstreamSlot,
     ) -> AttemptOutcome {
-        let upstream = &slot.upstream;
+        let upstream = slot.upstream.clone();
         let left = Duration::from_millis(self.request.time_left());
         let app = &self.request.app;
+        let started = app.clock.now();
         let condition = self.request.send_condition();
         let answer = match app.http.send_if(request, left, condition).await {
             Ok(answer) => answer,
             Err(error) => {
+                slot.record(PlaceResult::Unanswered, app.clock.now() - started);
                 if !matches!(error, SendError::Forbidden) {
                     let mut tracker = app.service_tracker.lock();
                     tracker.engine_failed(&upstream.id, app.clock.now());
@@ -152,7 +190,7 @@
                 log::info!(target: "stream", id = &*self.request.id, upstream = &*upstream.id,
                     why = why.as_str(); "attempt failed");
                 if matches!(error, SendError::Broken) {
-                    self.request.check_crash(upstream).await;
+                    self.request.check_crash(&upstream).await;
                 }
                 return match error.is_unsent() {
                     true => AttemptOutcome::NotExecuted,
@@ -165,9 +203,14 @@
             .app
             .dialect
             .decode_answer_head(answer.status(), answer.headers());
+        let took = app.clock.now() - started;
+        if head.not_executed {
+            slot.record(PlaceResult::Rejected, took);
+        }
         if head.not_executed || head.misdirected {
             return AttemptOutcome::NotExecuted;
         }
+        slot.record_answer(head.load, took);
         match head.attempt_id.as_deref() == Some(&*self.request.id) && head.signature.is_some() {
             true => AttemptOutcome::Stream(Box::new(answer), slot),
             false => AttemptOutcome::Unknown,
@@ -245,6 +288,7 @@
                             slot = Some(next);
                         }
                         AttemptOutcome::NotExecuted
+                        | AttemptOutcome::Busy(_)
                         | AttemptOutcome::Quarantined(_)
                         | AttemptOutcome::Unknown => return false,
                     }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -16,6 +16,18 @@
 /// Attempts at upstreams, by outcome.
 pub const ATTEMPTS: &str = "snipeway_upstream_attempts_total";
 
+/// Calls that wait here, by service.
+pub const WAITING_CALLS: &str = "snipeway_calls_waiting";
+
+/// Time for which sent calls have waited here, in seconds, by service.
+pub const CALL_WAIT_SECONDS: &str = "snipeway_call_wait_seconds";
+
+/// Calls that were refused instead of waiting or while they waited, by service and reason.
+pub const REFUSED_CALLS: &str = "snipeway_calls_refused_total";
+
+/// Calls that may be at a service at once, by service.
+pub const CALL_WINDOW: &str = "snipeway_call_window";
+
 /// Samples that ended, by outcome.
 pub const SAMPLES: &str = "snipeway_samples_total";
 
@@ -50,11 +62,18 @@
 const REQUEST_SECONDS_BUCKETS: [f64; 11] =
     [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
 
+/// Buckets of [`CALL_WAIT_SECONDS`].
+const CALL_WAIT_BUCKETS: [f64; 9] = [0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0];
+
 /// Installs the recorder and registers descriptions; [`None`] when it cannot be installed.
 pub fn install() -> Option<PrometheusHandle> {
     let matcher = Matcher::Full(REQUEST_SECONDS.to_owned());
     let builder =
         PrometheusBuilder::new().set_buckets_for_metric(matcher, &REQUEST_SECONDS_BUCKETS);
+    let matcher = Matcher::Full(CALL_WAIT_SECONDS.to_owned());
+    let builder = builder
+        .ok()?
+        .set_buckets_for_metric(matcher, &CALL_WAIT_BUCKETS);
     let handle = builder.ok()?.install_recorder().ok()?;
     metrics::describe_counter!(REQUESTS, "requests of callers by route and outcome");
     metrics::describe_histogram!(
@@ -63,6 +82,20 @@
         "time until callers had their answer"
     );
     metrics::describe_counter!(ATTEMPTS, "attempts at upstreams by outcome");
+    metrics::describe_gauge!(WAITING_CALLS, "calls that wait here by service");
+    metrics::describe_histogram!(
+        CALL_WAIT_SECONDS,
+        Unit::Seconds,
+        "time for which sent calls have waited here by service"
+    );
+    metrics::describe_counter!(
+        REFUSED_CALLS,
+        "calls refused by the queue by service and reason"
+    );
+    metrics::describe_gauge!(
+        CALL_WINDOW,
+        "calls that may be at a service at once by service"
+    );
     metrics::describe_counter!(SAMPLES, "samples that ended by outcome");
     metrics::describe_counter!(SCORES, "requests for the score of a sample by outcome");
     metrics::describe_counter!(
