Keep the window and less urgent calls from collapsing in bursts

The window shrinks from the most calls that ran lately, and a window of 1 or more not again within a service time. Less urgent calls give way only when half of the window is in use, and every fourth or eighth departure is theirs.

--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -140,6 +140,7 @@
             latest,
             first,
             interval,
+            has_spare_room: self.window.has_spare_room(),
         };
         match self.queue.push_within(bounds, &call.entry, value) {
             Admission::Queued { ticket, displaced } => Arrival::Queued {
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -40,6 +40,8 @@
     pub first: f64,
     /// Time between the departures after that, in milliseconds.
     pub interval: f64,
+    /// Whether there is so much room that the request need not give way to more urgent ones.
+    pub has_spare_room: bool,
 }
 
 /// Decision of [`Queue::push_within`] on an arriving request.
@@ -122,6 +124,11 @@
 /// continuous requests of an urgent class do not starve the others.
 const TURN_INTERVAL: u32 = 8;
 
+/// Departures after which a less urgent request that would otherwise be refused may leave first: half of
+/// [`TURN_INTERVAL`] for customers that are not ahead in their class, and all of it for any. Where nothing waits for
+/// long, the order of arrival alone never reaches such requests.
+const YIELD_INTERVAL: u32 = TURN_INTERVAL / 2;
+
 /// Time after the refusal of a request for which less urgent ones give way to its retry, in milliseconds. Where few
 /// requests wait, the order of the queue alone would serve all classes alike.
 const CONTENTION_TIME: Millis = 1_000;
@@ -137,9 +144,10 @@
     last_departure: Option<Millis>,
     /// Departures since the last one in the order of arrival.
     departures: u32,
-    /// Whether the last departure in the order of arrival was as urgent as any, so that the next less urgent request
-    /// may take its place.
-    has_spare_turn: bool,
+    /// Departures since a less urgent request took the place of a more urgent one.
+    since_yielded: u32,
+    /// The highest rank of each class that has left by [`Queue::pop_in_turn`].
+    served_ranks: Map<u8, f64>,
     /// When [`Queue::push_within`] last refused a request of each class.
     refusals: Map<u8, Millis>,
 }
@@ -155,7 +163,8 @@
             mean_interval: 0.0,
             last_departure: None,
             departures: 0,
-            has_spare_turn: false,
+            since_yielded: 0,
+            served_ranks: Map::default(),
             refusals: Map::default(),
         }
     }
@@ -236,15 +245,15 @@
         let ahead = self.heap.iter().filter(|queued| **queued > request).count();
         let end = |ahead: usize| bounds.now as f64 + bounds.first + bounds.interval * ahead as f64;
         let latest = bounds.latest as f64;
-        let gives_way = self.gives_way(entry.class, bounds.now);
+        let gives_way = !bounds.has_spare_room && self.gives_way(entry.class, bounds.now);
         if gives_way || end(ahead) > latest {
             let is_less_urgent = |queued: &QueuedRequest<T>| queued.entry.class < entry.class;
             let takes_turn = gives_way || self.heap.iter().any(is_less_urgent);
-            if !self.has_spare_turn || !takes_turn || end(0) > latest {
+            if !takes_turn || !self.may_yield_to(entry.class, request.rank) || end(0) > latest {
                 self.refuse(entry, bounds.now);
                 return Admission::TooLong;
             }
-            self.has_spare_turn = false;
+            self.since_yielded = 0;
             request.first = true;
         }
         let mut displaced = None;
@@ -276,6 +285,17 @@
         refusals.any(|(other, at)| *other < class && now < at + CONTENTION_TIME)
     }
 
+    /// Returns whether a less urgent request may leave before more urgent ones. The first turn is for customers that are
+    /// not ahead of the others in their class; if none of these comes, any request takes it.
+    fn may_yield_to(&self, class: u8, rank: f64) -> bool {
+        let served = self.served_ranks.get(&class);
+        let is_ahead = served.is_some_and(|served| rank > *served);
+        match is_ahead {
+            true => self.since_yielded >= 2 * YIELD_INTERVAL,
+            false => self.since_yielded >= YIELD_INTERVAL,
+        }
+    }
+
     /// Removes the next request; one in [`TURN_INTERVAL`] departures is the request that has waited longest. It is
     /// [`Dequeued::Expired`] after its latest time.
     pub fn pop_in_turn(&mut self, now: Millis) -> Option<Dequeued<T>> {
@@ -292,10 +312,10 @@
             return Some(Dequeued::Expired(queued.value));
         }
         self.departures = (self.departures + 1) % TURN_INTERVAL;
-        if is_turn {
-            let class = queued.entry.class;
-            self.has_spare_turn = self.heap.iter().all(|other| other.entry.class >= class);
-        }
+        self.since_yielded = self.since_yielded.saturating_add(1);
+        let served = self.served_ranks.entry(queued.entry.class);
+        let served = served.or_insert(queued.rank);
+        *served = served.max(queued.rank);
         self.ranker.dispatched(queued.rank);
         self.record_departure(now);
         Some(Dequeued::Ready(queued.value))
--- a/crates/limit/src/window.rs
+++ b/crates/limit/src/window.rs
@@ -18,7 +18,7 @@
 
 /// Maximum growth per answer, relative to the window. In a window of a few calls, growth by a whole call for each
 /// window would overrun the upstreams again after one or two answers.
-const MAX_GROWTH: f64 = 1.0 / 8.0;
+const MAX_GROWTH: f64 = 1.0 / 16.0;
 
 /// The smallest window: a call every 32 service times.
 const MIN_SIZE: f64 = 1.0 / 32.0;
@@ -69,8 +69,10 @@
     size: f64,
     max: f64,
     running: u32,
-    /// When the window last shrank; calls sent before say nothing about its new size.
-    cut_at: Millis,
+    /// Most calls at the service at once since the window last shrank.
+    peak: u32,
+    /// When the window last shrank. Calls sent before, or within a service time after, say nothing about its new size.
+    cut_at: Option<Millis>,
     /// Time before which no call is sent, while the window is below 1.
     resume_at: Millis,
     /// Mean service time in milliseconds, and its mean deviation.
@@ -84,7 +86,8 @@
             size: f64::INFINITY,
             max: 1.0,
             running: 0,
-            cut_at: 0,
+            peak: 0,
+            cut_at: None,
             resume_at: 0,
             service_time: None,
         }
@@ -112,6 +115,11 @@
         f64::from(self.running) < self.size().floor().max(1.0) && now >= self.resume_at
     }
 
+    /// Returns whether a call that is sent now leaves half of the window to others.
+    pub fn has_spare_room(&self) -> bool {
+        self.size() >= 1.0 && f64::from(self.running) < self.size() / 2.0
+    }
+
     /// Returns the time in milliseconds for which no call is sent, however few are at the service.
     pub fn pause(&self, now: Millis) -> Millis {
         self.resume_at.saturating_sub(now)
@@ -120,6 +128,7 @@
     /// Records that a call is sent.
     pub fn start(&mut self, now: Millis) {
         self.running += 1;
+        self.peak = self.peak.max(self.running);
         if self.size() < 1.0 {
             let period = self.period() as Millis;
             // After an idle period a second call may follow at once: calls arrive at random, and the mean is kept.
@@ -130,15 +139,15 @@
 
     /// Records that a call sent at `sent_at` has ended; without a signal, nothing follows about the service.
     pub fn finish(&mut self, now: Millis, sent_at: Millis, signal: Option<Signal>) {
-        let in_use = f64::from(self.running.max(1));
         self.running = self.running.saturating_sub(1);
         let Some(signal) = signal else { return };
         if let Signal::OnTime(took) | Signal::Crowded(took) | Signal::Late(took) = signal {
             self.record_time(took as f64);
         }
-        if sent_at < self.cut_at {
+        if sent_at < self.settled_at() {
             return;
         }
+        let in_use = f64::from(self.peak.max(1));
         match signal {
             Signal::OnTime(_) => self.grow(in_use),
             Signal::Crowded(_) => self.cut(CROWDED_FACTOR * self.size(), now),
@@ -148,6 +157,16 @@
         }
     }
 
+    /// Returns the time from which calls are sent that show the effect of the last cut. A window below 1 has paused
+    /// since; a larger one has its calls from before the cut at the upstreams for another service time.
+    fn settled_at(&self) -> Millis {
+        let settling = match self.size() < 1.0 {
+            true => 0,
+            false => self.mean_time() as Millis,
+        };
+        self.cut_at.map_or(0, |at| at + settling)
+    }
+
     // A window that the calls do not fill says nothing about a larger one.
     fn grow(&mut self, in_use: f64) {
         let size = self.size();
@@ -158,7 +177,8 @@
 
     fn cut(&mut self, size: f64, now: Millis) {
         self.size = size.max(MIN_SIZE);
-        self.cut_at = now;
+        self.cut_at = Some(now);
+        self.peak = self.running;
         let pause = self.period() - self.mean_time();
         self.resume_at = self.resume_at.max(now + pause as Millis);
     }
--- a/crates/limit/tests/window.rs
+++ b/crates/limit/tests/window.rs
@@ -262,6 +262,7 @@
         latest: 100,
         first: 10.0,
         interval: 10.0,
+        has_spare_room: false,
     };
     let too_late = WaitBounds {
         latest: 5,
