Do not close the window of a service that is slower than its target

A late answer shrinks the window only if calls wait in that upstream, or, for an upstream that does not report its load, if it took half as long again as the shortest one.

--- a/crates/limit/src/window.rs
+++ b/crates/limit/src/window.rs
@@ -14,7 +14,7 @@
 
 /// Factor of the window after an answer from an upstream in which many calls wait. It is close to 1, because at the
 /// best load a good part of the answers say so.
-const CROWDED_FACTOR: f64 = 0.9;
+const CROWDED_FACTOR: f64 = 0.95;
 
 /// Maximum growth per answer, relative to the window. In a window of a few calls, growth by a whole call for each
 /// window would overrun the upstreams again after one or two answers.
@@ -33,6 +33,13 @@
 /// Number of mean deviations above the mean within which nearly all service times are.
 const USUAL_DEVIATIONS: f64 = 2.0;
 
+/// Multiple of the shortest service time above which a call is assumed to have waited in its upstream.
+const QUEUED_FACTOR: f64 = 1.5;
+
+/// Weight of the newest answer in the shortest service time, if it took longer: a service that has become slower is
+/// known as such after about a thousand answers, and a queue of some seconds does not pass for a slower service.
+const SHORTEST_RISE: f64 = 0.001;
+
 /// Service time in milliseconds before any has been measured.
 const DEFAULT_SERVICE_TIME: f64 = 50.0;
 
@@ -43,12 +50,29 @@
     OnTime(Millis),
     /// Answered within the target after this time in milliseconds, by an upstream in which many calls wait.
     Crowded(Millis),
-    /// Answered after this time in milliseconds, which is over the target.
+    /// Answered after this time in milliseconds, which is over the target, while calls wait in the upstream.
     Late(Millis),
+    /// Answered after this time in milliseconds, which is over the target, by an upstream that does not report its load.
+    LateUnexplained(Millis),
+    /// Answered after this time in milliseconds, which is over the target, although no call waits in the upstream.
+    Slow(Millis),
     /// Rejected by an upstream without room.
     Rejected,
 }
 
+impl Signal {
+    fn time(self) -> Option<Millis> {
+        match self {
+            Self::OnTime(took)
+            | Self::Crowded(took)
+            | Self::Late(took)
+            | Self::LateUnexplained(took)
+            | Self::Slow(took) => Some(took),
+            Self::Rejected => None,
+        }
+    }
+}
+
 /// The adaptive bound of one instance for one service.
 ///
 /// # Examples
@@ -77,6 +101,8 @@
     resume_at: Millis,
     /// Mean service time in milliseconds, and its mean deviation.
     service_time: Option<(f64, f64)>,
+    /// The shortest service time in milliseconds, which rises slowly.
+    shortest_time: f64,
 }
 
 impl Default for Window {
@@ -90,6 +116,7 @@
             cut_at: None,
             resume_at: 0,
             service_time: None,
+            shortest_time: f64::INFINITY,
         }
     }
 }
@@ -141,7 +168,7 @@
     pub fn finish(&mut self, now: Millis, sent_at: Millis, signal: Option<Signal>) {
         self.running = self.running.saturating_sub(1);
         let Some(signal) = signal else { return };
-        if let Signal::OnTime(took) | Signal::Crowded(took) | Signal::Late(took) = signal {
+        if let Some(took) = signal.time() {
             self.record_time(took as f64);
         }
         if sent_at < self.settled_at() {
@@ -151,7 +178,10 @@
         match signal {
             Signal::OnTime(_) => self.grow(in_use),
             Signal::Crowded(_) => self.cut(CROWDED_FACTOR * self.size(), now),
-            Signal::Late(_) | Signal::Rejected => {
+            // A smaller window makes no call faster that takes this long in an idle upstream.
+            Signal::Slow(_) => (),
+            Signal::LateUnexplained(took) if took as f64 <= self.shortest_time * QUEUED_FACTOR => {}
+            Signal::Late(_) | Signal::LateUnexplained(_) | Signal::Rejected => {
                 self.cut(CUT_FACTOR * self.size().min(in_use), now);
             }
         }
@@ -190,6 +220,8 @@
 
     fn record_time(&mut self, took: f64) {
         let (mean, deviation) = self.service_time.unwrap_or((took, 0.0));
+        let rise = SHORTEST_RISE * (took - self.shortest_time);
+        self.shortest_time = took.min(self.shortest_time + rise.max(0.0));
         let distance = (took - mean).abs();
         self.service_time = Some((
             mean + SMOOTHING_FACTOR * (took - mean),
--- a/crates/limit/tests/window.rs
+++ b/crates/limit/tests/window.rs
@@ -124,6 +124,7 @@
                 let signal = match took <= TARGET {
                     true if is_crowded => Signal::Crowded(took),
                     true => Signal::OnTime(took),
+                    false if upstream.waiting.is_empty() => Signal::Slow(took),
                     false => Signal::Late(took),
                 };
                 gates[call.instance].finish(now, call.sent_at, Some(signal));
@@ -410,3 +411,20 @@
 
     assert_eq!(window.size(), 7.0);
 }
+
+// Guards against a window that closes before an idle service, because each call takes longer than the target by itself.
+#[parameterized(
+    nothing_waits_there = { Signal::Slow(400) },
+    load_unknown = { Signal::LateUnexplained(400) },
+)]
+fn a_service_that_is_slower_than_its_target_keeps_its_window(signal: Signal) {
+    let mut window = Window::default();
+    window.set_max(8);
+
+    for turn in 0..50 {
+        window.start(turn * 400);
+        window.finish((turn + 1) * 400, turn * 400, Some(signal));
+    }
+
+    assert_eq!(window.size(), 8.0);
+}
--- a/crates/node/src/call_queue.rs
+++ b/crates/node/src/call_queue.rs
@@ -94,9 +94,13 @@
 /// What became of a request that had a place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PlaceResult {
-    /// It was answered.
+    /// It was answered by an upstream that does not report its load.
     Answered,
-    /// It was answered by an upstream in which many requests wait.
+    /// It was answered by an upstream in which requests wait.
+    AnsweredWaiting,
+    /// It was answered by an upstream in which no request waits.
+    AnsweredIdle,
+    /// It was answered by an upstream in which as many requests wait as run.
     AnsweredCrowded,
     /// The upstream rejected it.
     Rejected,
@@ -137,9 +141,15 @@
             (PlaceResult::Rejected, _) => Signal::Rejected,
             // What was sent away early, for example because an upstream crashed, says nothing about its load.
             (PlaceResult::Unanswered, true) => return None,
-            (_, false) => Signal::Late(took),
+            (PlaceResult::AnsweredIdle, false) => Signal::Slow(took),
+            (PlaceResult::Answered | PlaceResult::Unanswered, false) => {
+                Signal::LateUnexplained(took)
+            }
+            (PlaceResult::AnsweredWaiting | PlaceResult::AnsweredCrowded, false) => {
+                Signal::Late(took)
+            }
             (PlaceResult::AnsweredCrowded, true) => Signal::Crowded(took),
-            (PlaceResult::Answered, true) => Signal::OnTime(took),
+            (_, true) => Signal::OnTime(took),
         })
     }
 }
--- a/crates/node/src/forwarded_request.rs
+++ b/crates/node/src/forwarded_request.rs
@@ -359,10 +359,12 @@
 
     /// Records an answer with the load that the upstream reported.
     pub(crate) fn record_answer(&mut self, load: Option<Load>, took: Millis) {
-        let is_crowded = load.is_some_and(|load| load.waiting >= self.upstream.slots.max(1));
-        let result = match is_crowded {
-            true => PlaceResult::AnsweredCrowded,
-            false => PlaceResult::Answered,
+        let slots = self.upstream.slots.max(1);
+        let result = match load.map(|load| load.waiting) {
+            None => PlaceResult::Answered,
+            Some(0) => PlaceResult::AnsweredIdle,
+            Some(waiting) if waiting >= slots => PlaceResult::AnsweredCrowded,
+            Some(_) => PlaceResult::AnsweredWaiting,
         };
         self.record(result, took);
     }
