--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
+use kernel::Map;
 use kernel::Millis;
 
 use crate::order::QueueEntry;
@@ -28,9 +29,43 @@
     },
 }
 
+/// Times that decide whether a request may wait.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitBounds {
+    /// The current time.
+    pub now: Millis,
+    /// Time after which the request must not leave the queue to run.
+    pub latest: Millis,
+    /// Time until the next request can leave, in milliseconds.
+    pub first: f64,
+    /// Time between the departures after that, in milliseconds.
+    pub interval: f64,
+    /// Whether there is so much room that the request need not give way to more urgent ones.
+    pub has_spare_room: bool,
+}
+
+/// Decision of [`Queue::push_within`] on an arriving request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission<T> {
+    /// It waits.
+    Queued {
+        /// Identifies the request.
+        ticket: Ticket,
+        /// The last request of a full queue, which was removed for a request that precedes it.
+        displaced: Option<T>,
+    },
+    /// Its expected wait ends after its latest time.
+    TooLong,
+    /// The queue is full of requests that precede it.
+    Full,
+}
+
 #[derive(Debug)]
 struct QueuedRequest<T> {
+    /// Whether it leaves before all others, whatever their ranks.
+    first: bool,
     rank: f64,
+    entry: QueueEntry,
     ticket: Ticket,
     deadline: Millis,
     value: T,
@@ -53,9 +88,9 @@
 impl<T> Ord for QueuedRequest<T> {
     // Reversed, since a binary heap returns the greatest item first and the lowest rank must leave first.
     fn cmp(&self, other: &Self) -> Ordering {
-        other
-            .rank
-            .total_cmp(&self.rank)
+        self.first
+            .cmp(&other.first)
+            .then(other.rank.total_cmp(&self.rank))
             .then(other.ticket.cmp(&self.ticket))
     }
 }
@@ -85,6 +120,19 @@
 /// Weight of the newest departure interval in the moving average.
 const SMOOTHING_FACTOR: f64 = 0.05;
 
+/// One in this many departures of [`Queue::pop_in_turn`] goes to the request that has waited longest, so that
+/// continuous requests of an urgent class do not starve the others.
+const TURN_INTERVAL: u32 = 8;
+
+/// Departures after which a less urgent request that would otherwise be refused may leave first: half of
+/// [`TURN_INTERVAL`] for customers that are not ahead in their class, and all of it for any. Where nothing waits for
+/// long, the order of arrival alone never reaches such requests.
+const YIELD_INTERVAL: u32 = TURN_INTERVAL / 2;
+
+/// Time after the refusal of a request for which less urgent ones give way to its retry, in milliseconds. Where few
+/// requests wait, the order of the queue alone would serve all classes alike.
+const CONTENTION_TIME: Millis = 1_000;
+
 /// A bounded queue in front of a pool of upstreams.
 pub struct Queue<T> {
     ranker: Box<dyn Ranker>,
@@ -94,6 +142,14 @@
     /// Mean time between two departures while requests waited, in milliseconds.
     mean_interval: f64,
     last_departure: Option<Millis>,
+    /// Departures since the last one in the order of arrival.
+    departures: u32,
+    /// Departures since a less urgent request took the place of a more urgent one.
+    since_yielded: u32,
+    /// The highest rank of each class that has left by [`Queue::pop_in_turn`].
+    served_ranks: Map<u8, f64>,
+    /// When [`Queue::push_within`] last refused a request of each class.
+    refusals: Map<u8, Millis>,
 }
 
 impl<T> Queue<T> {
@@ -106,6 +162,10 @@
             last_ticket: 0,
             mean_interval: 0.0,
             last_departure: None,
+            departures: 0,
+            since_yielded: 0,
+            served_ranks: Map::default(),
+            refusals: Map::default(),
         }
     }
 
@@ -154,7 +214,9 @@
         }
         self.last_ticket += 1;
         self.heap.push(QueuedRequest {
+            first: false,
             rank,
+            entry: entry.clone(),
             ticket: self.last_ticket,
             deadline,
             value,
@@ -162,6 +224,118 @@
         QueueDecision::Queued(self.last_ticket)
     }
 
+    /// Queues an arriving request if its expected wait, which follows from the requests ahead of it, ends in time.
+    ///
+    /// Unlike [`Queue::push`], it uses the departure times that the caller expects. A full queue makes room by removing
+    /// its last request if that leaves after this one.
+    pub fn push_within(
+        &mut self,
+        bounds: WaitBounds,
+        entry: &QueueEntry,
+        value: T,
+    ) -> Admission<T> {
+        let mut request = QueuedRequest {
+            first: false,
+            rank: self.ranker.rank(entry),
+            entry: entry.clone(),
+            ticket: self.last_ticket + 1,
+            deadline: bounds.latest,
+            value,
+        };
+        let ahead = self.heap.iter().filter(|queued| **queued > request).count();
+        let end = |ahead: usize| bounds.now as f64 + bounds.first + bounds.interval * ahead as f64;
+        let latest = bounds.latest as f64;
+        let gives_way = !bounds.has_spare_room && self.gives_way(entry.class, bounds.now);
+        if gives_way || end(ahead) > latest {
+            let is_less_urgent = |queued: &QueuedRequest<T>| queued.entry.class < entry.class;
+            let takes_turn = gives_way || self.heap.iter().any(is_less_urgent);
+            if !takes_turn || !self.may_yield_to(entry.class, request.rank) || end(0) > latest {
+                self.refuse(entry, bounds.now);
+                return Admission::TooLong;
+            }
+            self.since_yielded = 0;
+            request.first = true;
+        }
+        let mut displaced = None;
+        if self.heap.len() >= self.capacity {
+            let last = self.heap.iter().min();
+            let last = last.filter(|last| **last < request);
+            let Some(last) = last.map(|last| last.ticket) else {
+                self.refuse(entry, bounds.now);
+                return Admission::Full;
+            };
+            displaced = self.withdraw(last);
+        }
+        self.last_ticket += 1;
+        self.heap.push(request);
+        Admission::Queued {
+            ticket: self.last_ticket,
+            displaced,
+        }
+    }
+
+    fn refuse(&mut self, entry: &QueueEntry, now: Millis) {
+        self.ranker.withdrawn(entry);
+        self.refusals.insert(entry.class, now);
+    }
+
+    /// Returns whether a more urgent request was refused lately.
+    fn gives_way(&self, class: u8, now: Millis) -> bool {
+        let mut refusals = self.refusals.iter();
+        refusals.any(|(other, at)| *other < class && now < at + CONTENTION_TIME)
+    }
+
+    /// Returns whether a less urgent request may leave before more urgent ones. The first turn is for customers that are
+    /// not ahead of the others in their class; if none of these comes, any request takes it.
+    fn may_yield_to(&self, class: u8, rank: f64) -> bool {
+        let served = self.served_ranks.get(&class);
+        let is_ahead = served.is_some_and(|served| rank > *served);
+        match is_ahead {
+            true => self.since_yielded >= 2 * YIELD_INTERVAL,
+            false => self.since_yielded >= YIELD_INTERVAL,
+        }
+    }
+
+    /// Removes the next request; one in [`TURN_INTERVAL`] departures is the request that has waited longest. It is
+    /// [`Dequeued::Expired`] after its latest time.
+    pub fn pop_in_turn(&mut self, now: Millis) -> Option<Dequeued<T>> {
+        let is_turn = self.departures + 1 >= TURN_INTERVAL;
+        let queued = match is_turn {
+            true => {
+                let oldest = self.heap.iter().map(|queued| queued.ticket).min()?;
+                self.remove(oldest)?
+            }
+            false => self.heap.pop()?,
+        };
+        if queued.deadline < now {
+            self.ranker.withdrawn(&queued.entry);
+            return Some(Dequeued::Expired(queued.value));
+        }
+        self.departures = (self.departures + 1) % TURN_INTERVAL;
+        self.since_yielded = self.since_yielded.saturating_add(1);
+        let served = self.served_ranks.entry(queued.entry.class);
+        let served = served.or_insert(queued.rank);
+        *served = served.max(queued.rank);
+        self.ranker.dispatched(queued.rank);
+        self.record_departure(now);
+        Some(Dequeued::Ready(queued.value))
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<QueuedRequest<T>> {
+        let mut requests = std::mem::take(&mut self.heap).into_vec();
+        let index = requests.iter().position(|queued| queued.ticket == ticket);
+        let removed = index.map(|index| requests.swap_remove(index));
+        self.heap = requests.into();
+        removed
+    }
+
+    /// Removes a request that will not run.
+    fn withdraw(&mut self, ticket: Ticket) -> Option<T> {
+        let removed = self.remove(ticket)?;
+        self.ranker.withdrawn(&removed.entry);
+        Some(removed.value)
+    }
+
     /// Returns the request that leaves next, and whether it has expired: at most `service_time` milliseconds are
     /// left before its deadline, so running it would be wasted work.
     pub fn peek(&self, now: Millis, service_time: Millis) -> Option<(&T, bool)> {
@@ -196,6 +370,6 @@
 
     /// Removes a request whose client has disconnected.
     pub fn cancel(&mut self, ticket: Ticket) {
-        self.heap.retain(|queued| queued.ticket != ticket);
+        self.withdraw(ticket);
     }
 }
