Decide which calls an overloaded instance sheds

Change: limit::overload judges the delay of the run queue window by window and adapts the rate of accepted calls. A long queue counts while it is still being measured; a pause of the process does not. Nothing calls it yet.

--- /dev/null
+++ b/crates/limit/src/overload.rs
@@ -0,0 +1,303 @@
+//! Sheds new calls at an instance that is short of processor time.
+//!
+//! Load pattern: callers send an instance more than it has processor time for. Without shedding every request waits
+//! until its caller has left, so nobody is served, whichever team it belongs to. Rejecting a request early costs a
+//! small part of handling it.
+//!
+//! The instance measures the delay of its run queue. While the delay stays over its limit, the rate of accepted
+//! calls is reduced; while it stays below, the rate grows again. [`demand`] divides the rate among priorities and
+//! teams. [`readiness`] decides when an instance that sheds nearly everything reports that it is not ready.
+
+pub mod demand;
+pub mod readiness;
+
+use std::sync::Arc;
+
+use kernel::Millis;
+use kernel::Priority;
+
+use demand::Demand;
+
+/// Shortest window over which the delay is judged, in milliseconds. The smallest delay of a window decides, since a
+/// queue that never empties shows in all observations and a single pause only in one.
+const WINDOW: Millis = 100;
+
+/// Observations that a window has at least, so that a single pause does not fill a window.
+const MIN_OBSERVATIONS: u32 = 2;
+
+/// Time without any observation from which the process counts as paused, in milliseconds: longer than a process with
+/// a quota of processor time usually waits for its next period.
+const MIN_PAUSE: Millis = 150;
+
+/// Longest time after a pause in which nothing more is shed, in milliseconds. It is as long as the pause otherwise.
+const MAX_GRACE: Millis = 1_000;
+
+/// Time after a grace in which another pause counts as load, in milliseconds: an instance that lacks processor time
+/// may pause again and again.
+const GRACE_INTERVAL: Millis = 5_000;
+
+/// Part of the accepted rate that is removed for each multiple of the limit by which the delay exceeds it.
+const DECREASE_GAIN: f64 = 0.1;
+
+/// Smallest part of the accepted rate that a window over the limit removes.
+const MIN_DECREASE: f64 = 0.02;
+
+/// Largest part of the accepted rate that a window over the limit removes. One window may be misleading.
+const MAX_DECREASE: f64 = 0.25;
+
+/// Ratio of the delays of two windows below which the queue counts as draining. The rate is low enough then; reducing
+/// it further would leave the instance idle afterwards.
+const DRAINING_RATIO: f64 = 0.95;
+
+/// Growth of the accepted rate in a window without delay, as a part of the demand: slower than it is reduced, and
+/// from the smallest rate to the demand in some 5 s.
+const MAX_INCREASE: f64 = 0.02;
+
+/// Number of windows whose growth a pause between two measurements counts for at most.
+const MAX_IDLE_WINDOWS: f64 = 50.0;
+
+/// Largest fraction of the calls that are shed. The rest shows whether the instance has recovered.
+const MAX_SHED: f64 = 0.95;
+
+/// Fraction of shed calls from which an instance sheds nearly everything.
+const NEARLY_ALL: f64 = 0.9;
+
+/// Smallest accepted rate, so that it can be reduced before any call has arrived.
+const MIN_RATE: f64 = 1.0;
+
+/// Largest ratio of the accepted rate to the demand. A higher one would delay the reaction to a growing demand.
+const MAX_HEADROOM: f64 = 1.5;
+
+/// Time for which the accepted rate has to exceed the demand before shedding ends, in milliseconds.
+const END_TIME: Millis = 2_000;
+
+/// Mean time after which a shed caller is asked to return while little is shed, in milliseconds.
+const MIN_RETRY: f64 = 250.0;
+
+/// Mean time after which a shed caller is asked to return if everything were shed, in milliseconds.
+const MAX_RETRY: f64 = 3_000.0;
+
+/// What happens to an arriving call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// It is handled.
+    Accepted,
+    /// It is rejected without being handled.
+    Shed,
+}
+
+/// Change of a [`Shedder`] after a measurement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// From now on calls may be shed.
+    Started,
+    /// Calls are no longer shed.
+    Ended,
+}
+
+/// The observations of the delay since the last decision.
+#[derive(Clone, Copy, Debug)]
+struct Window {
+    start: Millis,
+    count: u32,
+    min_delay: Millis,
+}
+
+impl Window {
+    fn new(start: Millis) -> Self {
+        Self {
+            start,
+            count: 0,
+            min_delay: Millis::MAX,
+        }
+    }
+}
+
+/// The rate of calls that are accepted while the instance is overloaded.
+#[derive(Clone, Copy, Debug)]
+struct Allowance {
+    /// Calls in the units of [`Demand::total`].
+    rate: f64,
+    /// Since when the rate exceeds the demand.
+    ample_since: Option<Millis>,
+}
+
+/// Decides which calls an instance sheds.
+///
+/// # Examples
+///
+/// ```
+/// use kernel::Priority;
+/// use limit::Shedder;
+/// use limit::overload::Arrival;
+/// use limit::overload::Change;
+///
+/// let mut shedder = Shedder::new(40);
+/// let priority = Priority::default();
+/// for at in 0..50 {
+///     assert_eq!(shedder.arrived(Some(&"a".into()), priority, at), Arrival::Accepted);
+/// }
+/// shedder.measurement_started(0);
+/// assert_eq!(shedder.measurement_ended(90), (90, None));
+/// shedder.measurement_started(90);
+/// assert_eq!(shedder.measurement_ended(180), (90, Some(Change::Started)));
+/// assert!(shedder.shed_fraction() > 0.0);
+/// ```
+#[derive(Debug)]
+pub struct Shedder {
+    limit: Millis,
+    window: Window,
+    /// Smallest delay of the previous window.
+    previous_delay: Millis,
+    /// When the pending measurement began.
+    pending_since: Option<Millis>,
+    /// When the last observation was made.
+    seen_at: Millis,
+    /// Until when nothing more is shed after a pause.
+    grace_end: Option<Millis>,
+    allowance: Option<Allowance>,
+    demand: Demand,
+}
+
+impl Shedder {
+    /// Creates a shedder that keeps the delay near `limit` milliseconds under overload.
+    pub fn new(limit: Millis) -> Self {
+        Self {
+            limit: limit.max(1),
+            window: Window::new(0),
+            previous_delay: 0,
+            pending_since: None,
+            seen_at: 0,
+            grace_end: None,
+            allowance: None,
+            demand: Demand::default(),
+        }
+    }
+
+    /// Decides on an arriving call; `team` is [`None`] if it belongs to none.
+    pub fn arrived(&mut self, team: Option<&Arc<str>>, priority: Priority, now: Millis) -> Arrival {
+        if self.demand.roll(now) {
+            self.divide();
+        }
+        match self.demand.accepts(team, priority) {
+            true => Arrival::Accepted,
+            false => Arrival::Shed,
+        }
+    }
+
+    /// Records that a measurement of the delay begins.
+    pub fn measurement_started(&mut self, now: Millis) {
+        self.pending_since = Some(now);
+    }
+
+    /// Records the end of the pending measurement, and returns the delay with what it changes.
+    pub fn measurement_ended(&mut self, now: Millis) -> (Millis, Option<Change>) {
+        let since = self.pending_since.take().unwrap_or(now);
+        let delay = now.saturating_sub(since);
+        (delay, self.observe(delay, now))
+    }
+
+    /// Checks how long the pending measurement takes already. A long queue would otherwise be noticed only after it
+    /// has been worked through.
+    pub fn check_pending(&mut self, now: Millis) -> Option<Change> {
+        self.check_pause(now);
+        let age = now.saturating_sub(self.pending_since?);
+        if age <= self.limit {
+            return None;
+        }
+        self.observe(age, now)
+    }
+
+    /// Notices a pause of the process. What has arrived in the meantime is worked through without shedding.
+    fn check_pause(&mut self, now: Millis) {
+        let gap = now.saturating_sub(self.seen_at);
+        self.seen_at = now;
+        let may_forgive = self.grace_end.is_none_or(|end| now >= end + GRACE_INTERVAL);
+        if gap >= MIN_PAUSE && may_forgive {
+            self.grace_end = Some(now + gap.min(MAX_GRACE));
+        }
+    }
+
+    fn observe(&mut self, delay: Millis, now: Millis) -> Option<Change> {
+        self.check_pause(now);
+        self.window.count += 1;
+        self.window.min_delay = self.window.min_delay.min(delay);
+        let elapsed = now.saturating_sub(self.window.start);
+        if elapsed < WINDOW || self.window.count < MIN_OBSERVATIONS {
+            return None;
+        }
+        self.demand.roll(now);
+        let delay = self.window.min_delay;
+        let previous = std::mem::replace(&mut self.previous_delay, delay);
+        let ratio = delay as f64 / self.limit as f64;
+        let windows = (elapsed as f64 / WINDOW as f64).min(MAX_IDLE_WINDOWS);
+        self.window = Window::new(now);
+        let is_draining = (delay as f64) < previous as f64 * DRAINING_RATIO;
+        let change = if ratio <= 1.0 {
+            self.grow(ratio, windows, now)
+        } else if is_draining || self.grace_end.is_some_and(|end| now < end) {
+            None
+        } else {
+            self.reduce(ratio)
+        };
+        self.divide();
+        change
+    }
+
+    fn reduce(&mut self, ratio: f64) -> Option<Change> {
+        let demand = self.demand.total();
+        let rate = self.allowance.map_or(demand, |allowance| allowance.rate);
+        let decrease = (DECREASE_GAIN * (ratio - 1.0)).clamp(MIN_DECREASE, MAX_DECREASE);
+        let rate = rate.min(demand) * (1.0 - decrease);
+        let started = self.allowance.is_none();
+        self.allowance = Some(Allowance {
+            rate: rate.max(demand * (1.0 - MAX_SHED)).max(MIN_RATE),
+            ample_since: None,
+        });
+        started.then_some(Change::Started)
+    }
+
+    fn grow(&mut self, ratio: f64, windows: f64, now: Millis) -> Option<Change> {
+        let demand = self.demand.total();
+        let allowance = self.allowance.as_mut()?;
+        let rate = allowance.rate + demand * MAX_INCREASE * (1.0 - ratio) * windows;
+        allowance.rate = rate.min(demand * MAX_HEADROOM).max(allowance.rate);
+        if allowance.rate < demand {
+            allowance.ample_since = None;
+            return None;
+        }
+        let since = *allowance.ample_since.get_or_insert(now);
+        if now.saturating_sub(since) < END_TIME {
+            return None;
+        }
+        self.allowance = None;
+        Some(Change::Ended)
+    }
+
+    /// Divides the accepted rate among the teams.
+    fn divide(&mut self) {
+        let rate = self.allowance.map(|allowance| allowance.rate);
+        self.demand.divide(rate);
+    }
+
+    /// Returns the fraction of the present demand that is shed, from 0 to 1.
+    pub fn shed_fraction(&self) -> f64 {
+        let demand = self.demand.total();
+        match self.allowance {
+            Some(allowance) if allowance.rate < demand => 1.0 - allowance.rate / demand,
+            Some(_) | None => 0.0,
+        }
+    }
+
+    /// Returns whether nearly everything is shed.
+    pub fn sheds_nearly_all(&self) -> bool {
+        self.shed_fraction() >= NEARLY_ALL
+    }
+
+    /// Returns after which time a shed caller should return, in milliseconds: the longer the more is shed, and half
+    /// of that more or less so that callers do not return together. `draw` is a random number from 0 to 1.
+    pub fn retry_after(&self, draw: f64) -> Millis {
+        let mean = MIN_RETRY + (MAX_RETRY - MIN_RETRY) * self.shed_fraction();
+        (mean * (0.5 + draw)) as Millis
+    }
+}
