Shed calls at an instance that lacks processor time

Change: node::overload measures the delay of the run queue when requests or readiness checks arrive, and asks limit::Shedder before the body of a call or stream is read. Route and key are looked up first: without them neither a submitted step, which is never shed, nor the priority is known. Readiness counts the complete list of members only. Nothing changes unless `[overload] max_delay_ms` is set.

--- a/crates/limit/src/overload.rs
+++ b/crates/limit/src/overload.rs
@@ -280,6 +280,11 @@
         self.demand.divide(rate);
     }
 
+    /// Returns the delay by which the last decision was made, in milliseconds.
+    pub fn delay(&self) -> Millis {
+        self.previous_delay
+    }
+
     /// Returns the fraction of the present demand that is shed, from 0 to 1.
     pub fn shed_fraction(&self) -> f64 {
         let demand = self.demand.total();
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -42,6 +42,8 @@
 use crate::access;
 use crate::hint::Hint;
 use crate::member::OwnEntry;
+use crate::overload;
+use crate::overload::Overload;
 use crate::owner::OwnedStep;
 use crate::result_cache::ResultCache;
 
@@ -113,6 +115,8 @@
     pub hints: ShardedMap<Arc<str>, Hint>,
     /// Instances to which no steps are handed over, each with the time until which that holds.
     avoided: Mutex<Map<Arc<str>, Millis>>,
+    /// Whether and how much this instance is overloaded.
+    pub(crate) overload: Overload,
     /// The instance that last relayed a platform call for this one.
     relay_peer: Mutex<Option<SocketAddr>>,
     leaving: AtomicBool,
@@ -138,8 +142,10 @@
             .usage_reports
             .map(|reports| Windows::new(reports.window));
         let meter = windows.map(|windows| Mutex::new(Meter::new(windows, clock.steady())));
+        let overload = Overload::new(settings.max_delay);
         Arc::new(Self {
             settings,
+            overload,
             clock,
             meter,
             snapshots: Mutex::default(),
@@ -337,6 +343,7 @@
         let has_upstreams = self.upstreams.lock().age(self.clock.now()).is_some();
         let can_serve =
             has_upstreams && self.config.load().is_some() && !access::is_failing_closed(self);
-        can_serve && self.is_keeper_confirmed() && !self.is_leaving()
+        let can_serve = can_serve && self.is_keeper_confirmed() && !self.is_leaving();
+        can_serve && !overload::is_unready(self)
     }
 }
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -13,6 +13,7 @@
 use crate::dialect::Caller;
 use crate::dialect::Operation;
 use crate::forward;
+use crate::overload;
 use crate::refusal;
 use crate::refusal::Refusal;
 use crate::steps;
@@ -22,6 +23,7 @@
 /// Handles a request and records its outcome.
 pub async fn handle(app: Arc<App>, call: Call) -> Reply {
     let started = app.clock.now();
+    overload::measure(&app);
     let (head, body) = split(call);
     let caller = app.dialect.decode_caller(&head);
     // Requests about a step carry no identifier of their own and are logged under the step's.
@@ -112,6 +114,9 @@
         Ok(principal) => principal,
         Err(refusal) => return ("key", refusal.reply()),
     };
+    if let Some(refusal) = overload::shed(app, &config, &route, &principal) {
+        return ("shed", refusal.reply());
+    }
     let body = match net::body::read(body, config.max_body).await {
         Ok(body) => body,
         Err(net::body::ReadError::TooLong(_)) => return ("long", Refusal::BodyTooLarge.reply()),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! wire; this crate makes all decisions, stores all state and does all retries.
 //!
 //! - [`frontend`] handles callers' requests: [`forward`] forwards calls, [`steps`] handles operations on steps.
+//! - `overload` sheds calls while the instance lacks processor time.
 //! - [`owner`] runs the samples of the steps that this instance owns, each in [`mod@run`].
 //! - [`step_head`] decides by a step's head at the platform whether the step may start or continue.
 //! - [`replication`] keeps the configuration and the list of upstreams current.
@@ -24,6 +25,7 @@
 pub mod hint;
 pub mod member;
 mod message;
+mod overload;
 pub mod owner;
 pub mod peer;
 mod peer_relay;
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -28,6 +28,8 @@
     NotExecuted,
     /// Upstreams crash under the request: it was not executed, and may be retried after so many milliseconds.
     Quarantined(Millis),
+    /// The instance is overloaded: the request has not been executed, and may be retried after so many milliseconds.
+    Overloaded(Millis),
     /// Whether the request was executed is unknown.
     OutcomeUnknown,
     /// The request was sent, and its deadline has passed.
@@ -48,6 +50,7 @@
         match self {
             Self::NotExecuted => "refused",
             Self::Quarantined(_) => "quarantined",
+            Self::Overloaded(_) => "overloaded",
             Self::OutcomeUnknown => "unknown",
             Self::TimedOut => "late",
             Self::NotFound => "missing",
@@ -59,7 +62,9 @@
 
     fn status(self) -> StatusCode {
         match self {
-            Self::NotExecuted | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotExecuted | Self::Quarantined(_) | Self::Overloaded(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::NotFound => StatusCode::NOT_FOUND,
@@ -87,6 +92,10 @@
         match self {
             Self::NotExecuted => Some(HeaderValue::from_static(RETRY_AFTER_SECONDS)),
             Self::Quarantined(left) => Some(left.div_ceil(MILLIS_PER_SECOND).into()),
+            Self::Overloaded(left) => {
+                let seconds = left as f64 / MILLIS_PER_SECOND as f64;
+                HeaderValue::from_str(&format!("{seconds:.2}")).ok()
+            }
             _ => None,
         }
     }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -32,6 +32,7 @@
 use crate::frontend;
 use crate::hint;
 use crate::member;
+use crate::overload;
 use crate::peer_relay::PeerRelay;
 use crate::peer_server;
 use crate::refusal::Refusal;
@@ -204,6 +205,8 @@
 }
 
 async fn handle_readiness(app: Arc<App>, _: Call) -> Reply {
+    // An instance that gets no requests while it is not ready has to notice that it has recovered.
+    overload::measure(&app);
     match app.is_ready() {
         true => net::body::reply(StatusCode::OK, "text/plain", "ready"),
         false => Refusal::NotExecuted.reply(),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -46,6 +46,15 @@
 /// Version of the configuration in force.
 pub const CONFIG_VERSION: &str = "snipeway_configuration_version";
 
+/// Calls and streams that were shed because the instance lacks processor time, by priority.
+pub const SHED_REQUESTS: &str = "snipeway_shed_requests_total";
+
+/// Fraction of the calls that are shed.
+pub const SHED_FRACTION: &str = "snipeway_shed_fraction";
+
+/// Delay of the run queue in milliseconds, as last measured.
+pub const RUN_QUEUE_DELAY: &str = "snipeway_run_queue_delay_milliseconds";
+
 /// Buckets of [`REQUEST_SECONDS`].
 const REQUEST_SECONDS_BUCKETS: [f64; 11] =
     [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
@@ -85,5 +94,15 @@
         "age of the list of upstreams"
     );
     metrics::describe_gauge!(CONFIG_VERSION, "version of the configuration in force");
+    metrics::describe_counter!(
+        SHED_REQUESTS,
+        "requests shed for lack of processor time by priority"
+    );
+    metrics::describe_gauge!(SHED_FRACTION, "fraction of the calls that are shed");
+    metrics::describe_gauge!(
+        RUN_QUEUE_DELAY,
+        Unit::Milliseconds,
+        "delay of the run queue as last measured"
+    );
     Some(handle)
 }
