--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -30,6 +30,8 @@
     Busy(Millis),
     /// Upstreams crash under the request: it was not executed, and may be retried after so many milliseconds.
     Quarantined(Millis),
+    /// The instance is overloaded: the request has not been executed, and may be retried after so many milliseconds.
+    Overloaded(Millis),
     /// Whether the request was executed is unknown.
     OutcomeUnknown,
     /// The request was sent, and its deadline has passed.
@@ -50,6 +52,7 @@
         match self {
             Self::NotExecuted | Self::Busy(_) => "refused",
             Self::Quarantined(_) => "quarantined",
+            Self::Overloaded(_) => "overloaded",
             Self::OutcomeUnknown => "unknown",
             Self::TimedOut => "late",
             Self::NotFound => "missing",
@@ -61,7 +64,7 @@
 
     fn status(self) -> StatusCode {
         match self {
-            Self::NotExecuted | Self::Busy(_) | Self::Quarantined(_) => {
+            Self::NotExecuted | Self::Busy(_) | Self::Quarantined(_) | Self::Overloaded(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
@@ -90,7 +93,7 @@
     pub(crate) fn retry_after(self) -> Option<Millis> {
         match self {
             Self::NotExecuted => Some(RETRY_DELAY),
-            Self::Busy(delay) => Some(delay),
+            Self::Busy(delay) | Self::Overloaded(delay) => Some(delay),
             // Whole seconds, so that the caller does not return a moment too early.
             Self::Quarantined(left) => Some(left.next_multiple_of(MILLIS_PER_SECOND)),
             _ => None,
