Bound the effect of late answers on the window

An instance short of processor time notices answers late; its window shrank to the least, with pauses of 1.5 s, from which it recovers slowly.

Late answers do not take the window below a half, pauses are at most 0.5 s, and the smallest windows grow by at least 1/64 per answer.

--- a/crates/limit/src/window.rs
+++ b/crates/limit/src/window.rs
@@ -12,6 +12,10 @@
 /// Factor of the window after a rejection or a late answer.
 const CUT_FACTOR: f64 = 0.7;
 
+/// Size below which late answers do not shrink the window. An instance that is short of processor time notices its
+/// answers late, and goes on to serve; only what upstreams say themselves shrinks the window further.
+const LATE_FLOOR: f64 = 0.5;
+
 /// Factor of the window after an answer from an upstream in which many calls wait. It is close to 1, because at the
 /// best load a good part of the answers say so.
 const CROWDED_FACTOR: f64 = 0.95;
@@ -20,12 +24,15 @@
 /// window would overrun the upstreams again after one or two answers.
 const MAX_GROWTH: f64 = 1.0 / 16.0;
 
+/// Minimum growth per answer. A window that has become very small gets answers rarely.
+const MIN_GROWTH: f64 = 1.0 / 64.0;
+
 /// The smallest window: a call every 32 service times.
 const MIN_SIZE: f64 = 1.0 / 32.0;
 
 /// Longest time between two calls of a window below 1, in milliseconds. A service whose calls take seconds is probed
 /// often enough to notice that it has room again.
-const MAX_PERIOD: f64 = 1_500.0;
+const MAX_PERIOD: f64 = 500.0;
 
 /// Weight of the newest answer in the service time.
 const SMOOTHING_FACTOR: f64 = 0.125;
@@ -181,9 +188,11 @@
             // A smaller window makes no call faster that takes this long in an idle upstream.
             Signal::Slow(_) => (),
             Signal::LateUnexplained(took) if took as f64 <= self.shortest_time * QUEUED_FACTOR => {}
-            Signal::Late(_) | Signal::LateUnexplained(_) | Signal::Rejected => {
-                self.cut(CUT_FACTOR * self.size().min(in_use), now);
+            Signal::Late(_) | Signal::LateUnexplained(_) => {
+                let size = (CUT_FACTOR * self.size().min(in_use)).max(LATE_FLOOR);
+                self.cut(size.min(self.size()), now);
             }
+            Signal::Rejected => self.cut(CUT_FACTOR * self.size().min(in_use), now),
         }
     }
 
@@ -201,7 +210,8 @@
     fn grow(&mut self, in_use: f64) {
         let size = self.size();
         if in_use * 2.0 >= size {
-            self.size = (size + (1.0 / size).min(MAX_GROWTH * size)).min(self.max);
+            let growth = (1.0 / size).min(MAX_GROWTH * size).max(MIN_GROWTH);
+            self.size = (size + growth).min(self.max);
         }
     }
 
