Keep a larger share for less urgent calls

Cause: the worst small teams of the instance test were less urgent ones at the flooded instance, whose urgent large team took what their class was not granted: an eighth of the accepted rate.

Change: each class of priorities is granted a fifth, less if there are more than three.

--- a/crates/limit/src/overload/demand.rs
+++ b/crates/limit/src/overload/demand.rs
@@ -21,7 +21,7 @@
 const MIN_WEIGHT: f64 = 0.02;
 
 /// Share of the accepted rate that each class of priorities is granted up to its demand.
-const CLASS_SHARE: f64 = 0.125;
+const CLASS_SHARE: f64 = 0.2;
 
 /// Share of the accepted rate that all classes but one are granted together, however many there are.
 const MAX_CLASS_SHARES: f64 = 0.5;
