--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -296,7 +296,7 @@
         }
     }
 
-    /// Removes the next request; one in [`TURN_INTERVAL`] departures is the request that has waited longest. It is
+    /// Removes the next request; one in eight departures is the request that has waited longest. It is
     /// [`Dequeued::Expired`] after its latest time.
     pub fn pop_in_turn(&mut self, now: Millis) -> Option<Dequeued<T>> {
         let is_turn = self.departures + 1 >= TURN_INTERVAL;
