--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a low rate of calls with a short deadline, to upstreams that crash, stop responding or become
 //! slow. A call that may run twice is sent to a second upstream as soon as it takes longer than nearly all calls
 //! do; one that may not is sent again only when it is certain not to have run. Each attempt needs a place in the window
-//! of its service, where calls wait for one ([`crate::call_queue`]).
+//! of its service, where calls wait for one (`call_queue`).
 
 use std::sync::Arc;
 use std::time::Duration;
