Clarify comments of placement, limits and shedding

Cause: some comments of the change could not be understood without knowing the project, or did not match the code: the bits that the distance between classes leaves, the latest time of a call without a target, and the time after a pause, in which the rate is not reduced rather than nothing shed. Six tests did not say which failure they guard against.

Change: these comments are reworded or corrected, and the missing ones added. Code and checks are unchanged.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -55,7 +55,8 @@
         boot_time().saturating_sub(self.start).as_millis() as Millis
     }
 
-    /// Returns the processor time that this thread has used, in milliseconds.
+    /// Returns the processor time that the calling thread has used, in milliseconds. Values of different threads can't
+    /// be compared.
     ///
     /// # Examples
     ///
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -15,7 +15,7 @@
 use crate::queue::Dequeued;
 use crate::queue::WaitBounds;
 
-/// Hedges that each call allows: a tenth of the calls may be sent a second time.
+/// Number of hedges (second attempts at a slow call) that each arriving call adds to the allowance: one in ten calls.
 const HEDGE_SHARE: f64 = 0.1;
 
 /// Maximum number of hedges in a row, so that the first calls to an upstream that stops responding can be hedged.
@@ -112,8 +112,8 @@
         &mut self.window
     }
 
-    /// Returns the time after which a call must not be sent any more: the rest of its time is as long as nearly all
-    /// calls take.
+    /// Returns the time after which a call must not be sent any more, since it would probably miss its target or its
+    /// deadline. Without a target, it may wait for half of the time to its deadline.
     fn latest(&self, now: Millis, call: &GateCall) -> Millis {
         let usual = self.window.usual_time();
         let left = call.deadline.saturating_sub(call.arrived);
@@ -161,14 +161,15 @@
                     self.window.start(now);
                     return Some(value);
                 }
-                // Whoever waits for it refuses it at its latest time.
+                // The task that waits for this call refuses it at the `latest` of `Arrival::Queued`.
                 Dequeued::Expired(_) => (),
             }
         }
         None
     }
 
-    /// Counts a second attempt at a call as sent, if one is allowed: nothing waits, and few calls are hedged.
+    /// Returns whether a second attempt at a call may be sent now, and counts it as sent. It may if no call waits, the
+    /// window has room and few calls have been hedged.
     pub fn hedge(&mut self, now: Millis) -> bool {
         let allowed = self.queue.is_empty() && self.hedges >= 1.0 && self.window.has_room(now);
         if allowed {
--- a/crates/limit/src/order.rs
+++ b/crates/limit/src/order.rs
@@ -101,8 +101,8 @@
     }
 }
 
-/// Distance between the ranks of adjacent classes. It exceeds the virtual time of decades of requests, and leaves
-/// ten bits of an `f64` for fractions of a request in the last class.
+/// Distance between the ranks of adjacent classes. It exceeds the virtual time of 30 years at 1,000 requests a second
+/// that cost 1 each, and leaves nine bits of an `f64` for fractions of a request in class 9, the last priority.
 const CLASS_DISTANCE: f64 = (1_u64 << 40) as f64;
 
 /// Strict priority between classes, and start-time fair queueing within each.
@@ -114,6 +114,7 @@
 impl Ranker for Prioritized {
     fn rank(&mut self, entry: &QueueEntry) -> f64 {
         let class = self.classes.entry(entry.class).or_default();
+        // `Fair` scales the weight by the class; within one class all weights count as they are.
         let equal = QueueEntry {
             class: 0,
             ..entry.clone()
--- a/crates/limit/src/overload.rs
+++ b/crates/limit/src/overload.rs
@@ -29,11 +29,12 @@
 /// pauses is worked through before shedding starts. An idle process cannot be told from a paused one.
 const MIN_PAUSE: Millis = 400;
 
-/// Divisor of the time in which an instance does nothing that gives how much processor time it uses at most. More is
-/// used while requests are worked through.
+/// An instance counts as idle or paused between two observations if it used less than this part of the time in between
+/// as processor time, given as a divisor: 20 stands for 5%. An instance that handles requests uses more.
 const MAX_GAP_USE: Millis = 20;
 
-/// Longest time after a pause in which nothing more is shed, in milliseconds. It is as long as the pause otherwise.
+/// Longest time after a pause in which the accepted rate is not reduced, in milliseconds. After a shorter pause this
+/// time is as long as the pause.
 const MAX_GRACE: Millis = 1_000;
 
 /// Time after a grace in which another pause counts as load, in milliseconds: an instance that lacks processor time
@@ -53,18 +54,18 @@
 /// it further would leave the instance idle afterwards.
 const DRAINING_RATIO: f64 = 0.95;
 
-/// Growth of the accepted rate in the first window without delay, as a part of the demand. It is that much more in
-/// each further one: near the capacity the rate grows slowly, after a recovery it soon reaches the demand.
+/// Growth of the accepted rate in the first window without delay, as a part of the demand. It rises by this step in
+/// each further window: near the capacity the rate grows slowly, after a recovery it soon reaches the demand.
 const INCREASE_STEP: f64 = 0.005;
 
 /// Largest growth of the accepted rate in a window.
 const MAX_INCREASE: f64 = 0.02;
 
-/// Number of windows whose growth a pause between two measurements counts for at most.
+/// Largest number of windows for which the rate grows at once after a time without measurements.
 const MAX_IDLE_WINDOWS: f64 = 50.0;
 
-/// Number of windows whose reductions a long one counts for at most: an instance that runs through a long queue decides
-/// once in each pass.
+/// Largest number of windows for which the rate is reduced at once after a long window: while an instance works through
+/// a long queue, it decides only once in each pass.
 const MAX_BUSY_WINDOWS: f64 = 2.0;
 
 /// Largest fraction of the calls that are shed. The rest shows whether the instance has recovered.
@@ -189,7 +190,7 @@
     seen_at: Millis,
     /// The processor time that it had used by then.
     seen_cpu: Millis,
-    /// Until when nothing more is shed after a pause.
+    /// Until when the accepted rate is not reduced, after a pause.
     grace_end: Option<Millis>,
     allowance: Option<Allowance>,
     demand: Demand,
@@ -269,6 +270,7 @@
         }
     }
 
+    /// Adds a delay to the window. At the end of the window, changes the accepted rate if necessary.
     fn observe(&mut self, delay: Millis, now: Millis) -> Option<Change> {
         self.window.count += 1;
         self.window.min_delay = self.window.min_delay.min(delay);
@@ -371,8 +373,9 @@
         self.shed_fraction() >= NEARLY_ALL
     }
 
-    /// Returns after which time a shed caller should return, in milliseconds: the longer the more is shed, and half
-    /// of that more or less so that callers do not return together. `draw` is a random number from 0 to 1.
+    /// Returns after which time a shed caller should return, in milliseconds. It grows with the fraction that is
+    /// shed, and varies by half in either direction so that callers do not return together. `draw` is a random number
+    /// from 0 to 1.
     pub fn retry_after(&self, draw: f64) -> Millis {
         let mean = MIN_RETRY + (MAX_RETRY - MIN_RETRY) * self.shed_fraction();
         (mean * (0.5 + draw)) as Millis
--- a/crates/limit/src/overload/demand.rs
+++ b/crates/limit/src/overload/demand.rs
@@ -45,7 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Demand {
     classes: BTreeMap<Priority, Map<Option<Arc<str>>, TeamDemand>>,
-    /// The level of each class in which calls are shed.
+    /// The calls that each team of a class is granted at most; only for the classes in which calls are shed.
     levels: BTreeMap<Priority, f64>,
     rolled_at: Millis,
     total: f64,
@@ -94,8 +94,8 @@
         let Some(level) = self.levels.get(&priority) else {
             return true;
         };
-        // A team whose flood has just begun has most of its calls since the last update. Only of an unknown team is the
-        // first call counted: that of another is no more than its weight says.
+        // The calls since the last update show a flood that has just begun, before the weight does. One call of a known
+        // team is left out, because the weight stands for it already.
         let known = u32::from(team.weight > 0.0);
         let demand = team.weight.max(f64::from(team.arrivals - known));
         team.credit += (level / demand).min(1.0);
--- a/crates/limit/src/overload/readiness.rs
+++ b/crates/limit/src/overload/readiness.rs
@@ -33,9 +33,9 @@
 #[derive(Debug)]
 pub struct Readiness {
     limit: Millis,
-    /// The first of the latest measurements, all over the limit while nearly everything was shed.
+    /// Time of the first measurement since which all were over the limit while nearly everything was shed.
     over_since: Option<Millis>,
-    /// The first of the latest measurements, all below half of the limit.
+    /// Time of the first measurement since which all were below half of the limit.
     calm_since: Option<Millis>,
     last_measured: Millis,
     is_overloaded: bool,
@@ -58,7 +58,8 @@
     pub fn measured(&mut self, delay: Millis, sheds_nearly_all: bool, now: Millis) {
         let gap = now.saturating_sub(delay).saturating_sub(self.last_measured);
         self.last_measured = now;
-        // Nothing is known about the gap; after a recovery it would only delay the next request.
+        // Nothing shows that the overload lasted during the gap. `calm_since` stays: an instance that is not ready is
+        // measured rarely, and would otherwise become ready later than it could.
         if gap > MAX_GAP {
             self.over_since = None;
         }
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -124,9 +124,9 @@
 /// continuous requests of an urgent class do not starve the others.
 const TURN_INTERVAL: u32 = 8;
 
-/// Departures after which a less urgent request that would otherwise be refused may leave first: half of
-/// [`TURN_INTERVAL`] for customers that are not ahead in their class, and all of it for any. Where nothing waits for
-/// long, the order of arrival alone never reaches such requests.
+/// Departures after which a less urgent request that would otherwise be refused may leave first. After this number, it
+/// has to be from a customer that has got no more than its share of its class; after twice this number, from any.
+/// Refused requests do not wait, so the turns of [`TURN_INTERVAL`] alone never reach them.
 const YIELD_INTERVAL: u32 = TURN_INTERVAL / 2;
 
 /// Time after the refusal of a request for which less urgent ones give way to its retry, in milliseconds. Where few
@@ -285,8 +285,9 @@
         refusals.any(|(other, at)| *other < class && now < at + CONTENTION_TIME)
     }
 
-    /// Returns whether a less urgent request may leave before more urgent ones. The first turn is for customers that are
-    /// not ahead of the others in their class; if none of these comes, any request takes it.
+    /// Returns whether a less urgent request may leave before more urgent ones. For the first
+    /// [`YIELD_INTERVAL`] departures after a turn is due, only customers that have got no more than their share of the
+    /// class may take it.
     fn may_yield_to(&self, class: u8, rank: f64) -> bool {
         let served = self.served_ranks.get(&class);
         let is_ahead = served.is_some_and(|served| rank > *served);
--- a/crates/limit/src/window.rs
+++ b/crates/limit/src/window.rs
@@ -12,8 +12,8 @@
 /// Factor of the window after a rejection or a late answer.
 const CUT_FACTOR: f64 = 0.7;
 
-/// Size below which late answers do not shrink the window. An instance that is short of processor time notices its
-/// answers late, and goes on to serve; only what upstreams say themselves shrinks the window further.
+/// Size below which late answers do not shrink the window. An instance that is short of processor time sees answers
+/// late even if its upstreams have room, so below this size only rejections and reports of crowding shrink it.
 const LATE_FLOOR: f64 = 0.5;
 
 /// Factor of the window after an answer from an upstream in which many calls wait. It is close to 1, because at the
--- a/crates/limit/tests/overload.rs
+++ b/crates/limit/tests/overload.rs
@@ -187,6 +187,7 @@
     assert!(instance.mean_delay(5_000) < 3.0 * LIMIT as f64);
 }
 
+// Guards against shedding that ignores priorities, and against a less urgent class that is served nothing.
 #[test]
 fn less_urgent_calls_are_shed_first_and_never_all() {
     let mut teams = many_teams(20, 0, 10.0);
@@ -231,6 +232,7 @@
     assert_eq!(accepted_share(&teams), 1.0);
 }
 
+// Guards against shedding at an instance that can handle all calls.
 #[test]
 fn an_instance_with_enough_time_sheds_nothing() {
     let mut teams = many_teams(20, 5, 10.0);
@@ -258,6 +260,7 @@
     assert_eq!(instance.shedder.shed_fraction(), 0.0);
 }
 
+// Guards against shed callers that return too soon, or all at the same moment.
 #[test]
 fn callers_return_later_and_apart_the_more_is_shed() {
     let mut teams = vec![team("large", 5, 900.0)];
@@ -279,6 +282,7 @@
     readiness.is_overloaded()
 }
 
+// Guards against an instance that alternates between ready and not ready with each change of the delay.
 #[test]
 fn readiness_falls_and_returns_late() {
     let mut readiness = Readiness::new(LIMIT);
--- a/crates/place/src/loads.rs
+++ b/crates/place/src/loads.rs
@@ -126,7 +126,7 @@
     by_model: Map<Arc<str>, ModelLoad>,
 }
 
-/// The newest known version of the model at the engine is passed as `version`.
+/// In all methods but `version_reported`, `version` is the newest known version of the model at the engine.
 impl Loads {
     /// Records a notice; returns false if the engine has the version already.
     pub(crate) fn notified(
@@ -213,8 +213,8 @@
         }
     }
 
-    /// Records whether the engine executes an order, as it answered to a query that was sent at `sent`. If it executes
-    /// none, no load runs, though it may have ended earlier than expected or failed: the engine may be tried.
+    /// Records whether the engine executes an order of the leader, such as a load, as it answered to a query that was
+    /// sent at `sent`. If it executes none, any load has ended, perhaps early or by a failure: the engine may be tried.
     pub(crate) fn state_reported(&mut self, is_busy: bool, sent: Millis) {
         for load in self.by_model.values_mut() {
             let is_newer = sent >= load.since;
--- a/crates/place/src/slots.rs
+++ b/crates/place/src/slots.rs
@@ -35,14 +35,14 @@
 /// region replies take a few milliseconds; a run takes seconds.
 pub const HOLD_TIME: Millis = 40;
 
-/// Time between the first sight of a free slot and a report of its home owner after which others use the slot, in
-/// milliseconds: until then the home owner has seen the slot as well and filled it if it can. Together with
+/// Time for which a slot has to be seen free before a report of its home owner shows that others may use it, in
+/// milliseconds: by then the home owner has seen the slot as well and filled it if it can. Together with
 /// [`REFILL_TIME`] and two reports, a free slot is used within 300 ms.
 const SPARE_DELAY: Millis = 50;
 
 /// Time for which a slot that a run has left is reported as used while samples wait, in milliseconds: an owner fills
 /// it within 8 ms of processor time. A trial without it, in which a slot was used once it had been seen free for
-/// 140 ms, had up to two runs beyond the slots in 1 of 40 plays on a busy machine.
+/// 140 ms, had up to two runs beyond the slots in 1 of 40 replays on a busy machine.
 const REFILL_TIME: Millis = 40;
 
 /// Time between two checks of a spare slot after which it may have been used in between, in milliseconds: twice the
@@ -161,7 +161,7 @@
 /// Slots that the home owner of an engine leaves free.
 #[derive(Clone, Copy, Debug)]
 struct Spare {
-    /// The smallest number of runs that this instance could have had since then.
+    /// The smallest number of runs that this instance could have had at any check since `since`.
     room: u32,
     since: Millis,
     checked_at: Millis,
@@ -191,7 +191,8 @@
     start: u64,
     seq: u64,
     own_runs: Map<u32, u32>,
-    /// The last report of this instance to all others. Decisions use it as others do, so that all choose the same home owners.
+    /// The last report of this instance to all others. Decisions use it as others do, so that all choose the same home
+    /// owners.
     own: Option<Known>,
     /// The engines that own runs have left lately, each with the time at which this was noticed.
     left: Vec<(u32, Option<Millis>)>,
--- a/crates/place/src/tracker.rs
+++ b/crates/place/src/tracker.rs
@@ -232,7 +232,8 @@
         }
     }
 
-    /// Records whether an engine executes an order, as it answered to a query that was sent at `sent`.
+    /// Records whether an engine executes an order of the leader, such as a load of weights, as it answered to a query
+    /// that was sent at `sent`.
     pub fn order_state_reported(&mut self, id: &str, is_busy: bool, sent: Millis) {
         if let Some(engine) = self.engines.get_mut(id) {
             engine.loads.state_reported(is_busy, sent);
--- a/crates/place/tests/critical.rs
+++ b/crates/place/tests/critical.rs
@@ -294,6 +294,7 @@
     assert_eq!((&*engine.id, reason), ("free", MoveReason::Memory));
 }
 
+// Guards against moves of samples in groups that the trainer does not wait for.
 #[test]
 fn sample_of_a_surplus_group_does_not_decide_the_end() {
     let samples = [running(0, 2_000.0), running(1, 900.0), running(2, 5_000.0)];
@@ -319,6 +320,7 @@
     assert!(end.is_decided_by(0, 5_000.0));
 }
 
+// Guards against a group carried over from an earlier step that counts as surplus because it takes longest.
 #[test]
 fn carried_over_group_decides_the_end() {
     let carried = UnfinishedSample {
--- a/crates/place/tests/slots.rs
+++ b/crates/place/tests/slots.rs
@@ -24,7 +24,7 @@
 /// Time for which a run lasts, in milliseconds.
 const RUN_TIME: Millis = 700;
 
-/// Interval between two looks for free slots while samples wait, in milliseconds.
+/// Interval between two searches for free slots while samples wait, in milliseconds.
 const PASS: Millis = 10;
 
 /// An owner with samples of one model.
@@ -203,8 +203,8 @@
     assert!((0.65..0.85).contains(&share), "{share}");
 }
 
-// Guards against slots beyond their number, or free for longer than 300 ms while samples wait: owners begin one after
-// another, report at different times and see each other's reports late.
+// Guards against more runs on an engine than it has slots, and against slots that are free for longer than 300 ms while
+// samples wait: owners begin one after another, report at different times and see each other's reports late.
 #[test]
 fn slots_are_neither_exceeded_nor_left_free() {
     let list = engines(6, &["m"]);
@@ -228,7 +228,7 @@
         for (index, owner) in owners.iter_mut().enumerate() {
             owner.end_runs(now);
             owner.place(&list, now);
-            // Each owner looks every 30 ms whether a report is due.
+            // Each owner checks every 30 ms whether a report is due.
             if (now + 10 * index as Millis).is_multiple_of(30)
                 && let Some(report) = owner.next_report(now)
             {
--- a/crates/table/src/config.rs
+++ b/crates/table/src/config.rs
@@ -148,7 +148,7 @@
         routes.any(|route| route.host.eq_ignore_ascii_case(host))
     }
 
-    /// Iterates over the [`RouteKind::Rollout`] routes.
+    /// Iterates over the routes that accept steps, which are those of the kind [`RouteKind::Rollout`].
     pub fn step_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes
             .iter()
