--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -122,7 +122,7 @@
     pub hints: ShardedMap<Arc<str>, Hint>,
     /// Instances to which no steps are handed over, each with the time until which that holds.
     avoided: Mutex<Map<Arc<str>, Millis>>,
-    /// Whether and how much this instance is overloaded.
+    /// State of the shedding of calls at this instance.
     pub(crate) overload: Overload,
     /// The instance that last relayed a platform call for this one.
     relay_peer: Mutex<Option<SocketAddr>>,
--- a/crates/node/src/call_queue.rs
+++ b/crates/node/src/call_queue.rs
@@ -38,8 +38,8 @@
 /// Name for all requests without a team. Names of teams are digests, which are longer.
 const NO_TEAM: &str = "none";
 
-/// Interval at which a call that has a place looks for an upstream with room, in milliseconds: a quarter of the time
-/// for which an upstream that rejected a call gets none.
+/// Interval at which a call that has a place checks for an upstream with room: a quarter of the time for which an
+/// upstream that rejected a call gets no other.
 const UPSTREAM_POLL: Duration = Duration::from_millis(25);
 
 /// The queues of all services.
@@ -111,8 +111,11 @@
 /// A place in the window of a service, released when it is dropped.
 pub(crate) struct Place {
     queue: Arc<CallQueue>,
+    /// When the request was sent, or, before that, when it got the place.
     sent_at: Millis,
+    /// Target latency of the route, in milliseconds.
     target: Option<Millis>,
+    /// Time after which the request must not be sent any more.
     latest: Millis,
     /// The result and whether it came within the target, once it is known.
     result: Option<(PlaceResult, bool)>,
@@ -135,11 +138,12 @@
         self.result = Some((result, is_on_time));
     }
 
-    /// Returns what follows for the window from the result of a request that was there for `took` milliseconds.
+    /// Returns the signal by which the window adapts to the result of a request that held the place for `took`
+    /// milliseconds; [`None`] if the result says nothing about the load.
     fn signal(&self, took: Millis) -> Option<Signal> {
         Some(match self.result? {
             (PlaceResult::Rejected, _) => Signal::Rejected,
-            // What was sent away early, for example because an upstream crashed, says nothing about its load.
+            // An attempt that failed early, for example because the upstream crashed, says nothing about its load.
             (PlaceResult::Unanswered, true) => return None,
             (PlaceResult::AnsweredIdle, false) => Signal::Slow(took),
             (PlaceResult::Answered | PlaceResult::Unanswered, false) => {
@@ -211,7 +215,7 @@
                 latest,
                 displaced,
             } => {
-                // Tells the displaced call that it is refused.
+                // Dropping the sender wakes the displaced call, which is then refused.
                 drop(displaced);
                 (ticket, latest)
             }
@@ -261,7 +265,7 @@
     let Some(team) = request.principal.team() else {
         return NO_TEAM.parse().ok();
     };
-    // Any text may be the name of a team.
+    // The name of a team may have characters that a `Name` may not have.
     let digest = u64::from_be_bytes(kernel::digest(&[team.as_bytes()]));
     format!("{digest:016x}").parse().ok()
 }
@@ -326,8 +330,8 @@
         request.record_share(service, acquired.is_ok(), now);
         let mut place = acquired.map_err(|refusal| self.count(refusal))?;
         let mut slot = request.reserve_slot(service, used, true);
-        // An upstream that has just rejected a call gets none for a moment. A call that upstreams have rejected has no
-        // other upstream left.
+        // An upstream that has just rejected a call gets no other for a moment, so a first attempt waits for one. A
+        // further attempt does not: there may be no upstream outside `used`.
         while slot.is_none() && used.is_empty() && app.clock.now() < place.latest {
             tokio::time::sleep(UPSTREAM_POLL).await;
             slot = request.reserve_slot(service, used, true);
--- a/crates/node/src/control/load_notices.rs
+++ b/crates/node/src/control/load_notices.rs
@@ -31,7 +31,7 @@
     pub(super) ends_at: Millis,
 }
 
-/// Takes accepted loads, of which owners are to be notified.
+/// Queues accepted loads for [`run`], which notifies the owners of steps.
 pub(super) struct LoadNotices(mpsc::UnboundedSender<AcceptedLoad>);
 
 impl LoadNotices {
@@ -82,7 +82,7 @@
 ) {
     let now = app.clock.now();
     let mut batches: Map<_, Batch> = Map::default();
-    // A leader that was paused may send a load after its end, which no owner needs to know.
+    // After a pause of this process, a load may have ended already. No owner needs to know of it.
     for load in loads.into_iter().filter(|load| now < load.ends_at) {
         let batch = batches.entry((load.model, load.version)).or_default();
         batch.duration = batch.duration.max(load.ends_at - now);
--- a/crates/node/src/engine_loads.rs
+++ b/crates/node/src/engine_loads.rs
@@ -70,7 +70,7 @@
     }
 }
 
-/// Records that an engine executes a run. If a load has ended by that, waiting samples are placed at once.
+/// Records that an engine executes a run. If that shows that a load has ended, waiting samples are placed at once.
 pub(crate) fn record_accepted(run: &Run, started_at: Millis) {
     let mut tracker = run.app.engine_tracker.lock();
     let has_ended = tracker.model_run_accepted(&run.engine.id, &run.model, started_at);
--- a/crates/node/src/forwarded_request.rs
+++ b/crates/node/src/forwarded_request.rs
@@ -283,7 +283,7 @@
             .map(|upstream| upstream.slots)
             .max()
             .unwrap_or(0);
-        // Calls that wait here are shared out among teams by the order in which they leave.
+        // With a queue at this instance, the order in which calls leave it applies the shares of teams.
         let shares_places = queue && app.settings.call_queue == 0;
         let is_restricted = shares_places && self.is_restricted(service, now);
         let queue_limit = match (queue, is_restricted) {
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -81,7 +81,7 @@
         engines: Vec<Arc<str>>,
         duration: Millis,
     },
-    /// The samples and runs of the sender; the receiver replies with its own if that is wanted.
+    /// Reports the samples and runs of the sender; the receiver replies with its own if `wants_reply` is set.
     SlotReport {
         report: SlotReport,
         wants_reply: bool,
--- a/crates/node/src/overload.rs
+++ b/crates/node/src/overload.rs
@@ -24,7 +24,7 @@
 use crate::refusal::Refusal;
 use crate::telemetry;
 
-/// Whether and how much this instance is overloaded.
+/// State of the shedding of calls at this instance.
 pub(crate) struct Overload {
     /// [`None`] if nothing is shed.
     state: Option<Mutex<State>>,
@@ -85,7 +85,8 @@
     let app = app.clone();
     start_measurement(&app);
     tokio::spawn(async move {
-        // Until here the task has waited itself, which counts while the measurement is pending.
+        // Begins anew, because a complete measurement covers only the yield below. The first start makes the wait for
+        // this task count as the age of a pending measurement.
         start_measurement(&app);
         if let Some(state) = &app.overload.state {
             // The scheduler resumes a task that yields after it has polled for I/O and run what was ready before, as
@@ -156,8 +157,8 @@
     is_unready
 }
 
-/// Returns whether the failure domain has enough other instances. The list of members is complete or not used: from
-/// different parts of it, instances would conclude that too many of them may be not ready.
+/// Returns whether this instance is one of those in its failure domain that may be not ready now. An incomplete list of
+/// members is not used: instances with different parts of the list could together exceed the permitted number.
 fn may_leave_domain(app: &App) -> bool {
     if !app.has_full_membership() {
         return false;
--- a/crates/node/src/owner/load_probes.rs
+++ b/crates/node/src/owner/load_probes.rs
@@ -12,12 +12,12 @@
 use crate::App;
 use crate::control;
 
-/// Minimum interval between two rounds of probes, in milliseconds: with the pass of the step's loop that begins the
-/// round, and the answer, a slot stays free for less than 300 ms.
+/// Minimum interval between two rounds of probes, in milliseconds. Together with the wait for the pass that begins a
+/// round and for the answer, a slot stays unused for less than 300 ms after a load.
 const PROBE_INTERVAL: Millis = 150;
 
-/// Maximum number of probes that run at the same time: enough for the first waiting samples, at the cost of few
-/// requests.
+/// Maximum number of probes of one step that run at the same time: enough to find engines for the first waiting
+/// samples, with few requests.
 const MAX_PROBES: usize = 12;
 
 /// The running probes, and when the last round began.
--- a/crates/node/src/owner/owned_step.rs
+++ b/crates/node/src/owner/owned_step.rs
@@ -61,6 +61,7 @@
     /// When the step was opened, on this instance's clock.
     pub(super) opened_at: Millis,
     pub(super) ledger: Mutex<Ledger>,
+    /// Which engines run its samples, and when the step is expected to end.
     pub(super) progress: Mutex<StepProgress>,
     /// Number of results that were written to the platform.
     pub(super) listed: watch::Sender<usize>,
@@ -270,7 +271,8 @@
     }
 
     /// The samples that wait for or run on the engines of each service of the step's route. None count as waiting
-    /// while the step has no permit to start them: other owners would leave engines to it that it cannot use.
+    /// while the step has no permit to start them: otherwise, other owners would leave free slots for runs that cannot
+    /// start.
     pub(crate) fn demands(&self, app: &App) -> Vec<ModelDemand> {
         let Some(route) = self.open_route(app) else {
             return Vec::new();
--- a/crates/node/src/owner/step_end.rs
+++ b/crates/node/src/owner/step_end.rs
@@ -10,8 +10,8 @@
 use super::OwnedStep;
 use crate::App;
 
-/// Time for which an estimate is used, in milliseconds: an event. Computing it visits all samples of the step, and its
-/// runs share the result.
+/// Time for which an estimate is used, in milliseconds: about the time of one event. An estimate visits all samples of
+/// the step, so its runs share the result.
 const MAX_ESTIMATE_AGE: Millis = 50;
 
 /// The engines of running samples, and the last estimate of the step's end.
@@ -19,6 +19,7 @@
 pub(super) struct StepProgress {
     /// The engine of each running sample, by the sample's index in the step.
     engines: Map<u32, Arc<str>>,
+    /// The last estimate, with the time at which it was made.
     estimate: Option<(Millis, StepEnd)>,
 }
 
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -265,8 +265,8 @@
     )
 }
 
-/// Sends a report of this instance's samples and runs to another owner of steps; returns that one's report inside if
-/// it was wanted and there is one, and [`None`] if there was no reply.
+/// Sends a report of this instance's samples and runs to another owner of steps. Returns [`None`] if there was no
+/// reply, otherwise the receiver's own report, if it was wanted and there is one.
 pub async fn send_slot_report(
     app: &App,
     to: SocketAddr,
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -26,7 +26,7 @@
 pub enum Refusal {
     /// The request has not been executed and never will be; the caller may retry.
     NotExecuted,
-    /// The request has not been executed, because its service is busy; the caller may retry after so many milliseconds.
+    /// The service is busy: the request has not been executed, and may be retried after so many milliseconds.
     Busy(Millis),
     /// Upstreams crash under the request: it was not executed, and may be retried after so many milliseconds.
     Quarantined(Millis),
--- a/crates/node/src/slot_reports.rs
+++ b/crates/node/src/slot_reports.rs
@@ -34,8 +34,8 @@
 /// Interval between two checks whether steps run.
 const IDLE_INTERVAL: Duration = Duration::from_millis(REPORT_INTERVAL);
 
-/// Interval between two reports to instances that own no open step, in milliseconds. They need none until they begin
-/// one, and ask for reports then; in case they miss the replies, this one reaches them before the last expires.
+/// Interval between two reports to instances that own no open step, in milliseconds. Such an instance asks for reports
+/// when it begins a step; if it misses the replies, it still has a report that has not expired.
 const STANDBY_INTERVAL: Millis = 500;
 
 /// Time for which the list of receivers is used, in milliseconds. Making it visits all members.
@@ -44,8 +44,8 @@
 /// Minimum interval between two log lines about the number of other owners, in milliseconds.
 const LOG_INTERVAL: Millis = 1_000;
 
-/// Time for which a receiver that did not reply gets no reports, in milliseconds: it still gets one before its last
-/// one expires.
+/// Time for which a receiver that did not reply gets no reports, in milliseconds: short enough that the next one
+/// arrives before the previous one expires.
 const SILENCE_TIME: Millis = 500;
 
 /// Number of preferred owners in each failure domain that may run the steps of a route that has open steps here.
@@ -61,15 +61,15 @@
     addr: SocketAddr,
 }
 
-/// To whom reports are sent.
+/// The instances to which reports are sent, and what is known about them.
 #[derive(Debug, Default)]
 pub struct Receivers {
     all: Arc<[Receiver]>,
-    /// The names of the routes with open steps for which the addresses were found.
+    /// The names of the routes with open steps for which the receivers were found.
     routes: Vec<Arc<str>>,
     found_at: Option<Millis>,
     /// When a report was last sent to all.
-    all_told_at: Option<Millis>,
+    all_reported_at: Option<Millis>,
     /// Receivers that did not reply, each with the time until which they get no reports.
     silent: Map<SocketAddr, Millis>,
 }
@@ -94,7 +94,7 @@
             let wants_replies = due.wants_replies;
             let sent = send(&app, &due.report, wants_replies);
             if wants_replies {
-                // Reports of others have expired as well, and nothing starts before they have replied.
+                // The reports of others have expired as well; no run starts before they have replied.
                 wait_for_replies(sent).await;
                 with_shares(&app, |shares, _| shares.release());
                 app.capacity_changed.notify_waiters();
@@ -229,10 +229,11 @@
     });
     let active = active.unwrap_or_default();
     let mut receivers = app.slot_receivers.lock();
-    let told_at = receivers.all_told_at;
-    let to_all = to_all || told_at.is_none_or(|told_at| now >= told_at + STANDBY_INTERVAL);
+    let reported_at = receivers.all_reported_at;
+    let to_all =
+        to_all || reported_at.is_none_or(|reported_at| now >= reported_at + STANDBY_INTERVAL);
     if to_all {
-        receivers.all_told_at = Some(now);
+        receivers.all_reported_at = Some(now);
     }
     let due = all.iter().filter(|receiver| {
         let silent_until = receivers.silent.get(&receiver.addr);
@@ -317,7 +318,7 @@
             false => (route.name.clone(), 1),
         })
         .collect();
-    // Those that are left out if there are too many are the ones with fewer owners.
+    // If there are more than `MAX_RECEIVERS`, those of routes without open steps here are left out first.
     routes.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
     routes
 }
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -84,7 +84,7 @@
     };
     match stream.open(None).await {
         AttemptOutcome::Stream(answer, slot) => {
-            // A stream that breaks does not wait again: it keeps its place only while it is open.
+            // Attempts to resume a stream that breaks neither take a place nor wait for one.
             stream.queued = None;
             // The request counts for its team's report once it has started, however long it runs.
             stream.request.finish_count();
