Drop the runs of owners that vanished during a long pause

Cause: reports of other owners are kept for 60 s for their sequence numbers and expire after 1 s. An instance that was paused for longer than 60 s dropped them in one step without having seen them expire, so that the runs of owners that were gone went on to take room on engines. Found by a reader.

Change: a dropped report that was not expired counts as a change.

Result: `runs_of_an_owner_that_vanished_during_a_long_pause_do_not_count` fails without the change (0 of 8 samples placed) and passes with it; the other tests of place pass.

--- a/crates/place/src/slots.rs
+++ b/crates/place/src/slots.rs
@@ -453,8 +453,13 @@
 
     /// Forgets what reports that have expired say, and spare slots that are no longer checked.
     fn expire(&mut self, now: Millis) {
-        self.others.retain(|_, known| now < known.at + SEQUENCE_TTL);
         let mut changed = false;
+        // After a long pause, reports are dropped that were not seen to expire.
+        self.others.retain(|_, known| {
+            let is_kept = now < known.at + SEQUENCE_TTL;
+            changed |= !is_kept && !known.expired;
+            is_kept
+        });
         for known in self.others.values_mut() {
             if !known.expired && now >= known.at + REPORT_TTL {
                 known.expired = true;
--- a/crates/place/tests/slots.rs
+++ b/crates/place/tests/slots.rs
@@ -376,6 +376,24 @@
     assert_eq!(owners[0].runs.len(), 4 * SLOTS as usize);
 }
 
+// Guards against slots that stay reserved for an owner that is gone: its report was dropped after a pause of more than
+// a minute without being seen to expire, so the room that its runs took was never given back.
+#[test]
+fn runs_of_an_owner_that_vanished_during_a_long_pause_do_not_count() {
+    let list = engines(1, &["m"]);
+    let mut owners = owners(&[0, 8]);
+    owners[1].place(&list, 0);
+    let report = owners[1].report(0);
+    owners[0].shares().record(report, 0);
+    let now = 120_000;
+
+    owners[0].next_report(now);
+    owners[0].waiting = 8;
+    owners[0].place(&list, now);
+
+    assert_eq!(owners[0].served, 8);
+}
+
 // Guards against samples that wait for good because this instance's own reports have ceased.
 #[test]
 fn an_owner_without_reports_of_its_own_goes_on() {
