Log which configuration decided a call, how old it was, and whom the instance follows

Cause: the incident's record has a call that an old configuration decided, at an instance that logged no trouble. No line says which version decides a call or how old it is, whom an instance follows, what that one answers, or that a configuration is late. Change: `answered` has the version and its age; `synchronisation step` is written when an instance asks another one than before or gets another kind of answer; `configuration late` names the poll or read under way and since when. Gauge of the age, counter of the steps by result. No decision changes.

--- a/crates/node/src/access.rs
+++ b/crates/node/src/access.rs
@@ -25,6 +25,18 @@
     app.upstreams.lock().age(app.clock.now())
 }
 
+/// Returns the version of the configuration in force and its age, and logs if it has become late.
+pub(crate) fn check_config_age(app: &App) -> (Option<u64>, Option<Millis>) {
+    let age = config_age(app);
+    let (now, limit) = (app.clock.now(), app.settings.apply_limit);
+    app.sync_status.lock().check_age(age, limit, now);
+    if let Some(age) = age {
+        metrics::gauge!(crate::telemetry::CONFIG_AGE).set(age as f64);
+    }
+    let config = app.config.load();
+    (config.as_ref().map(|config| config.version), age)
+}
+
 fn staleness_limits(app: &App) -> StalenessLimits {
     let settings = &app.settings;
     StalenessLimits {
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -49,6 +49,7 @@
 use crate::owner::OwnedStep;
 use crate::result_cache::ResultCache;
 use crate::slot_reports::Receivers;
+use crate::sync_status::SyncStatus;
 
 /// Time for which an idle connection to an upstream is kept open. Reusing it saves the upstream from opening a new
 /// connection, which may occupy a slot there.
@@ -110,6 +111,8 @@
     pub replica: Mutex<Replica>,
     /// Notified when the replica has changed.
     pub replica_changed: watch::Sender<()>,
+    /// What the synchronisation of the configuration is doing.
+    pub(crate) sync_status: Mutex<SyncStatus>,
     /// The steps that this instance runs, by name.
     pub running_steps: ShardedMap<Arc<str>, Arc<OwnedStep>>,
     /// The steps that this instance is taking over.
@@ -179,6 +182,7 @@
             peer_client: net::Client::with_idle_timeout(IDLE_CONNECTION_TIMEOUT),
             replica: Mutex::default(),
             replica_changed: watch::Sender::default(),
+            sync_status: Mutex::default(),
             running_steps: ShardedMap::new(),
             takeovers: Mutex::default(),
             result_caches: ShardedMap::new(),
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -24,6 +24,7 @@
 pub async fn handle(app: Arc<App>, call: Call) -> Reply {
     let started = app.clock.now();
     overload::measure(&app);
+    let (version, config_age) = access::check_config_age(&app);
     let (head, body) = split(call);
     let caller = app.dialect.decode_caller(&head);
     // Requests about a step carry no identifier of their own and are logged under the step's.
@@ -42,7 +43,8 @@
     metrics::counter!(telemetry::REQUESTS, "route" => route, "status" => status.to_string())
         .increment(1);
     metrics::histogram!(telemetry::REQUEST_SECONDS, "route" => route).record(took as f64 / 1_000.0);
-    log::info!(target: "front", id = &*id, route, status, took_ms = took; "answered");
+    log::info!(target: "front", id = &*id, route, status, took_ms = took, version,
+        config_age_ms = config_age; "answered");
     reply
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod step_head;
 pub mod steps;
 pub mod stream;
+mod sync_status;
 pub mod telemetry;
 
 pub use app::App;
--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -22,6 +22,8 @@
 use crate::member;
 use crate::peer;
 use crate::peer::PollOutcome;
+use crate::sync_status::SyncStep;
+use crate::telemetry;
 use applied_state::AppliedState;
 use reader::PlatformReader;
 
@@ -155,14 +157,19 @@
         loop {
             match action {
                 Action::Poll(addr, wait) => {
+                    self.begin_step(SyncStep::Poll(addr));
                     match peer::poll(self.app, addr, self.app.sync_state(), wait).await {
                         PollOutcome::Update(update) => {
                             self.apply_update(&update);
+                            self.end_step("update");
                             self.follower.update_received();
                             self.app.set_platform_unreachable(false);
                             return RoundOutcome::Updated;
                         }
-                        PollOutcome::Failed(failure) => action = self.poll_failed(failure),
+                        PollOutcome::Failed(failure) => {
+                            self.end_step(failure.name());
+                            action = self.poll_failed(failure);
+                        }
                     }
                 }
                 Action::Pause => return RoundOutcome::NotUpdated,
@@ -171,6 +178,17 @@
         }
     }
 
+    fn begin_step(&self, step: SyncStep) {
+        let now = self.app.clock.now();
+        self.app.sync_status.lock().begin(step, now);
+    }
+
+    fn end_step(&self, result: &'static str) {
+        metrics::counter!(telemetry::SYNC_STEPS, "result" => result).increment(1);
+        let now = self.app.clock.now();
+        self.app.sync_status.lock().end(result, now);
+    }
+
     fn poll_failed(&mut self, failure: PollFailure) -> Action {
         let action = self
             .follower
@@ -192,7 +210,9 @@
 
     async fn read_platform(&mut self) -> Result<(), PlatError> {
         let started = self.app.clock.now();
+        self.begin_step(SyncStep::Read);
         let result = self.reader.read(self.app, &mut self.applied).await;
+        self.end_step(if result.is_ok() { "read" } else { "read failed" });
         self.follower.read_took(self.app.clock.now() - started);
         self.app.set_platform_unreachable(result.is_err());
         result
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -70,6 +70,12 @@
 /// Age of the list of upstreams in milliseconds.
 pub const UPSTREAMS_AGE: &str = "snipeway_upstreams_age_milliseconds";
 
+/// Time since the configuration in force was last known to be the newest, in milliseconds.
+pub const CONFIG_AGE: &str = "snipeway_configuration_age_milliseconds";
+
+/// Polls of other instances and reads of the platform for configuration and upstreams, by result.
+pub const SYNC_STEPS: &str = "snipeway_synchronisation_steps_total";
+
 /// Version of the configuration in force.
 pub const CONFIG_VERSION: &str = "snipeway_configuration_version";
 
@@ -155,6 +161,15 @@
         Unit::Milliseconds,
         "age of the list of upstreams"
     );
+    metrics::describe_gauge!(
+        CONFIG_AGE,
+        Unit::Milliseconds,
+        "time since the configuration was last known to be the newest"
+    );
+    metrics::describe_counter!(
+        SYNC_STEPS,
+        "polls and reads for configuration and upstreams by result"
+    );
     metrics::describe_gauge!(CONFIG_VERSION, "version of the configuration in force");
     metrics::describe_counter!(
         SHED_REQUESTS,
--- a/crates/spread/src/follower.rs
+++ b/crates/spread/src/follower.rs
@@ -79,6 +79,17 @@
     NoReply,
 }
 
+impl PollFailure {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::PlatformUnreachable => "platform unreachable",
+            Self::NoUpdate => "no update",
+            Self::NoReply => "no reply",
+        }
+    }
+}
+
 /// What an instance does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
