--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -212,7 +212,11 @@
         let started = self.app.clock.now();
         self.begin_step(SyncStep::Read);
         let result = self.reader.read(self.app, &mut self.applied).await;
-        self.end_step(if result.is_ok() { "read" } else { "read failed" });
+        self.end_step(if result.is_ok() {
+            "read"
+        } else {
+            "read failed"
+        });
         self.follower.read_took(self.app.clock.now() - started);
         self.app.set_platform_unreachable(result.is_err());
         result
