Count the age of a configuration from the start of its read, and on every way

Callers saw: an unknown route refused as not found, and keys as unknown, by a configuration that was older than the instance took it to be. Cause: the age was that of the whole read, from its end. The configuration is read first, so it was older by the lists, and by the way of each update, which nobody counted; an update that brought nothing newer made it young again. Change: the replica keeps when its configuration was last known to be the newest: when its read began, less the ages on the way. A reply says for how long the poll was held; it counts as sent at the poll's sending and that time, however late it is read. What a source knows no better confirms nothing. A confirmation that is newer by more than a round is an update of its own. A source that is behind its follower's list no longer confirms the age of that list. Evidence: the three tests of replica.rs; before, there was no such age, and the list's own was 0 after a read that took 900 ms. Class: time counted from when something was learned, in place of when it was true.

--- a/crates/node/src/access.rs
+++ b/crates/node/src/access.rs
@@ -22,7 +22,7 @@
 
 /// Returns the age of the configuration: milliseconds since it was last known to be the newest.
 pub(crate) fn config_age(app: &App) -> Option<Millis> {
-    app.upstreams.lock().age(app.clock.now())
+    app.replica.lock().config_age(app.clock.now())
 }
 
 /// Returns the version of the configuration in force and its age, and logs if it has become late.
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -285,8 +285,8 @@
 
 /// The outcome of polling another instance.
 pub enum PollOutcome {
-    /// State that this instance did not have.
-    Update(Update),
+    /// State that this instance did not have, and the earliest time at which the other one can have sent it.
+    Update(Box<Update>, Millis),
     /// There was no update.
     Failed(PollFailure),
 }
@@ -294,8 +294,12 @@
 /// Polls another instance for state that this one does not have, waiting for a newer read.
 pub async fn poll(app: &App, addr: SocketAddr, state: SyncState, wait: Millis) -> PollOutcome {
     let slack = timing::reply_slack(&app.replica.lock());
+    let sent_at = app.clock.now();
     match send_request(app, addr, &PeerRequest::Poll { state, wait }, wait + slack).await {
-        Some(PeerReply::Update(Some(update))) => PollOutcome::Update(update),
+        Some(PeerReply::Update(Some(update))) => {
+            let written_at = sent_at + update.held;
+            PollOutcome::Update(Box::new(update), written_at)
+        }
         Some(PeerReply::PlatformUnreachable) => {
             PollOutcome::Failed(PollFailure::PlatformUnreachable)
         }
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -144,15 +144,21 @@
 async fn wait_for_update(app: &App, mut state: SyncState, wait: Millis) -> Option<Update> {
     let started = app.clock.now();
     let mut changes = app.replica_changed.subscribe();
-    let age = state.age;
+    let (age, config_age) = (state.age, state.config_age);
     let has_update = changes.wait_for(|()| {
         let now = app.clock.now();
         // The follower's state ages while it waits.
         state.age = age.map(|age| age + (now - started));
+        state.config_age = config_age.map(|age| age + (now - started));
         app.replica.lock().has_more(state, now)
     });
     let result = tokio::time::timeout(Duration::from_millis(wait), has_update).await;
     // Neither timed out nor closed.
     result.ok()?.ok()?;
-    Some(app.replica.lock().update_since(state, app.clock.now()))
+    let now = app.clock.now();
+    let update = app.replica.lock().update_since(state, now);
+    Some(Update {
+        held: now - started,
+        ..update
+    })
 }
--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -136,10 +136,10 @@
             let Some(addr) = self.follower.pick_other(&self.view()) else {
                 return false;
             };
-            while let PollOutcome::Update(update) =
+            while let PollOutcome::Update(update, written_at) =
                 peer::poll(self.app, addr, self.app.sync_state(), 0).await
             {
-                self.apply_update(&update);
+                self.apply_update(&update, written_at);
                 if self.app.replica.lock().is_complete() {
                     return true;
                 }
@@ -159,8 +159,8 @@
                 Action::Poll(addr, wait) => {
                     self.begin_step(SyncStep::Poll(addr));
                     match peer::poll(self.app, addr, self.app.sync_state(), wait).await {
-                        PollOutcome::Update(update) => {
-                            self.apply_update(&update);
+                        PollOutcome::Update(update, written_at) => {
+                            self.apply_update(&update, written_at);
                             self.end_step("update");
                             self.follower.update_received();
                             self.app.set_platform_unreachable(false);
@@ -199,12 +199,11 @@
         action
     }
 
-    /// Merges an update into the replica and applies the changes.
-    fn apply_update(&mut self, update: &Update) {
-        let now = self.app.clock.now();
+    /// Merges an update, sent at `written_at` or later, into the replica and applies the changes.
+    fn apply_update(&mut self, update: &Update, written_at: Millis) {
         let changes = self
             .app
-            .update_replica(|replica| replica.merge(update, now));
+            .update_replica(|replica| replica.merge(update, written_at));
         self.applied.apply_changes(self.app, changes);
     }
 
--- a/crates/node/src/replication/reader.rs
+++ b/crates/node/src/replication/reader.rs
@@ -85,8 +85,9 @@
 }
 
 async fn read_config(app: &App, applied: &mut AppliedState) -> Result<(), PlatError> {
+    let began = app.clock.now();
     let config = app.plat.get(app.dialect.store_keys().configuration).await?;
-    if app.update_replica(|replica| replica.set_configuration(config)) {
+    if app.update_replica(|replica| replica.set_configuration(config, began)) {
         applied.apply_config(app);
     }
     Ok(())
--- a/crates/sim/src/handlers.rs
+++ b/crates/sim/src/handlers.rs
@@ -134,6 +134,7 @@
         let (now, params) = (self.now(), self.params);
         let node = &mut self.nodes[index];
         node.last_poll += 1;
+        node.poll_sent = now;
         let number = node.last_poll;
         let slack = timing::reply_slack(&node.replica);
         let poll = Poll {
@@ -167,13 +168,15 @@
     fn try_reply(&mut self, index: usize, poll: Poll) -> bool {
         let now = self.now();
         let mut state = poll.state;
-        state.age = state.age.map(|age| age + (now - poll.sent_at));
+        let held = now - poll.sent_at;
+        state.age = state.age.map(|age| age + held);
+        state.config_age = state.config_age.map(|age| age + held);
         let node = &self.nodes[index];
         if !node.replica.has_more(state, now) {
             return false;
         }
         let update = node.replica.update_since(state, now);
-        self.send_reply(index, poll, Ok(update));
+        self.send_reply(index, poll, Ok(Update { held, ..update }));
         true
     }
 
@@ -212,7 +215,7 @@
         node.last_poll += 1;
         match reply {
             Ok(update) => {
-                node.replica.merge(&update, now);
+                node.replica.merge(&update, node.poll_sent + update.held);
                 node.follower.update_received();
                 self.replica_changed(index);
                 self.begin_round(index);
--- a/crates/sim/src/node.rs
+++ b/crates/sim/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use kernel::Millis;
 use spread::Follower;
 use spread::Member;
 use spread::Removed;
@@ -41,6 +42,8 @@
     pub pending: Vec<Poll>,
     /// Number of the latest poll; a higher number makes a late reply to an earlier poll invalid.
     pub last_poll: u64,
+    /// When the latest poll was sent, in milliseconds.
+    pub poll_sent: Millis,
     /// Start of the current round, in microseconds.
     pub round_start: u64,
     /// Time at which the link has sent everything queued, in microseconds.
@@ -66,6 +69,7 @@
             position: TreePosition::default(),
             pending: Vec::new(),
             last_poll: 0,
+            poll_sent: 0,
             round_start: 0,
             link_free: 0,
             cpu_free: 0,
--- a/crates/spread/src/replica.rs
+++ b/crates/spread/src/replica.rs
@@ -42,6 +42,10 @@
 /// the interval between reads, and more than the transfer from one instance to the next takes.
 const MIN_AGE_GAIN: Millis = 300;
 
+/// Minimum difference of the configuration's age, in milliseconds, at which its confirmation alone is an update: more
+/// than the interval between reads, so that a confirmation usually goes with the list that was read beside it.
+const MIN_CONFIG_AGE_GAIN: Millis = 1_000;
+
 /// The platform's data as an instance knows it.
 ///
 /// A list that was read page by page is no snapshot: it has all changes up to one revision and some later ones.
@@ -78,6 +82,8 @@
     /// sent.
     complete_rev: i64,
     configuration: Option<Item>,
+    /// The latest time at which the configuration is known to have been the newest.
+    confirmed_at: Option<Millis>,
     membership: Option<Membership>,
     read_at: Option<Millis>,
 }
@@ -103,6 +109,7 @@
                 .membership
                 .as_ref()
                 .map(|membership| now.saturating_sub(membership.read_at)),
+            config_age: self.config_age(now),
         }
     }
 
@@ -147,6 +154,11 @@
         self.read_at.map(|at| now.saturating_sub(at))
     }
 
+    /// Time since the configuration was last known to be the newest, in milliseconds; [`None`] before it is first read.
+    pub fn config_age(&self, now: Millis) -> Option<Millis> {
+        self.confirmed_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Revision of the configuration; 0 without one.
     fn configuration_rev(&self) -> i64 {
         self.configuration
@@ -210,8 +222,24 @@
         }
     }
 
-    /// Sets the configuration if it is newer; returns whether it is.
-    pub fn set_configuration(&mut self, configuration: Option<Item>) -> bool {
+    /// Sets the configuration, which was the newest at the time `at`, if it is newer; returns whether it is. For a read
+    /// of the platform, `at` is when the read began: a newer configuration may be acknowledged while it takes place.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use plat::Item;
+    /// use spread::Replica;
+    ///
+    /// let item = |rev| Some(Item { key: "plan".into(), value: vec![1], rev });
+    /// let mut replica = Replica::default();
+    /// assert!(replica.set_configuration(item(5), 100));
+    /// // The same configuration again: only its age is new.
+    /// assert!(!replica.set_configuration(item(5), 950));
+    /// assert_eq!(replica.config_age(1_000), Some(50));
+    /// ```
+    pub fn set_configuration(&mut self, configuration: Option<Item>, at: Millis) -> bool {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
         let held = self.configuration_rev();
         let Some(configuration) = configuration.filter(|configuration| configuration.rev > held)
         else {
@@ -226,9 +254,13 @@
         self.membership = Some(Membership::new(members, now));
     }
 
-    /// Applies an update from another instance.
+    /// Applies an update from another instance. `now` is the earliest time at which the source can have sent it, which
+    /// is when the poll was sent plus the time for which the source held it: the update may have waited on its way, or
+    /// here to be read.
     pub fn merge(&mut self, update: &Update, now: Millis) -> Changes {
-        self.set_configuration(update.configuration.clone());
+        if let Some(age) = update.config_age {
+            self.set_configuration(update.configuration.clone(), now.saturating_sub(age));
+        }
         self.merge_members(update, now);
         let mut changes = Changes::default();
         for item in &update.items {
@@ -306,18 +338,30 @@
     /// Returns whether there is an update for a follower: a change, or the information that nothing had changed until
     /// more recently.
     pub fn has_more(&self, state: SyncState, now: Millis) -> bool {
+        if self.configuration_rev() > state.configuration || self.has_newer_confirmation(state, now)
+        {
+            return true;
+        }
         let Some(age) = self.age(now) else {
-            return self.configuration_rev() > state.configuration;
+            return false;
         };
         let younger = state.age.is_none_or(|held| age + MIN_AGE_GAIN <= held);
-        self.rev > state.rev
-            || self.configuration_rev() > state.configuration
-            || younger && self.rev == state.rev
+        self.rev > state.rev || younger && self.rev == state.rev
+    }
+
+    /// Returns whether the configuration was confirmed so much later than a follower's that the follower must not wait
+    /// for the list of this round.
+    fn has_newer_confirmation(&self, state: SyncState, now: Millis) -> bool {
+        let age = self.config_age(now);
+        age.zip(state.config_age)
+            .is_some_and(|(age, held)| age + MIN_CONFIG_AGE_GAIN <= held)
     }
 
     /// The update for a follower in this state.
     pub fn update_since(&self, state: SyncState, now: Millis) -> Update {
         let (items, rev) = self.next_part(state);
+        // A source that is behind confirms nothing of the follower's list.
+        let rev = if self.rev < state.rev { self.rev } else { rev };
         // Only the last part tells removals: entries missing from an earlier part may exist all the same.
         let is_last = rev == self.rev && self.is_complete();
         let membership = self.membership.as_ref();
@@ -336,6 +380,8 @@
                 .clone()
                 .filter(|configuration| configuration.rev > state.configuration),
             age: self.age(now).unwrap_or_default(),
+            config_age: self.config_age(now),
+            held: 0,
             members: members.map(|membership| membership.members.to_vec()),
             members_age,
         }
--- a/crates/spread/src/update.rs
+++ b/crates/spread/src/update.rs
@@ -28,6 +28,9 @@
     /// Age of the follower's member entries, in milliseconds.
     #[serde(rename = "old")]
     pub members_age: Option<Millis>,
+    /// Time since the follower's configuration was last known to be the newest, in milliseconds.
+    #[serde(default)]
+    pub config_age: Option<Millis>,
 }
 
 /// What a follower lacks, sent in reply to a poll.
@@ -56,6 +59,12 @@
     /// Age of the source's member entries, in milliseconds, if it has any.
     #[serde(rename = "old")]
     pub members_age: Option<Millis>,
+    /// Time since the source's configuration was last known to be the newest, in milliseconds.
+    #[serde(default)]
+    pub config_age: Option<Millis>,
+    /// Time for which the source held the poll, in milliseconds. All ages are those at its end.
+    #[serde(default)]
+    pub held: Millis,
 }
 
 /// Entries that a follower may have and the source has not.
--- a/crates/spread/tests/replica.rs
+++ b/crates/spread/tests/replica.rs
@@ -143,8 +143,8 @@
     let mut replica = replica(1);
     let state = replica.sync_state(0);
 
-    let newer = replica.set_configuration(Some(item("plan", 5)));
-    let again = replica.set_configuration(Some(item("plan", 5)));
+    let newer = replica.set_configuration(Some(item("plan", 5)), 0);
+    let again = replica.set_configuration(Some(item("plan", 5)), 0);
 
     let update = replica.update_since(state, 0);
     assert!(replica.has_more(state, 0));
@@ -335,3 +335,59 @@
         }
     }
 }
+
+// Guards against a configuration that counts as younger than it is: one that was read before a long list, one that
+// passes several instances, and an update that waits unread.
+#[test]
+fn the_age_of_a_configuration_counts_from_the_start_of_its_read() {
+    let (mut reader, mut near, mut far) = (replica(1), Replica::default(), Replica::default());
+    reader.set_configuration(Some(item("plan", 5)), 1_000);
+    reader.apply_read(read(vec![item(&key(0), 1)], 6), 2, 1_900);
+
+    let update = reader.update_since(near.sync_state(2_000), 2_000);
+    // Its poll was sent at 1,200 and held for 800 ms; it is read 700 ms after that.
+    near.merge(
+        &Update {
+            held: 800,
+            ..update
+        },
+        1_200 + 800,
+    );
+    let update = near.update_since(far.sync_state(2_700), 2_700);
+    far.merge(&update, 2_690);
+
+    assert_eq!(near.config_age(2_700), Some(1_700));
+    assert_eq!(far.config_age(2_700), Some(1_710));
+}
+
+// Guards against an update without anything new that makes a configuration count as confirmed.
+#[test]
+fn an_update_confirms_a_configuration_only_as_far_as_its_source_knows() {
+    let (mut source, mut follower) = (replica(1), replica(1));
+    source.set_configuration(Some(item("plan", 5)), 500);
+    follower.set_configuration(Some(item("plan", 5)), 300);
+
+    follower.merge(
+        &source.update_since(follower.sync_state(3_000), 3_000),
+        3_000,
+    );
+
+    assert_eq!(follower.config_age(3_000), Some(2_500));
+}
+
+// Guards against followers that wait for a long list although its reader has confirmed the configuration long since.
+#[test]
+fn a_confirmation_that_is_much_newer_is_an_update() {
+    let (mut source, mut follower) = (replica(1), replica(1));
+    source.set_configuration(Some(item("plan", 5)), 2_000);
+    follower.set_configuration(Some(item("plan", 5)), 500);
+    let state = follower.sync_state(2_000);
+
+    let update = source.update_since(state, 2_000);
+    let is_update = source.has_more(state, 2_000);
+    follower.merge(&update, 2_000);
+
+    assert!(is_update && update.items.is_empty());
+    assert_eq!(follower.config_age(2_000), Some(0));
+    assert!(!source.has_more(follower.sync_state(2_000), 2_000));
+}
