Bound the age of a configuration at each instance, whatever its sources do

Callers saw: a call was run by a service that only an older configuration allows, 2.1 to 8.0 s after the newer one was acknowledged. Cause: an instance learned of a configuration only through a chain of waits, each with a limit of its own: a poll of a source, of a second one, a read of everything, a relay, and at the reader the deletion of old records of crashes and the list of members in the same round. Nothing bounded their sum. A source that said that the platform does not answer was believed for three rounds. Change: each instance watches the age of its configuration, and at five eighths of apply_ms reads it alone from the platform, in a task that waits for nothing else. After 150 ms without an answer it asks the platform on another connection, and three, six and twelve other instances for a newer confirmation. Whoever reaches the platform confirms its own, so one is enough. At most one attempt in five eighths of apply_ms: a thousand instances that lose their sources together make 800 reads of one key a second at 2,000 ms, 320 at 5,000. After failed attempts they are as rare. The reader no longer ends the lists with the configuration, nor the other way round. Class: a bound that is the sum of limits which are each justified alone.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -23,6 +23,7 @@
 use place::TeamShares;
 use plat::Client;
 use poison::Identity;
+use spread::Confirmation;
 use spread::Member;
 use spread::Replica;
 use spread::SyncState;
@@ -42,6 +43,7 @@
 use crate::Settings;
 use crate::access;
 use crate::call_queue::CallQueues;
+use crate::dependency::DependencyStatus;
 use crate::hint::Hint;
 use crate::member::OwnEntry;
 use crate::overload;
@@ -111,6 +113,16 @@
     pub replica: Mutex<Replica>,
     /// Notified when the replica has changed.
     pub replica_changed: watch::Sender<()>,
+    /// The confirmations of the configuration.
+    pub(crate) confirmation: Mutex<Confirmation>,
+    /// Held while the configuration is being confirmed, so that one attempt serves all who want it.
+    pub(crate) confirming: tokio::sync::Mutex<DependencyStatus>,
+    /// Notified when a request needs a confirmation.
+    pub(crate) confirmation_wanted: Notify,
+    /// Notified when an attempt to confirm the configuration has ended.
+    pub(crate) confirmation_ended: watch::Sender<()>,
+    /// Revision of the configuration that was last put in force.
+    pub(crate) applied_config: Mutex<i64>,
     /// What the synchronisation of the configuration is doing.
     pub(crate) sync_status: Mutex<SyncStatus>,
     /// The steps that this instance runs, by name.
@@ -157,6 +169,7 @@
             engine_tracker.share_slots(SlotShares::new(me.instance.clone(), me.start));
         }
         let overload = Overload::new(settings.max_delay);
+        let confirmation = Confirmation::new(&settings.name, settings.apply_limit);
         Arc::new(Self {
             settings,
             overload,
@@ -182,6 +195,11 @@
             peer_client: net::Client::with_idle_timeout(IDLE_CONNECTION_TIMEOUT),
             replica: Mutex::default(),
             replica_changed: watch::Sender::default(),
+            confirmation: Mutex::new(confirmation),
+            confirming: tokio::sync::Mutex::new(DependencyStatus::new("configuration")),
+            confirmation_wanted: Notify::new(),
+            confirmation_ended: watch::Sender::default(),
+            applied_config: Mutex::default(),
             sync_status: Mutex::default(),
             running_steps: ShardedMap::new(),
             takeovers: Mutex::default(),
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -7,6 +7,7 @@
 use place::SlotReport;
 use plat::Answer;
 use plat::Call;
+use plat::Item;
 use plat::PlatError;
 use serde::Deserialize;
 use serde::Serialize;
@@ -81,6 +82,14 @@
         engines: Vec<Arc<str>>,
         duration: Millis,
     },
+    /// The receiver's configuration if that was confirmed more recently than the sender's: one that was confirmed at
+    /// most `wanted_age` milliseconds ago as soon as there is one within `wait`, else any.
+    Config {
+        rev: i64,
+        age: Option<Millis>,
+        wanted_age: Millis,
+        wait: Millis,
+    },
     /// Reports the samples and runs of the sender; the receiver replies with its own if `wants_reply` is set.
     SlotReport {
         report: SlotReport,
@@ -111,4 +120,18 @@
     ReachesReportAddress(bool),
     /// [`None`] when there is nothing to report.
     SlotReport(Option<SlotReport>),
+    /// [`None`] when the receiver knows nothing newer.
+    Config(Option<ConfirmedConfig>),
+}
+
+/// A configuration as another instance has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct ConfirmedConfig {
+    /// The configuration, if it is newer than the requester's.
+    pub(crate) configuration: Option<Item>,
+    /// Time since it was last known to be the newest, in milliseconds, when the reply was sent.
+    pub(crate) age: Millis,
+    /// Time for which the request was held, in milliseconds.
+    pub(crate) held: Millis,
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -29,6 +29,7 @@
 use usage::WindowCounts;
 
 use crate::App;
+use crate::message::ConfirmedConfig;
 use crate::message::MAX_MESSAGE_BYTES;
 use crate::message::PeerReply;
 use crate::message::PeerRequest;
@@ -308,6 +309,31 @@
     }
 }
 
+/// Fetches the configuration of another instance if that was confirmed more recently than this one's, and the earliest
+/// time at which the reply can have been sent.
+pub(crate) async fn fetch_config(
+    app: &App,
+    to: SocketAddr,
+    wanted_age: Millis,
+    wait: Millis,
+) -> Option<(ConfirmedConfig, Millis)> {
+    let sent_at = app.clock.now();
+    let state = app.sync_state();
+    let request = PeerRequest::Config {
+        rev: state.configuration,
+        age: state.config_age,
+        wanted_age,
+        wait,
+    };
+    match send_request(app, to, &request, wait + REPLY_TIMEOUT).await? {
+        PeerReply::Config(Some(confirmed)) => {
+            let written_at = sent_at + confirmed.held;
+            Some((confirmed, written_at))
+        }
+        _ => None,
+    }
+}
+
 /// Relays a platform call through another instance; [`None`] when it is unknown whether that one has made the call.
 pub async fn relay(
     app: &App,
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -17,6 +17,7 @@
 use crate::App;
 use crate::engine_loads;
 use crate::hint;
+use crate::message::ConfirmedConfig;
 use crate::message::MAX_MESSAGE_BYTES;
 use crate::message::PeerReply;
 use crate::message::PeerRequest;
@@ -123,6 +124,19 @@
             report,
             wants_reply,
         } => PeerReply::SlotReport(slot_reports::receive(app, report, wants_reply)),
+        PeerRequest::Config {
+            rev,
+            age,
+            wanted_age,
+            wait,
+        } => {
+            let wanted = WantedConfig {
+                rev,
+                age,
+                wanted_age,
+            };
+            PeerReply::Config(wait_for_config(app, wanted, wait).await)
+        }
         PeerRequest::ReachesReportAddress => PeerReply::ReachesReportAddress(
             crate::request_counts::can_reach_report_address(app).await,
         ),
@@ -162,3 +176,40 @@
         ..update
     })
 }
+
+/// What another instance has of the configuration, and what it wants.
+#[derive(Clone, Copy)]
+struct WantedConfig {
+    /// Revision of its configuration.
+    rev: i64,
+    /// Time since that was last known to be the newest, in milliseconds, at the arrival of the request.
+    age: Option<Millis>,
+    /// Age of a confirmation that is worth waiting for, in milliseconds.
+    wanted_age: Millis,
+}
+
+/// Waits up to `wait` milliseconds for the configuration that another instance wants. Returns what there is then if
+/// that was confirmed more recently.
+async fn wait_for_config(app: &App, wanted: WantedConfig, wait: Millis) -> Option<ConfirmedConfig> {
+    let started = app.clock.now();
+    let mut changes = app.replica_changed.subscribe();
+    let is_wanted = changes.wait_for(|()| {
+        let age = app.replica.lock().config_age(app.clock.now());
+        age.is_some_and(|age| age <= wanted.wanted_age)
+    });
+    // What there is when the time is over may still help.
+    let _ = tokio::time::timeout(Duration::from_millis(wait), is_wanted).await;
+    let now = app.clock.now();
+    let held = now - started;
+    let replica = app.replica.lock();
+    let age = replica.config_age(now)?;
+    if wanted.age.is_some_and(|requester| requester + held <= age) {
+        return None;
+    }
+    let configuration = replica.configuration().cloned();
+    Some(ConfirmedConfig {
+        configuration: configuration.filter(|configuration| configuration.rev > wanted.rev),
+        age,
+        held,
+    })
+}
--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -1,6 +1,8 @@
 //! Replication of the configuration, the list of upstreams and the list of members.
 
 mod applied_state;
+mod config;
+mod confirmation;
 mod reader;
 mod upstream_list;
 
@@ -48,7 +50,14 @@
 /// would cost less, but it may stay silent for many seconds after the platform has compacted its history, and a
 /// change of the configuration would then take effect long after its limit.
 pub async fn follow(app: Arc<App>) {
-    let mut synchronizer = Synchronizer::new(&app);
+    tokio::select! {
+        () = synchronize(&app) => (),
+        () = confirmation::keep_confirmed(app.clone()) => (),
+    }
+}
+
+async fn synchronize(app: &Arc<App>) {
+    let mut synchronizer = Synchronizer::new(app);
     let mut status = DependencyStatus::new("configuration and upstreams");
     synchronizer.bootstrap().await;
     loop {
@@ -86,14 +95,14 @@
 
 /// Polls other instances, and reads the platform when it has to.
 struct Synchronizer<'a> {
-    app: &'a App,
+    app: &'a Arc<App>,
     follower: Follower,
     applied: AppliedState,
     reader: PlatformReader,
 }
 
 impl<'a> Synchronizer<'a> {
-    fn new(app: &'a App) -> Self {
+    fn new(app: &'a Arc<App>) -> Self {
         Self {
             app,
             follower: Follower::default(),
--- a/crates/node/src/replication/applied_state.rs
+++ b/crates/node/src/replication/applied_state.rs
@@ -1,5 +1,4 @@
-//! Applies changes of the replica to this instance: the configuration, the list of upstreams, crash records and the
-//! list of members.
+//! Applies changes of the replica to this instance: the list of upstreams, crash records and the list of members.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -8,7 +7,6 @@
 use kernel::Set;
 use plat::Item;
 use spread::Changes;
-use table::Config;
 use table::Incarnations;
 use table::Upstream;
 
@@ -16,39 +14,6 @@
 use super::upstream_list;
 use crate::App;
 
-/// Puts a configuration in force unless that one or a newer one already is.
-fn activate_config(app: &App, item: &Item) {
-    let config = match app.dialect.decode_config(&item.value) {
-        Ok(config) => config,
-        Err(error) => {
-            let error = error.to_string();
-            log::error!(target: "news", revision = item.rev, error = error.as_str();
-                "configuration is invalid");
-            return;
-        }
-    };
-    let version = config.version;
-    if !replace_config(app, config) {
-        return;
-    }
-    metrics::gauge!(crate::telemetry::CONFIG_VERSION).set(version as f64);
-    log::info!(target: "news", version, revision = item.rev; "configuration in force");
-    app.capacity_changed.notify_waiters();
-}
-
-/// Replaces the configuration by a newer one; an older one that arrives late is ignored.
-fn replace_config(app: &App, config: Config) -> bool {
-    let current = app.config.load();
-    if current
-        .as_ref()
-        .is_some_and(|current| current.version >= config.version)
-    {
-        return false;
-    }
-    app.config.store(Some(Arc::new(config)));
-    true
-}
-
 /// The part of the replica that has been applied.
 #[derive(Default)]
 pub(super) struct AppliedState {
@@ -58,8 +23,6 @@
     invalid_keys: Set<String>,
     /// The newest incarnation of each upstream.
     incarnations: Incarnations,
-    /// The revision of the configuration.
-    config_rev: i64,
     /// When the list of members that was last applied had been read.
     members_read_at: Option<Millis>,
 }
@@ -73,7 +36,7 @@
     /// Applies the changes of the replica.
     pub(super) fn apply_changes(&mut self, app: &App, changes: Changes) {
         self.apply_members(app);
-        self.apply_config(app);
+        super::config::apply(app);
         for item in &changes.items {
             if item.key.starts_with(CRASH_RECORDS_PREFIX) {
                 crash::report::merge_record(&app.crashes, item);
@@ -121,21 +84,6 @@
         }
     }
 
-    /// Applies the configuration if it is newer.
-    pub(super) fn apply_config(&mut self, app: &App) {
-        let config = {
-            let replica = app.replica.lock();
-            let config = replica.configuration();
-            config
-                .filter(|config| config.rev > self.config_rev)
-                .cloned()
-        };
-        if let Some(config) = config {
-            self.config_rev = config.rev;
-            activate_config(app, &config);
-        }
-    }
-
     /// Applies an entry. An invalid one is skipped and does not affect the others.
     fn apply_entry(&mut self, app: &App, item: &Item) {
         match app.dialect.decode_upstream(&item.key, &item.value) {
--- a/crates/node/src/replication/reader.rs
+++ b/crates/node/src/replication/reader.rs
@@ -1,5 +1,7 @@
 //! Reads the configuration and the lists from the platform.
 
+use std::convert::Infallible;
+use std::sync::Arc;
 use std::time::Duration;
 
 use plat::Listing;
@@ -10,6 +12,7 @@
 
 use super::CRASH_RECORDS_PREFIX;
 use super::applied_state::AppliedState;
+use super::confirmation;
 use crate::App;
 use crate::member;
 
@@ -32,14 +35,22 @@
         }
     }
 
-    /// Reads everything, the configuration first: it must not wait for a long list.
+    /// Reads everything.
     pub(super) async fn read(
         &mut self,
-        app: &App,
+        app: &Arc<App>,
         applied: &mut AppliedState,
     ) -> Result<(), PlatError> {
-        read_config(app, applied).await?;
-        let (records, mut list) = self.read_lists(app, applied).await?;
+        // Neither waits for the other, nor fails with it.
+        let lists = async {
+            tokio::select! {
+                lists = self.read_lists(app) => lists,
+                // A list of thousands takes seconds at a busy platform.
+                never = confirm_repeatedly(app) => match never {},
+            }
+        };
+        let (config, lists) = tokio::join!(confirmation::confirm_unless_failed(app), lists);
+        let (records, mut list) = lists?;
         crash::report::delete_expired(&app.plat, &records.items, app.clock.wall()).await;
         list.join(records);
         self.reads += 1;
@@ -58,37 +69,29 @@
             replica.apply_read(list, rand::random(), now)
         });
         applied.apply_changes(app, changes);
-        Ok(())
+        match config {
+            // The platform answers again.
+            None => confirmation::confirm(app).await,
+            Some(config) => config,
+        }
     }
 
     /// Reads the records of requests that crash upstreams, and the list of upstreams.
-    async fn read_lists(
-        &mut self,
-        app: &App,
-        applied: &mut AppliedState,
-    ) -> Result<(Listing, Listing), PlatError> {
+    async fn read_lists(&mut self, app: &App) -> Result<(Listing, Listing), PlatError> {
         // A ready instance must know which requests crash upstreams, also right after its start. Reading the two
         // lists one after the other would lengthen each round by a call, which takes a third of a second at a busy
         // store.
-        let lists =
-            async { tokio::join!(self.crashes.read(&app.plat), self.upstreams.read(&app.plat)) };
-        tokio::pin!(lists);
-        loop {
-            tokio::select! {
-                (records, list) = &mut lists => return Ok((records?, list?)),
-                // A list of thousands takes seconds at a busy platform, and the configuration must be in force by
-                // then.
-                () = sleep(Duration::from_millis(timing::READ_INTERVAL)) => read_config(app, applied).await?,
-            }
-        }
+        let (records, list) =
+            tokio::join!(self.crashes.read(&app.plat), self.upstreams.read(&app.plat));
+        Ok((records?, list?))
     }
 }
 
-async fn read_config(app: &App, applied: &mut AppliedState) -> Result<(), PlatError> {
-    let began = app.clock.now();
-    let config = app.plat.get(app.dialect.store_keys().configuration).await?;
-    if app.update_replica(|replica| replica.set_configuration(config, began)) {
-        applied.apply_config(app);
+/// Confirms the configuration at intervals; never returns.
+async fn confirm_repeatedly(app: &Arc<App>) -> Infallible {
+    loop {
+        sleep(Duration::from_millis(timing::READ_INTERVAL)).await;
+        // An attempt that fails is logged, and the next one follows.
+        drop(confirmation::confirm(app).await);
     }
-    Ok(())
 }
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! This crate does no I/O and reads no clock.
 
+pub mod confirmation;
 pub mod follower;
 pub mod lease;
 pub mod list;
@@ -18,6 +19,9 @@
 pub mod tree;
 pub mod update;
 
+pub use confirmation::ConfigUse;
+pub use confirmation::ConfirmAction;
+pub use confirmation::Confirmation;
 pub use follower::Action;
 pub use follower::Follower;
 pub use follower::PollFailure;
