Confirm a configuration that may be out of date before it decides a call

Callers saw: an instance that went on from a pause ran the calls that had waited in its sockets by the configuration from before it. Cause: no call on a known route looked at the age of the configuration, and what waits in sockets is handled before the next update. The same holds where a thread gets no processor time. Change: a call, a step's operation, a sample and a score that find a configuration as old as apply_ms wait for one confirmation, shared by all, for a second at most. It counts from the start of a read, so a younger one has every version whose time is over: the bound holds by construction. An instance whose last attempt has failed just before goes on at once with what it has; an attempt that was itself held up here proves nothing and is repeated. Class: acting on state without looking at its age.

--- a/crates/node/src/access.rs
+++ b/crates/node/src/access.rs
@@ -4,22 +4,32 @@
 //! refused as not executed, then an unknown route is reported as not found, then the key is checked. The latter two
 //! refusals are given only while the configuration is fresh.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use kernel::Millis;
+use spread::ConfigUse;
+use spread::confirmation::ATTEMPT_TIME;
 use table::Config;
 use table::Route;
 use team::Credential;
 use team::Denial;
 use team::Principal;
 use team::StalenessLimits;
+use tokio::time::timeout;
 
 use crate::App;
 use crate::dialect::Caller;
 use crate::refusal::Refusal;
+use crate::settings::Role;
 
 /// Divisor of `apply_limit`; the quotient is the age up to which a configuration counts as fresh. A newer one may
 /// have been acknowledged while this one was being read.
 const FRESHNESS_DIVISOR: u64 = 2;
 
+/// Time for which a request waits for a confirmation of the configuration.
+const CONFIRM_WAIT: Duration = Duration::from_millis(ATTEMPT_TIME);
+
 /// Returns the age of the configuration: milliseconds since it was last known to be the newest.
 pub(crate) fn config_age(app: &App) -> Option<Millis> {
     app.replica.lock().config_age(app.clock.now())
@@ -37,6 +47,36 @@
     (config.as_ref().map(|config| config.version), age)
 }
 
+/// Returns the configuration by which a request is handled, once it is confirmed if it may be out of date.
+///
+/// After a pause, what has waited in the sockets is handled before the next update.
+pub(crate) async fn current_config(app: &App) -> Option<Arc<Config>> {
+    if needs_confirmation(app) {
+        let confirmed = wait_confirmed(app);
+        // An instance that reaches nobody goes on with what it has.
+        let _ = timeout(CONFIRM_WAIT, confirmed).await;
+    }
+    app.config.load_full()
+}
+
+fn needs_confirmation(app: &App) -> bool {
+    let (age, now) = (config_age(app), app.clock.now());
+    let config_use = app.confirmation.lock().config_use(age, now);
+    // A control instance follows the configuration only while it leads.
+    let follows = app.settings.role == Role::Entry && app.config.load().is_some();
+    follows && config_use == ConfigUse::Confirmed
+}
+
+async fn wait_confirmed(app: &App) {
+    let mut ended = app.confirmation_ended.subscribe();
+    while needs_confirmation(app) {
+        app.confirmation_wanted.notify_one();
+        if ended.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 fn staleness_limits(app: &App) -> StalenessLimits {
     let settings = &app.settings;
     StalenessLimits {
@@ -65,8 +105,8 @@
 }
 
 /// Returns the principal of a request that concerns a step submitted before.
-pub(crate) fn authorize_step(app: &App, caller: &Caller) -> Result<Principal, Refusal> {
-    let Some(config) = app.config.load_full() else {
+pub(crate) async fn authorize_step(app: &App, caller: &Caller) -> Result<Principal, Refusal> {
+    let Some(config) = current_config(app).await else {
         // A step submitted without a key is found without one. The team of a key is not known yet.
         return match caller.credential {
             Credential::None => Ok(Principal::NoTeams),
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -76,7 +76,7 @@
 
 /// Handles an operation on a step submitted before.
 async fn dispatch_step(app: &Arc<App>, caller: &Caller) -> (&'static str, Reply) {
-    let principal = match access::authorize_step(app, caller) {
+    let principal = match access::authorize_step(app, caller).await {
         Ok(principal) => principal,
         Err(refusal) => return ("key", refusal.reply()),
     };
@@ -100,7 +100,7 @@
     caller: Caller,
     body: Body,
 ) -> (&'static str, Reply) {
-    let Some(config) = app.config.load_full() else {
+    let Some(config) = access::current_config(app).await else {
         // Without a configuration a 404 could contradict an acknowledged route.
         log::info!(target: "front", id = &*caller.id; "no configuration yet");
         return ("none", Refusal::NotExecuted.reply());
--- a/crates/node/src/owner/runner.rs
+++ b/crates/node/src/owner/runner.rs
@@ -27,6 +27,7 @@
 use super::write::WriteOutcome;
 use super::write::write_segment;
 use crate::App;
+use crate::access;
 use crate::run::RunOutcome;
 use crate::score;
 use crate::telemetry;
@@ -126,6 +127,9 @@
             if self.owned.is_lost() || self.owned.has_ended() {
                 return;
             }
+            if !self.pending.is_empty() {
+                access::current_config(self.app).await;
+            }
             let pause = match self.place() {
                 PlaceOutcome::Done => MAX_PASS_INTERVAL,
                 PlaceOutcome::Deferred(pause) => pause,
--- a/crates/node/src/score.rs
+++ b/crates/node/src/score.rs
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 
 use crate::App;
+use crate::access;
 use crate::forward;
 use crate::forward::ForwardOutcome;
 use crate::forwarded_request::ForwardedRequest;
@@ -62,7 +63,7 @@
             continue;
         };
         let mut result = AttemptResult::Inconclusive;
-        if let Some(route) = find_route(app, scoring) {
+        if let Some(route) = find_route(app, scoring).await {
             retries.raise_limit(route.max_attempts);
             let request = ForwardedRequest::for_score(
                 app,
@@ -90,12 +91,9 @@
     score
 }
 
-fn find_route(app: &App, scoring: &Scoring) -> Option<Arc<Route>> {
-    let config = app.config.load();
-    config
-        .as_ref()?
-        .find_route(&scoring.host, &scoring.path)
-        .cloned()
+async fn find_route(app: &App, scoring: &Scoring) -> Option<Arc<Route>> {
+    let config = access::current_config(app).await;
+    config?.find_route(&scoring.host, &scoring.path).cloned()
 }
 
 async fn attempt(request: ForwardedRequest, route: &Route) -> AttemptResult {
