--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -131,7 +131,8 @@
     }
 }
 
-fn log_read_failure(error: &PlatError) {
+/// Logs that the list of members was not read.
+pub(crate) fn log_read_failure(error: &PlatError) {
     let error = error.to_string();
     log::debug!(target: "member", error = error.as_str(); "list of members not read");
 }
