Read the list of upstreams before the waits of polls add up beyond its limit

Callers saw: calls were sent to an upstream 2.0 to 2.2 s after it had begun to leave; the limit is 2,000 ms. Cause: as of the configuration: a poll of 1,500 ms, one of 450 ms and a read, after an update that was 300 ms old. Change: an instance that may read in each round does so once its list is five eighths of the limit old, and five sixty-fourths later on each level; a poll takes no longer than until then. Not while its own last read has failed within the limit, or took over half a second. Class: a bound that is the sum of limits which are each justified alone.

--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -119,6 +119,8 @@
             position: app.tree_position(),
             members: app.members.lock().clone(),
             entries: self.applied.len(),
+            age: app.replica.lock().age(app.clock.now()),
+            limit: app.settings.apply_limit,
             random: rand::random(),
         }
     }
@@ -225,7 +227,8 @@
         } else {
             "read failed"
         });
-        self.follower.read_took(self.app.clock.now() - started);
+        let now = self.app.clock.now();
+        self.follower.read_ended(now - started, result.is_ok(), now);
         self.app.set_platform_unreachable(result.is_err());
         result
     }
--- a/crates/sim/src/handlers.rs
+++ b/crates/sim/src/handlers.rs
@@ -113,7 +113,7 @@
         let random_value = self.rng.random();
         let node = &mut self.nodes[index];
         node.round_start = self.now;
-        let view = node.view(random_value);
+        let view = node.view(random_value, now);
         let action = node.follower.begin_round(&view, now);
         self.perform(index, action);
     }
@@ -221,7 +221,7 @@
                 self.begin_round(index);
             }
             Err(failure) => {
-                let view = node.view(random_value);
+                let view = node.view(random_value, now);
                 let action = node.follower.poll_failed(&view, failure, now);
                 self.perform(index, action);
             }
@@ -297,7 +297,7 @@
         let node = &mut self.nodes[index];
         node.replica
             .apply_read(self.upstreams.read(), self.rng.random(), now);
-        node.follower.read_took(now - round_start);
+        node.follower.read_ended(now - round_start, true, now);
         self.replica_changed(index);
         let next = (round_start + timing::READ_INTERVAL).max(now + timing::MIN_READ_PAUSE);
         self.queue
--- a/crates/sim/src/node.rs
+++ b/crates/sim/src/node.rs
@@ -15,6 +15,9 @@
 use crate::event::Poll;
 use crate::model::ModelParams;
 
+/// Time within which a change has to take effect, in milliseconds.
+const APPLY_LIMIT: Millis = 5_000;
+
 /// Size of a message without its payload, in bytes.
 const MESSAGE_OVERHEAD_BYTES: u64 = 300;
 
@@ -91,13 +94,15 @@
     }
 
     /// Returns the state from which the follower decides which instance to poll and when to read the platform.
-    pub fn view(&self, random_value: u64) -> View {
+    pub fn view(&self, random_value: u64, now: Millis) -> View {
         View {
             me: self.member.owner.instance.clone(),
             domain: self.member.domain.clone(),
             position: self.position.clone(),
             members: self.members.clone(),
             entries: self.replica.len(),
+            age: self.replica.age(now),
+            limit: APPLY_LIMIT,
             random: random_value,
         }
     }
--- a/crates/spread/src/follower.rs
+++ b/crates/spread/src/follower.rs
@@ -13,6 +13,7 @@
 use crate::Member;
 use crate::TreePosition;
 use crate::read_budget;
+use crate::timing::CHANGE_REPLY_SLACK;
 
 /// Time within which the reader that an instance follows must have an update, in milliseconds: a little more than the
 /// interval between reads.
@@ -22,8 +23,18 @@
 /// instance notice it first and poll others or read, and the instances below get the update from them.
 const WAIT_PER_LEVEL: Millis = 250;
 
-/// Rounds for each own read while the sources report that the platform is unreachable. Possibly the platform refuses
-/// only the sources.
+/// Eighths of the limit of the list's age at which an instance that may read does so, whatever it still could poll.
+const READ_PARTS: Millis = 5;
+
+/// Sixty-fourths of the limit by which each level reads later, so that the instances below get the update from those
+/// above.
+const LEVEL_PARTS: Millis = 5;
+
+/// Shortest wait that is worth a poll, in milliseconds.
+const MIN_WAIT: Millis = 50;
+
+/// Rounds for each own read while the sources report that the platform is unreachable and an own read has failed, or
+/// reads are rationed. Possibly the platform refuses only the sources.
 const ROUNDS_PER_UNREACHABLE_READ: u32 = 3;
 
 /// Duration of the last own read, in milliseconds, from which on a follower does not read at once when its source has
@@ -53,11 +64,24 @@
     pub members: Arc<[Member]>,
     /// Number of entries in its list.
     pub entries: usize,
+    /// Age of its list, in milliseconds; [`None`] without one.
+    pub age: Option<Millis>,
+    /// Time within which a change has to take effect, in milliseconds.
+    pub limit: Millis,
     /// A random number that selects one of several equal candidates.
     pub random: u64,
 }
 
 impl View {
+    /// Time until the instance has to read the platform, if it may, in milliseconds: the waits of polls and reads must
+    /// not add up beyond the limit. [`None`] without a list.
+    fn time_left(&self) -> Option<Millis> {
+        let age = self.age?;
+        let due = self.limit * READ_PARTS / 8;
+        let levels = self.limit * LEVEL_PARTS / 64 * Millis::from(self.position.depth);
+        Some((due + levels).saturating_sub(age))
+    }
+
     /// Number of rounds in which this instance may read the platform once.
     fn rounds_per_read(&self) -> u32 {
         let members = match self.position.is_partial {
@@ -122,10 +146,12 @@
 /// let addr = |port: u16| ([127, 0, 0, 1], port).into();
 /// let position = TreePosition { sources: vec![addr(1), addr(2)], ..TreePosition::default() };
 /// let view = View {
-///     me: "s3".into(), domain: "syd".into(), position, members: Arc::new([]), entries: 50, random: 0,
+///     me: "s3".into(), domain: "syd".into(), position, members: Arc::new([]), entries: 50, age: Some(20),
+///     limit: 2_000, random: 0,
 /// };
 /// let mut follower = Follower::default();
-/// assert_eq!(follower.begin_round(&view, 0), Action::Poll(addr(1), 1_050));
+/// // A poll may take no longer than until the list has to be read.
+/// assert_eq!(follower.begin_round(&view, 0), Action::Poll(addr(1), 1_030));
 /// assert_eq!(follower.poll_failed(&view, PollFailure::NoReply, 100), Action::Poll(addr(2), 250));
 /// // A few instances may all read at once.
 /// assert_eq!(follower.poll_failed(&view, PollFailure::NoReply, 200), Action::Read);
@@ -142,6 +168,8 @@
     unreachable_rounds: u32,
     /// Duration of the last own read, in milliseconds.
     last_read: Millis,
+    /// When the last own read failed, unless a later one has not.
+    read_failed: Option<Millis>,
     /// Consecutive rounds in which the source had no update.
     stale_rounds: u32,
     /// Consecutive rounds without an update.
@@ -169,9 +197,17 @@
         ) = (0, 0, 0);
     }
 
-    /// Records an own read and its duration in milliseconds.
-    pub fn read_took(&mut self, duration: Millis) {
+    /// Records an own read that ended at `now`, its duration in milliseconds, and whether the platform answered.
+    pub fn read_ended(&mut self, duration: Millis, is_answered: bool, now: Millis) {
         self.last_read = duration;
+        self.read_failed = (!is_answered).then_some(now);
+    }
+
+    /// Returns whether a read by this instance would bring an update in time: it may read, the list is short, and its
+    /// own last read has not failed within the limit. What its sources say of the platform is no reason not to read.
+    fn reads_help(&self, view: &View, now: Millis) -> bool {
+        let has_failed = self.read_failed.is_some_and(|at| now < at + view.limit);
+        may_read(view) && !has_failed && self.last_read < SLOW_READ
     }
 
     /// Records that the last poll failed, and returns what to do next.
@@ -206,6 +242,12 @@
             None => wait(&view.position),
             Some(_) => WAIT_PER_LEVEL,
         };
+        let left = view.time_left().filter(|_| self.reads_help(view, now));
+        let wait =
+            wait.min(left.map_or(Millis::MAX, |left| left.saturating_sub(CHANGE_REPLY_SLACK)));
+        if wait < MIN_WAIT {
+            return Action::Read;
+        }
         self.last = Some((Polled::Source(at), *addr));
         Action::Poll(*addr, wait)
     }
--- a/crates/spread/src/timing.rs
+++ b/crates/spread/src/timing.rs
@@ -24,7 +24,7 @@
 
 /// Time that a reply may take beyond the wait that the poll allows. Changes have to be in force within seconds, and
 /// this bounds how long a dead source goes unnoticed.
-const CHANGE_REPLY_SLACK: Millis = 200;
+pub const CHANGE_REPLY_SLACK: Millis = 200;
 
 /// The same while parts of the list are missing: they are sent one after the other and are large.
 const PART_REPLY_SLACK: Millis = 1_000;
