Read at once where sources report that the platform does not answer

Cause: after such a report an instance paused until its round was over, though its list was nearly due: a round begun at an age of 0.8 s let the next one, and its read, begin at 1.65 s (limit 2,000 ms; with a read of 337 ms the age was 2,000). Change: an instance that may read does so at such a report, unless its own last read failed within the limit. So an own failure is what makes it believe the report. Class: another's report taken for what one can see oneself.

--- a/crates/spread/src/follower.rs
+++ b/crates/spread/src/follower.rs
@@ -280,6 +280,7 @@
                 self.avoid(*parent, now);
                 Action::Read
             }
+            (PollFailure::PlatformUnreachable, _) if self.reads_help(view, now) => Action::Read,
             (PollFailure::PlatformUnreachable, _) => match self.unreachable_read_due() && is_turn {
                 true => Action::Read,
                 false => Action::Pause,
