Group the state of confirmations, and confirm before a request is handled

The five fields of App that belong to confirmations of the configuration are one type beside the code that uses them, and a request waits for a confirmation at one place, before the line that names its version and age. No decision changes.

--- a/crates/node/src/access.rs
+++ b/crates/node/src/access.rs
@@ -4,7 +4,6 @@
 //! refused as not executed, then an unknown route is reported as not found, then the key is checked. The latter two
 //! refusals are given only while the configuration is fresh.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::Millis;
@@ -47,30 +46,27 @@
     (config.as_ref().map(|config| config.version), age)
 }
 
-/// Returns the configuration by which a request is handled, once it is confirmed if it may be out of date.
-///
-/// After a pause, what has waited in the sockets is handled before the next update.
-pub(crate) async fn current_config(app: &App) -> Option<Arc<Config>> {
+/// Waits until the configuration is confirmed if it may be out of date. Called before a configuration decides on a
+/// request: after a pause, what has waited in the sockets is handled before the next update.
+pub(crate) async fn confirm_config(app: &App) {
     if needs_confirmation(app) {
-        let confirmed = wait_confirmed(app);
         // An instance that reaches nobody goes on with what it has.
-        let _ = timeout(CONFIRM_WAIT, confirmed).await;
+        let _ = timeout(CONFIRM_WAIT, wait_confirmed(app)).await;
     }
-    app.config.load_full()
 }
 
 fn needs_confirmation(app: &App) -> bool {
     let (age, now) = (config_age(app), app.clock.now());
-    let config_use = app.confirmation.lock().config_use(age, now);
+    let config_use = app.confirmation.policy.lock().config_use(age, now);
     // A control instance follows the configuration only while it leads.
     let follows = app.settings.role == Role::Entry && app.config.load().is_some();
     follows && config_use == ConfigUse::Confirmed
 }
 
 async fn wait_confirmed(app: &App) {
-    let mut ended = app.confirmation_ended.subscribe();
+    let mut ended = app.confirmation.ended.subscribe();
     while needs_confirmation(app) {
-        app.confirmation_wanted.notify_one();
+        app.confirmation.wanted.notify_one();
         if ended.changed().await.is_err() {
             return;
         }
@@ -105,8 +101,8 @@
 }
 
 /// Returns the principal of a request that concerns a step submitted before.
-pub(crate) async fn authorize_step(app: &App, caller: &Caller) -> Result<Principal, Refusal> {
-    let Some(config) = current_config(app).await else {
+pub(crate) fn authorize_step(app: &App, caller: &Caller) -> Result<Principal, Refusal> {
+    let Some(config) = app.config.load_full() else {
         // A step submitted without a key is found without one. The team of a key is not known yet.
         return match caller.credential {
             Credential::None => Ok(Principal::NoTeams),
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -23,7 +23,6 @@
 use place::TeamShares;
 use plat::Client;
 use poison::Identity;
-use spread::Confirmation;
 use spread::Member;
 use spread::Replica;
 use spread::SyncState;
@@ -43,12 +42,12 @@
 use crate::Settings;
 use crate::access;
 use crate::call_queue::CallQueues;
-use crate::dependency::DependencyStatus;
 use crate::hint::Hint;
 use crate::member::OwnEntry;
 use crate::overload;
 use crate::overload::Overload;
 use crate::owner::OwnedStep;
+use crate::replication::ConfirmationState;
 use crate::result_cache::ResultCache;
 use crate::slot_reports::Receivers;
 use crate::sync_status::SyncStatus;
@@ -114,13 +113,7 @@
     /// Notified when the replica has changed.
     pub replica_changed: watch::Sender<()>,
     /// The confirmations of the configuration.
-    pub(crate) confirmation: Mutex<Confirmation>,
-    /// Held while the configuration is being confirmed, so that one attempt serves all who want it.
-    pub(crate) confirming: tokio::sync::Mutex<DependencyStatus>,
-    /// Notified when a request needs a confirmation.
-    pub(crate) confirmation_wanted: Notify,
-    /// Notified when an attempt to confirm the configuration has ended.
-    pub(crate) confirmation_ended: watch::Sender<()>,
+    pub(crate) confirmation: ConfirmationState,
     /// Revision of the configuration that was last put in force.
     pub(crate) applied_config: Mutex<i64>,
     /// What the synchronisation of the configuration is doing.
@@ -169,7 +162,7 @@
             engine_tracker.share_slots(SlotShares::new(me.instance.clone(), me.start));
         }
         let overload = Overload::new(settings.max_delay);
-        let confirmation = Confirmation::new(&settings.name, settings.apply_limit);
+        let confirmation = ConfirmationState::new(&settings.name, settings.apply_limit);
         Arc::new(Self {
             settings,
             overload,
@@ -195,10 +188,7 @@
             peer_client: net::Client::with_idle_timeout(IDLE_CONNECTION_TIMEOUT),
             replica: Mutex::default(),
             replica_changed: watch::Sender::default(),
-            confirmation: Mutex::new(confirmation),
-            confirming: tokio::sync::Mutex::new(DependencyStatus::new("configuration")),
-            confirmation_wanted: Notify::new(),
-            confirmation_ended: watch::Sender::default(),
+            confirmation,
             applied_config: Mutex::default(),
             sync_status: Mutex::default(),
             running_steps: ShardedMap::new(),
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -24,6 +24,7 @@
 pub async fn handle(app: Arc<App>, call: Call) -> Reply {
     let started = app.clock.now();
     overload::measure(&app);
+    access::confirm_config(&app).await;
     let (version, config_age) = access::check_config_age(&app);
     let (head, body) = split(call);
     let caller = app.dialect.decode_caller(&head);
@@ -76,7 +77,7 @@
 
 /// Handles an operation on a step submitted before.
 async fn dispatch_step(app: &Arc<App>, caller: &Caller) -> (&'static str, Reply) {
-    let principal = match access::authorize_step(app, caller).await {
+    let principal = match access::authorize_step(app, caller) {
         Ok(principal) => principal,
         Err(refusal) => return ("key", refusal.reply()),
     };
@@ -100,7 +101,7 @@
     caller: Caller,
     body: Body,
 ) -> (&'static str, Reply) {
-    let Some(config) = access::current_config(app).await else {
+    let Some(config) = app.config.load_full() else {
         // Without a configuration a 404 could contradict an acknowledged route.
         log::info!(target: "front", id = &*caller.id; "no configuration yet");
         return ("none", Refusal::NotExecuted.reply());
--- a/crates/node/src/owner/runner.rs
+++ b/crates/node/src/owner/runner.rs
@@ -128,7 +128,7 @@
                 return;
             }
             if !self.pending.is_empty() {
-                access::current_config(self.app).await;
+                access::confirm_config(self.app).await;
             }
             let pause = match self.place() {
                 PlaceOutcome::Done => MAX_PASS_INTERVAL,
--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -27,6 +27,7 @@
 use crate::sync_status::SyncStep;
 use crate::telemetry;
 use applied_state::AppliedState;
+pub(crate) use confirmation::ConfirmationState;
 use reader::PlatformReader;
 
 /// Longest time that a starting instance waits for the list of members, in milliseconds: it writes its own entry
--- a/crates/node/src/replication/confirmation.rs
+++ b/crates/node/src/replication/confirmation.rs
@@ -8,13 +8,17 @@
 use std::time::Duration;
 
 use kernel::Millis;
+use parking_lot::Mutex;
 use plat::Answer;
 use plat::Call;
 use plat::Item;
 use plat::PlatError;
 use rand::seq::SliceRandom;
 use spread::ConfirmAction;
+use spread::Confirmation;
 use spread::confirmation::ATTEMPT_TIME;
+use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -22,6 +26,7 @@
 
 use super::config;
 use crate::App;
+use crate::dependency::DependencyStatus;
 use crate::peer;
 
 /// Time that the platform has before others are asked, and that these have before more are.
@@ -36,15 +41,38 @@
 /// Time for which another instance may wait for a confirmation of its own, in milliseconds.
 const PEER_WAIT: Millis = 300;
 
+/// The confirmations of the configuration, shared by all who want one.
+pub(crate) struct ConfirmationState {
+    /// When an attempt is due and what has come of the last ones.
+    pub(crate) policy: Mutex<Confirmation>,
+    /// Held during an attempt, so that one serves all who want it; whether the last one has failed, for the log.
+    attempt: tokio::sync::Mutex<DependencyStatus>,
+    /// Notified when a request needs a confirmation.
+    pub(crate) wanted: Notify,
+    /// Notified when an attempt has ended.
+    pub(crate) ended: watch::Sender<()>,
+}
+
+impl ConfirmationState {
+    pub(crate) fn new(instance: &str, limit: Millis) -> Self {
+        Self {
+            policy: Mutex::new(Confirmation::new(instance, limit)),
+            attempt: tokio::sync::Mutex::new(DependencyStatus::new("configuration")),
+            wanted: Notify::new(),
+            ended: watch::Sender::default(),
+        }
+    }
+}
+
 /// Keeps the configuration confirmed; never returns.
 pub(super) async fn keep_confirmed(app: Arc<App>) {
     loop {
         let (age, now) = (config_age(&app), app.clock.now());
-        let action = app.confirmation.lock().next(age, now);
+        let action = app.confirmation.policy.lock().next(age, now);
         match action {
             ConfirmAction::Wait(wait) => tokio::select! {
                 () = sleep(Duration::from_millis(wait)) => (),
-                () = app.confirmation_wanted.notified() => (),
+                () = app.confirmation.wanted.notified() => (),
             },
             // An attempt that fails is logged, and its pause is over at the next one.
             ConfirmAction::Confirm => drop(confirm(&app).await),
@@ -63,7 +91,7 @@
 /// Returns the [`PlatError`] of the direct call if nobody has a newer confirmation.
 pub(super) async fn confirm(app: &Arc<App>) -> Result<(), PlatError> {
     let asked = app.clock.now();
-    let mut status = app.confirming.lock().await;
+    let mut status = app.confirmation.attempt.lock().await;
     let (age, began) = (config_age(app), app.clock.now());
     if age.is_some_and(|age| began.saturating_sub(age) >= asked) {
         return Ok(());
@@ -73,24 +101,24 @@
     match &result {
         Ok(source) => {
             status.mark_restored();
-            app.confirmation.lock().succeeded();
-            if app.confirmation.lock().is_due(age) {
+            app.confirmation.policy.lock().succeeded();
+            if app.confirmation.policy.lock().is_due(age) {
                 log_confirmed(*source, age, now - began);
             }
         }
         Err(error) => {
             status.mark_lost(error);
-            app.confirmation.lock().failed(began, now);
+            app.confirmation.policy.lock().failed(began, now);
         }
     }
-    app.confirmation_ended.send_replace(());
+    app.confirmation.ended.send_replace(());
     result.map(drop)
 }
 
 /// Confirms the configuration like [`confirm`]; [`None`] if the last attempt has failed. A list that is read at the same
 /// time shows whether the platform is back.
 pub(super) async fn confirm_unless_failed(app: &Arc<App>) -> Option<Result<(), PlatError>> {
-    let has_failed = app.confirmation.lock().has_failed();
+    let has_failed = app.confirmation.policy.lock().has_failed();
     match has_failed {
         true => None,
         false => Some(confirm(app).await),
@@ -132,7 +160,7 @@
     fn new(app: &'a Arc<App>) -> Self {
         let mut peers = other_entries(app);
         peers.shuffle(&mut rand::rng());
-        let has_failed = app.confirmation.lock().has_failed();
+        let has_failed = app.confirmation.policy.lock().has_failed();
         Self {
             app,
             calls: JoinSet::new(),
@@ -175,7 +203,7 @@
 
     fn is_due(&self) -> bool {
         let age = config_age(self.app);
-        self.app.confirmation.lock().is_due(age)
+        self.app.confirmation.policy.lock().is_due(age)
     }
 
     fn handle(&mut self, reply: Option<Result<Reply, tokio::task::JoinError>>) -> Progress {
@@ -222,7 +250,7 @@
         if self.waves == 0 || self.peers.is_empty() {
             return false;
         }
-        let wanted_age = self.app.confirmation.lock().wanted_age();
+        let wanted_age = self.app.confirmation.policy.lock().wanted_age();
         let rest = self.peers.split_off(self.wave_size.min(self.peers.len()));
         for addr in std::mem::replace(&mut self.peers, rest) {
             let app = self.app.clone();
--- a/crates/node/src/score.rs
+++ b/crates/node/src/score.rs
@@ -92,8 +92,12 @@
 }
 
 async fn find_route(app: &App, scoring: &Scoring) -> Option<Arc<Route>> {
-    let config = access::current_config(app).await;
-    config?.find_route(&scoring.host, &scoring.path).cloned()
+    access::confirm_config(app).await;
+    let config = app.config.load();
+    config
+        .as_ref()?
+        .find_route(&scoring.host, &scoring.path)
+        .cloned()
 }
 
 async fn attempt(request: ForwardedRequest, route: &Route) -> AttemptResult {
