--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -4,7 +4,8 @@
 //! receive them along a [`tree`] in which each instance serves a bounded number of followers. Updates hold what has
 //! changed since a revision of the platform's store, so a follower can continue from any other instance. An instance
 //! reads the platform itself only when it gets no updates, and no more often than the [`read_budget`] of all instances
-//! together allows.
+//! together allows. The configuration alone is also confirmed outside the tree, so that its age is bounded whatever the
+//! instances above do ([`confirmation`]).
 //!
 //! This crate does no I/O and reads no clock.
 
