--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -51,7 +51,7 @@
 /// would cost less, but it may stay silent for many seconds after the platform has compacted its history, and a
 /// change of the configuration would then take effect long after its limit.
 ///
-/// Beside that, the configuration alone is confirmed before it is too old ([`confirmation`]).
+/// Beside that, the configuration alone is confirmed before it is too old.
 pub async fn follow(app: Arc<App>) {
     tokio::select! {
         () = synchronize(&app) => (),
--- a/crates/spread/src/confirmation.rs
+++ b/crates/spread/src/confirmation.rs
@@ -1,8 +1,8 @@
 //! When an instance confirms at the platform that its configuration is the newest.
 //!
 //! Updates confirm the configuration of a follower. Each of its polls and reads has a time limit of its own, and their
-//! sum has none. So the age of the configuration itself has a limit: an instance that has no confirmation at
-//! [`CONFIRM_PARTS`] of it reads the configuration alone, whatever else it waits for, and asks others that may have it.
+//! sum has none. So the age of the configuration itself has a limit: an instance that has no confirmation at five eighths
+//! of it reads the configuration alone, whatever else it waits for, and asks others that may have it.
 //! Each instance makes at most one such read in that time, which bounds the reads of a thousand instances that lose
 //! their sources together.
 
