--- a/crates/node/src/replication/confirmation.rs
+++ b/crates/node/src/replication/confirmation.rs
@@ -74,7 +74,7 @@
                 () = sleep(Duration::from_millis(wait)) => (),
                 () = app.confirmation.wanted.notified() => (),
             },
-            // An attempt that fails is logged, and its pause is over at the next one.
+            // The result is logged there, and decides when the next attempt is due.
             ConfirmAction::Confirm => drop(confirm(&app).await),
         }
     }
@@ -133,7 +133,8 @@
 
 /// What the platform or another instance has replied.
 enum Reply {
-    /// The configuration, if it is newer or was read at the platform, and when it was the newest.
+    /// Who has confirmed it, [`None`] for the platform; the configuration, if it is newer or was read at the platform;
+    /// and when it was the newest.
     Confirmed(Option<SocketAddr>, Option<Item>, Millis),
     /// The platform did not answer.
     Failed(PlatError),
@@ -141,6 +142,16 @@
     Nothing,
 }
 
+/// How far an attempt is.
+enum Progress {
+    /// The platform, or the instance at this address, has confirmed the configuration.
+    Confirmed(Option<SocketAddr>),
+    /// Calls are under way.
+    Waiting,
+    /// All calls have failed.
+    Failed,
+}
+
 /// An attempt to confirm the configuration.
 struct Attempt<'a> {
     app: &'a Arc<App>,
@@ -270,16 +281,6 @@
     }
 }
 
-/// How far an attempt is.
-enum Progress {
-    /// The platform, or the instance at this address, has confirmed the configuration.
-    Confirmed(Option<SocketAddr>),
-    /// Calls are under way.
-    Waiting,
-    /// All calls have failed.
-    Failed,
-}
-
 /// Addresses of the other entry instances.
 fn other_entries(app: &App) -> Vec<SocketAddr> {
     let members = app.members.lock();
--- a/crates/spread/src/confirmation.rs
+++ b/crates/spread/src/confirmation.rs
@@ -23,8 +23,8 @@
 /// Time limit of an attempt, in milliseconds: as long as a call of the platform may take.
 pub const ATTEMPT_TIME: Millis = 1_000;
 
-/// Time beyond [`ATTEMPT_TIME`] after which an attempt was held up here, so that its failure says nothing about the
-/// platform, in milliseconds.
+/// Time beyond [`ATTEMPT_TIME`] from which an attempt was held up at this instance, as by a pause, in milliseconds. Its
+/// failure then says nothing about the platform.
 const STALL_TIME: Millis = 200;
 
 /// What an instance does next about its configuration.
