Shed before waiting for a confirmation, and wait for two held-up attempts at most

Callers saw: at an instance without processor time each call could wait a second for a confirmation of the configuration, also one that was shed then. Cause: a request waited before it was decided whether it is shed. And attempts that were held up never counted as failed, so at an instance that is always held up each request waited anew. Change: a request that finds the configuration out of date is shed by the held one first, and asked once. The second attempt in a row that is held up counts as failed; the first does not, as after a pause.

--- a/crates/node/src/access.rs
+++ b/crates/node/src/access.rs
@@ -55,7 +55,8 @@
     }
 }
 
-fn needs_confirmation(app: &App) -> bool {
+/// Returns whether the configuration may be out of date, and a confirmation can be expected.
+pub(crate) fn needs_confirmation(app: &App) -> bool {
     let (age, now) = (config_age(app), app.clock.now());
     let config_use = app.confirmation.policy.lock().config_use(age, now);
     // A control instance follows the configuration only while it leads.
@@ -112,6 +113,22 @@
     authorize(app, &config, config.has_open_steps(&caller.host), caller)
 }
 
+/// Returns the principal of a request for a route as [`authorize_route`] does; [`None`] if it would be refused. Nothing
+/// is logged, since the refusal is not given.
+pub(crate) fn provisional_principal(
+    app: &App,
+    config: &Config,
+    route: &Route,
+    caller: &Caller,
+) -> Option<Principal> {
+    admit(app, config, route.open, caller).ok()
+}
+
+fn admit(app: &App, config: &Config, open: bool, caller: &Caller) -> Result<Principal, Denial> {
+    let (age, teams) = (config_age(app), config.teams.as_ref());
+    team::admit(teams, open, caller.credential, age, staleness_limits(app))
+}
+
 fn authorize(
     app: &App,
     config: &Config,
@@ -119,8 +136,7 @@
     caller: &Caller,
 ) -> Result<Principal, Refusal> {
     let age = config_age(app);
-    let teams = config.teams.as_ref();
-    let denial = match team::admit(teams, open, caller.credential, age, staleness_limits(app)) {
+    let denial = match admit(app, config, open, caller) {
         Ok(principal) => return Ok(principal),
         Err(denial) => denial,
     };
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -24,7 +24,6 @@
 pub async fn handle(app: Arc<App>, call: Call) -> Reply {
     let started = app.clock.now();
     overload::measure(&app);
-    access::confirm_config(&app).await;
     let (version, config_age) = access::check_config_age(&app);
     let (head, body) = split(call);
     let caller = app.dialect.decode_caller(&head);
@@ -77,6 +76,7 @@
 
 /// Handles an operation on a step submitted before.
 async fn dispatch_step(app: &Arc<App>, caller: &Caller) -> (&'static str, Reply) {
+    access::confirm_config(app).await;
     let principal = match access::authorize_step(app, caller) {
         Ok(principal) => principal,
         Err(refusal) => return ("key", refusal.reply()),
@@ -95,12 +95,47 @@
     }
 }
 
+/// Whether a request is shed before the configuration is confirmed.
+enum EarlyShedding {
+    /// It is shed.
+    Shed(Refusal),
+    /// It is accepted, and counted as that.
+    Accepted,
+    /// The held configuration does not say.
+    Undecided,
+}
+
+/// Decides by the held configuration whether a request is shed: one that is must not wait for a confirmation.
+fn shed_early(app: &App, head: &Parts, caller: &Caller) -> EarlyShedding {
+    let Some(config) = app.config.load_full() else {
+        return EarlyShedding::Undecided;
+    };
+    let Some(route) = config.find_route(&caller.host, head.uri.path()) else {
+        return EarlyShedding::Undecided;
+    };
+    let Some(principal) = access::provisional_principal(app, &config, route, caller) else {
+        return EarlyShedding::Undecided;
+    };
+    match overload::shed(app, &config, route, &principal) {
+        Some(refusal) => EarlyShedding::Shed(refusal),
+        None => EarlyShedding::Accepted,
+    }
+}
+
 async fn dispatch_route(
     app: &Arc<App>,
     head: Parts,
     caller: Caller,
     body: Body,
 ) -> (&'static str, Reply) {
+    let early = match access::needs_confirmation(app) {
+        true => shed_early(app, &head, &caller),
+        false => EarlyShedding::Undecided,
+    };
+    if let EarlyShedding::Shed(refusal) = early {
+        return ("shed", refusal.reply());
+    }
+    access::confirm_config(app).await;
     let Some(config) = app.config.load_full() else {
         // Without a configuration a 404 could contradict an acknowledged route.
         log::info!(target: "front", id = &*caller.id; "no configuration yet");
@@ -117,7 +152,9 @@
         Ok(principal) => principal,
         Err(refusal) => return ("key", refusal.reply()),
     };
-    if let Some(refusal) = overload::shed(app, &config, &route, &principal) {
+    if matches!(early, EarlyShedding::Undecided)
+        && let Some(refusal) = overload::shed(app, &config, &route, &principal)
+    {
         return ("shed", refusal.reply());
     }
     let body = match net::body::read(body, config.max_body).await {
--- a/crates/spread/src/confirmation.rs
+++ b/crates/spread/src/confirmation.rs
@@ -23,8 +23,7 @@
 /// Time limit of an attempt, in milliseconds: as long as a call of the platform may take.
 pub const ATTEMPT_TIME: Millis = 1_000;
 
-/// Time beyond [`ATTEMPT_TIME`] from which an attempt was held up at this instance, as by a pause, in milliseconds. Its
-/// failure then says nothing about the platform.
+/// Time beyond [`ATTEMPT_TIME`] from which an attempt was held up at this instance, as by a pause, in milliseconds.
 const STALL_TIME: Millis = 200;
 
 /// What an instance does next about its configuration.
@@ -74,6 +73,8 @@
     failed_at: Millis,
     /// Time before which no attempt is made.
     paused_until: Millis,
+    /// Whether the last attempt failed after it had been held up here.
+    was_held_up: bool,
 }
 
 impl Confirmation {
@@ -87,6 +88,7 @@
             failures: 0,
             failed_at: 0,
             paused_until: 0,
+            was_held_up: false,
         }
     }
 
@@ -120,11 +122,15 @@
     pub fn succeeded(&mut self) {
         self.failures = 0;
         self.paused_until = 0;
+        self.was_held_up = false;
     }
 
-    /// Records that an attempt which began at `began` has failed.
+    /// Records that an attempt which began at `began` has failed. One that was held up here proves nothing and is
+    /// repeated at once, as after a pause. If the next one is held up as well, the instance lacks processor time, and
+    /// requests must not wait for further ones.
     pub fn failed(&mut self, began: Millis, now: Millis) {
-        if now.saturating_sub(began) > ATTEMPT_TIME + STALL_TIME {
+        let is_held_up = now.saturating_sub(began) > ATTEMPT_TIME + STALL_TIME;
+        if is_held_up && !std::mem::replace(&mut self.was_held_up, true) {
             return;
         }
         let pause = match self.has_failed() {
--- a/crates/spread/tests/age_bound.rs
+++ b/crates/spread/tests/age_bound.rs
@@ -7,6 +7,7 @@
 use plat::Item;
 use proptest::prelude::*;
 use spread::Action;
+use spread::ConfigUse;
 use spread::ConfirmAction;
 use spread::Confirmation;
 use spread::Follower;
@@ -301,3 +302,19 @@
         })?;
     }
 }
+
+// Guards against requests that each wait for a confirmation at an instance without processor time: its attempts are all
+// held up, and none of them counts as failed.
+#[test]
+fn requests_wait_for_two_attempts_at_most_that_are_held_up() {
+    let mut confirmation = Confirmation::new("n1", 2_000);
+    let held_up = 2 * ATTEMPT_TIME;
+
+    confirmation.failed(10_000, 10_000 + held_up);
+    let after_one = confirmation.config_use(Some(3_000), 10_000 + held_up);
+    confirmation.failed(12_000, 12_000 + held_up);
+    let after_two = confirmation.config_use(Some(5_000), 12_000 + held_up);
+
+    assert_eq!(after_one, ConfigUse::Confirmed);
+    assert_eq!(after_two, ConfigUse::Held);
+}
