--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod critical;
 mod engine;
+mod home_owner;
 mod loads;
 mod memory;
 mod order;
@@ -14,6 +15,7 @@
 mod round;
 mod scale;
 mod shares;
+mod slot_report;
 pub mod slots;
 mod tracker;
 
@@ -31,9 +33,10 @@
 pub use round::PlacementRound;
 pub use scale::LengthScale;
 pub use shares::TeamShares;
-pub use slots::ModelDemand;
-pub use slots::ReportOutcome;
-pub use slots::SlotReport;
+pub use slot_report::DueReport;
+pub use slot_report::ModelDemand;
+pub use slot_report::ReportOutcome;
+pub use slot_report::SlotReport;
 pub use slots::SlotShares;
 pub use tracker::EngineTracker;
 pub use tracker::PlacementRequest;
--- a/crates/place/src/slots.rs
+++ b/crates/place/src/slots.rs
@@ -15,11 +15,15 @@
 
 use kernel::Map;
 use kernel::Millis;
-use kernel::rendezvous_rank;
-use serde::Deserialize;
-use serde::Serialize;
 use table::Upstream;
 
+use crate::ModelDemand;
+use crate::ReportOutcome;
+use crate::SlotReport;
+use crate::home_owner::home_owner;
+use crate::slot_report::DueReport;
+use crate::slot_report::engine_key;
+
 /// Minimum time between two periodic reports of an owner, in milliseconds.
 pub const REPORT_INTERVAL: Millis = 100;
 
@@ -56,100 +60,6 @@
 /// seconds.
 const SENDER_TTL: Millis = 10_000;
 
-/// Largest valid number of samples or runs in one entry of a report, and of entries: far more than one instance runs.
-const MAX_COUNT: u32 = 1 << 16;
-
-/// The samples of one model that an owner has for the engines of one service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct ModelDemand {
-    /// The service.
-    pub service: Arc<str>,
-    /// The model.
-    pub model: Arc<str>,
-    /// The oldest weight version that is accepted.
-    pub min_version: u64,
-    /// Number of samples that wait for an engine.
-    pub waiting: u32,
-    /// Number of samples that run.
-    pub running: u32,
-}
-
-/// What an owner has to run, and what it runs on which engines.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct SlotReport {
-    /// The instance.
-    pub owner: Arc<str>,
-    /// Identifies the start among those of the instance; later starts have higher values.
-    pub start: u64,
-    /// Sequence number of the report since the start.
-    pub seq: u64,
-    /// Demand for each service and model.
-    pub demands: Vec<ModelDemand>,
-    /// Number of runs on each engine, by the hash of the engine's identifier.
-    pub runs: Vec<(u32, u32)>,
-}
-
-impl SlotReport {
-    /// Returns whether the owner has neither runs nor waiting samples.
-    pub fn is_idle(&self) -> bool {
-        self.runs.is_empty() && !self.has_waiting()
-    }
-
-    fn has_waiting(&self) -> bool {
-        self.demands.iter().any(|demand| demand.waiting > 0)
-    }
-
-    fn is_valid(&self) -> bool {
-        let counts = self.demands.iter();
-        let counts = counts.flat_map(|demand| [demand.waiting, demand.running]);
-        let mut counts = counts.chain(self.runs.iter().map(|(_, count)| *count));
-        self.demands.len().max(self.runs.len()) <= MAX_COUNT as usize
-            && counts.all(|count| count <= MAX_COUNT)
-    }
-
-    /// Number of waiting and running samples that an engine can serve.
-    fn weight(&self, service: &str, version: impl Fn(&str) -> Option<u64>) -> u32 {
-        let demands = self.demands.iter();
-        let servable = demands.filter(|demand| {
-            *demand.service == *service && version(&demand.model) >= Some(demand.min_version)
-        });
-        let (waiting, running) = servable.fold((0_u32, 0_u32), |(waiting, running), demand| {
-            (
-                waiting.saturating_add(demand.waiting),
-                running.saturating_add(demand.running),
-            )
-        });
-        match waiting {
-            0 => 0,
-            _ => waiting.saturating_add(running),
-        }
-    }
-}
-
-/// Result of [`SlotShares::record`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReportOutcome {
-    /// The report is the first one of its owner in a while.
-    AppliedFirst,
-    /// The report replaces the previous one of its owner.
-    Applied,
-    /// A newer report of the owner is known.
-    Outdated,
-    /// The report has values out of range, or claims to be this instance's.
-    Invalid,
-}
-
-/// A report that is due, and whether its receivers have to reply with theirs.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DueReport {
-    /// The report.
-    pub report: SlotReport,
-    /// Whether this instance may lack reports of others, since it was paused.
-    pub wants_replies: bool,
-}
-
 /// A report and when it was received or made.
 #[derive(Clone, Debug)]
 struct Known {
@@ -382,39 +292,18 @@
             self.spares.borrow_mut().remove(&key);
             return room;
         }
-        match self.home_owner(engine, key, version) {
+        match home_owner(&self.contenders, engine, key, version) {
             Some(home) if home != &*self.me => self.spare_runs(home, key, own_runs, room, now),
             _ => room,
         }
     }
 
-    /// Returns the owner with waiting samples that may fill an engine.
-    fn home_owner(
-        &self,
-        engine: &Upstream,
-        key: u32,
-        version: impl Fn(&str) -> Option<u64>,
-    ) -> Option<&str> {
-        let mut home: Option<(f64, &str)> = None;
-        for contender in &self.contenders {
-            let weight = contender.weight(&engine.service, &version);
-            if weight == 0 {
-                continue;
-            }
-            let score = score(&contender.owner, key, weight);
-            if home.is_none_or(|best| best < (score, &contender.owner)) {
-                home = Some((score, &contender.owner));
-            }
-        }
-        home.map(|(_, owner)| owner)
-    }
-
     /// Returns how many runs this instance may have on an engine of which another owner is the home owner.
     fn spare_runs(&self, home: &str, key: u32, own_runs: u32, room: u32, now: Millis) -> u32 {
         let reported_at = self.others.get(home).map_or(0, |known| known.at);
         // The home owner doesn't know yet of runs that have ended since the last report.
         let own = self.own.as_ref();
-        let reported = own.map_or(0, |own| count(&own.report.runs, key));
+        let reported = own.map_or(0, |own| own.report.runs_on(key));
         let room = room.saturating_sub(reported.saturating_sub(own_runs));
         let mut spares = self.spares.borrow_mut();
         let new = Spare {
@@ -488,11 +377,11 @@
     fn update_contenders(&mut self) {
         let others = self.others.values().filter(|known| !known.expired);
         let others = others.filter(|known| known.report.has_waiting());
-        self.contenders = others.map(|known| without_runs(&known.report)).collect();
+        self.contenders = others.map(|known| known.report.without_runs()).collect();
         let own = self.own.as_ref().filter(|own| own.report.has_waiting());
         if !self.contenders.is_empty() {
             self.contenders
-                .extend(own.map(|own| without_runs(&own.report)));
+                .extend(own.map(|own| own.report.without_runs()));
         }
     }
 
@@ -509,32 +398,3 @@
         runs
     }
 }
-
-fn without_runs(report: &SlotReport) -> SlotReport {
-    SlotReport {
-        owner: report.owner.clone(),
-        demands: report.demands.clone(),
-        runs: Vec::new(),
-        ..*report
-    }
-}
-
-/// Returns the number of runs on an engine in a sorted list.
-fn count(runs: &[(u32, u32)], key: u32) -> u32 {
-    let found = runs.binary_search_by_key(&key, |(engine, _)| *engine);
-    found.map_or(0, |index| runs[index].1)
-}
-
-/// Returns the hash by which reports name an engine. Of 10,000 engines two have the same with a probability of 1%;
-/// the runs on either then count for both, and their slots are used less.
-fn engine_key(id: &str) -> u32 {
-    (rendezvous_rank("engine", id) >> 32) as u32
-}
-
-/// Returns the score of an owner for an engine in weighted rendezvous hashing: each owner has the highest score for a
-/// share of the engines that is proportional to its weight.
-fn score(owner: &str, key: u32, weight: u32) -> f64 {
-    let rank = rendezvous_rank(owner, key) as f64;
-    let uniform = (rank + 0.5) / (u64::MAX as f64);
-    f64::from(weight) / -uniform.ln()
-}
