Log whose rejection an upstream sent, and after how many other answers

Two hypotheses: the rejection that let an instance send an order elsewhere belonged to another request (the claim), or it was the order's own and the upstream ran it nevertheless. No line told the two apart: a rejection was not logged at all. The line `rejected` now names the request that the answer names and its position on the connection; `net::Arrival` counts the answers of a connection.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 
 use crate::SendCondition;
+use crate::arrival;
 use crate::body;
 use crate::condition::RequestBody;
 use crate::connect::Connector;
@@ -190,7 +191,10 @@
         limit: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         match tokio::time::timeout(limit, self.inner.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(mut response)) => {
+                arrival::record(&mut response);
+                Ok(response)
+            }
             Ok(Err(error)) if error.is_connect() => Err(SendError::Unconnected),
             Ok(Err(_)) => Err(SendError::Broken),
             Err(_) => Err(SendError::Timeout),
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -27,6 +27,7 @@
 use tokio::net::TcpStream;
 use tower_service::Service;
 
+use crate::arrival::ConnectionState;
 use crate::condition::CurrentWrite;
 use crate::identity;
 
@@ -54,6 +55,7 @@
             let stream = CheckedStream {
                 stream,
                 current: CurrentWrite::default(),
+                state: ConnectionState::default(),
             };
             match identity::expected(&uri) {
                 Some(expected) => Ok(identity::check(stream, &uri, expected).await?),
@@ -73,6 +75,7 @@
 pub(crate) struct CheckedStream {
     stream: TokioIo<TcpStream>,
     current: CurrentWrite,
+    state: ConnectionState,
 }
 
 impl CheckedStream {
@@ -89,7 +92,10 @@
 
 impl Connection for CheckedStream {
     fn connected(&self) -> Connected {
-        self.stream.connected().extra(self.current.clone())
+        self.stream
+            .connected()
+            .extra(self.current.clone())
+            .extra(self.state.clone())
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP client with timeouts, HTTP server with graceful shutdown, and an adapter that makes async functions
 //! handlers of gotham's router.
 
+mod arrival;
 pub mod body;
 pub mod client;
 mod condition;
@@ -10,6 +11,7 @@
 pub mod identity;
 pub mod server;
 
+pub use arrival::Arrival;
 pub use body::Reply;
 pub use client::Client;
 pub use client::SendError;
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -384,6 +384,11 @@
         .app
         .dialect
         .decode_answer_head(answer.status(), answer.headers());
+    if head.not_executed || head.misdirected {
+        let position = net::Arrival::of(&answer).map_or(0, net::Arrival::position);
+        log::info!(target: "forward", id = &*request.id, upstream = &*upstream.id, position,
+            status = answer.status().as_u16(), answers = head.attempt_id.as_deref().unwrap_or("nothing"); "rejected");
+    }
     let mut tracker = request.app.service_tracker.lock();
     if let Some(load) = head.load {
         tracker.load_reported(&upstream.id, load, now);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -246,6 +246,11 @@
             .app
             .dialect
             .decode_answer_head(answer.status(), answer.headers());
+        if head.not_executed || head.misdirected {
+            let position = net::Arrival::of(&answer).map_or(0, net::Arrival::position);
+            log::info!(target: "run", id = &*sample.id, upstream = &*self.engine.id, position,
+                status = answer.status().as_u16(), answers = head.attempt_id.as_deref().unwrap_or("nothing"); "rejected");
+        }
         {
             let mut tracker = self.app.engine_tracker.lock();
             if let Some(load) = head.load {
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -204,6 +204,11 @@
             .dialect
             .decode_answer_head(answer.status(), answer.headers());
         let took = app.clock.now() - started;
+        if head.not_executed || head.misdirected {
+            let position = net::Arrival::of(&answer).map_or(0, net::Arrival::position);
+            log::info!(target: "stream", id = &*self.request.id, upstream = &*upstream.id, position,
+                status = answer.status().as_u16(), answers = head.attempt_id.as_deref().unwrap_or("nothing"); "rejected");
+        }
         if head.not_executed {
             slot.record(PlaceResult::Rejected, took);
         }
