Attribute each answer of an upstream before anything in it counts

Cause: an upstream that sends an answer twice sends the copy where the answer to the next request on the connection is expected. A rejection was believed before its ID was compared, in three places (calls, streams, samples), so the copy of one order's rejection made the next order "not executed" while the upstream ran it. Besides, the load in a copy was believed, and the connection, which still owed the answer to the request that was sent, stayed open and in the pool: the upstream worked on for nobody, and the next request there would have got that answer.

Fix: `answer::send` and `answer::fetch` are the only ways to an upstream's answer, and give its status, statement, load and body only as those of the answer to this request (`Attribution::Own`). Anything else is `Foreign`: the outcome is unknown, nothing in it counts, and its connection is reset, also where the answer was read completely and the connection is back in the pool (`Arrival::close_connection`). The protocol has upstreams repeat the ID in each answer; one without an ID is believed only as the first answer on its connection, since later it may as well be a copy. What was not executed, and so the count for usage, the limit of attempts and the places in a service's window, follows from the same attribution.

--- a/crates/net/src/arrival.rs
+++ b/crates/net/src/arrival.rs
@@ -1,12 +1,17 @@
 //! How a response arrived: on which connection, and after how many other responses.
 //!
 //! A server may send a response twice. The copy arrives where the response to the next request on the connection is
-//! expected, so the sender of that request has to know whether the connection has carried responses before.
+//! expected. So the sender of that request has to know whether the connection has carried responses before, and has to
+//! close a connection that still owes the right one.
 
+use std::io;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::task::Context;
 
+use futures_util::task::AtomicWaker;
 use http::Response;
 
 /// The state of a connection that its responses refer to.
@@ -17,11 +22,45 @@
 struct Inner {
     /// Number of responses so far.
     responses: AtomicU64,
+    /// Whether the connection has to be closed.
+    is_closing: AtomicBool,
+    /// Wakes the task that reads from the connection.
+    reader: AtomicWaker,
+}
+
+impl ConnectionState {
+    /// Returns an error if the connection has to be closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`io::ErrorKind::ConnectionAborted`].
+    pub(crate) fn check(&self) -> io::Result<()> {
+        match self.0.is_closing.load(Ordering::Acquire) {
+            true => Err(io::ErrorKind::ConnectionAborted.into()),
+            false => Ok(()),
+        }
+    }
+
+    /// Like [`Self::check`], and has the reading task woken when the connection has to be closed later.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`io::ErrorKind::ConnectionAborted`].
+    pub(crate) fn check_read(&self, cx: &Context<'_>) -> io::Result<()> {
+        self.0.reader.register(cx.waker());
+        self.check()
+    }
+
+    fn close(&self) {
+        self.0.is_closing.store(true, Ordering::Release);
+        self.0.reader.wake();
+    }
 }
 
 /// How a response arrived.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    connection: ConnectionState,
     position: u64,
 }
 
@@ -42,13 +81,21 @@
     pub fn position(&self) -> u64 {
         self.position
     }
+
+    /// Closes the connection with a reset, also if the response was read completely. No further request is sent on it.
+    pub fn close_connection(&self) {
+        self.connection.close();
+    }
 }
 
 /// Counts a response on its connection, and records there how it arrived.
 pub(crate) fn record<B>(response: &mut Response<B>) {
-    let Some(connection) = response.extensions().get::<ConnectionState>() else {
+    let Some(connection) = response.extensions().get::<ConnectionState>().cloned() else {
         return;
     };
     let position = connection.0.responses.fetch_add(1, Ordering::Relaxed) + 1;
-    response.extensions_mut().insert(Arrival { position });
+    response.extensions_mut().insert(Arrival {
+        connection,
+        position,
+    });
 }
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -79,6 +79,12 @@
 }
 
 impl CheckedStream {
+    /// Returns an error if nothing may be written now.
+    fn check(&self) -> io::Result<()> {
+        self.state.check()?;
+        self.current.check()
+    }
+
     /// Records a write. If the condition has ended since the check, as happens when the process is paused between the
     /// two, the error closes the connection, and the reset cancels the request at the server.
     fn finish_write(&self, written: usize) -> Poll<io::Result<usize>> {
@@ -105,6 +111,7 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        self.state.check_read(cx)?;
         let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
         // The server has answered or closed the connection: the request is written.
         self.current.clear();
@@ -118,7 +125,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.current.check()?;
+        self.check()?;
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
         self.finish_write(written)
     }
@@ -128,7 +135,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.current.check()?;
+        self.check()?;
         let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
         self.finish_write(written)
     }
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -173,3 +173,56 @@
     assert!(second.is_ok(), "{second:?}");
     server.await.unwrap();
 }
+
+/// Reads requests without a body from one connection, and answers each with `responses` in turn, until the client
+/// closes it; returns the number of requests.
+async fn serve_connection(listener: TcpListener, responses: &'static [&'static str]) -> usize {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buffer = [0; 4 << 10];
+    let mut requests = 0;
+    while let Ok(1..) = stream.read(&mut buffer).await {
+        let response = responses[requests % responses.len()];
+        requests += 1;
+        stream.write_all(response.as_bytes()).await.unwrap();
+    }
+    requests
+}
+
+const EMPTY_RESPONSE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+async fn get(client: &net::Client, uri: &str) -> http::Response<hyper::body::Incoming> {
+    let request = Request::get(uri).body(Full::default()).unwrap();
+    client.send(request, Duration::from_secs(5)).await.unwrap()
+}
+
+#[tokio::test]
+async fn responses_are_counted_on_their_connection() {
+    let (listener, uri) = listen().await;
+    tokio::spawn(serve_connection(listener, &[EMPTY_RESPONSE]));
+    let client = net::Client::new();
+    let mut positions = Vec::new();
+
+    for _ in 0..3 {
+        let response = get(&client, &uri).await;
+        positions.push(net::Arrival::of(&response).unwrap().position());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+
+    assert_eq!(positions, [1, 2, 3]);
+}
+
+// Guards against a connection that stays open although it owes the answer to another request: the answer that showed
+// it was read completely, so the connection is back in the pool.
+#[tokio::test]
+async fn a_connection_in_the_pool_is_closed_on_demand() {
+    let (listener, uri) = listen().await;
+    let server = tokio::spawn(serve_connection(listener, &[EMPTY_RESPONSE]));
+    let client = net::Client::new();
+    let response = get(&client, &uri).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    net::Arrival::of(&response).unwrap().close_connection();
+
+    let requests = tokio::time::timeout(Duration::from_secs(1), server).await;
+    assert_eq!(requests.unwrap().unwrap(), 1);
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -24,6 +24,10 @@
 use tokio::time::timeout;
 
 use crate::App;
+use crate::answer;
+use crate::answer::Attribution;
+use crate::answer::Outbound;
+use crate::answer::Statement;
 use crate::call_queue::PlaceResult;
 use crate::call_queue::QueueRefusal;
 use crate::call_queue::QueuedCall;
@@ -331,12 +335,12 @@
     let started = request.app.clock.now();
     let number = request.record_send();
     let limit = Duration::from_millis(limit_ms);
-    let condition = request.send_condition();
-    let answer = request
-        .app
-        .http
-        .fetch_if(http_request, limit, MAX_ANSWER_BYTES, condition)
-        .await;
+    let outbound = Outbound {
+        request: http_request,
+        id: Some(request.id.clone()),
+        condition: request.send_condition(),
+    };
+    let answer = answer::fetch(&request.app, outbound, limit, MAX_ANSWER_BYTES).await;
     let took = request.app.clock.now() - started;
     let is_broken = matches!(answer, Err(SendError::Broken));
     let result = classify(request, &mut slot, answer, took);
@@ -358,13 +362,19 @@
 fn classify(
     request: &ForwardedRequest,
     slot: &mut UpstreamSlot,
-    answer: Result<Response<Bytes>, SendError>,
+    answer: Result<Attribution<Bytes>, SendError>,
     took: Millis,
 ) -> AttemptOutcome {
     let upstream = slot.upstream.clone();
     let now = request.app.clock.now();
     let answer = match answer {
-        Ok(answer) => answer,
+        Ok(Attribution::Own(answer)) => answer,
+        Ok(Attribution::Foreign) => {
+            slot.record(PlaceResult::Unanswered, took);
+            let mut tracker = request.app.service_tracker.lock();
+            tracker.engine_failed(&upstream.id, now);
+            return AttemptOutcome::Unknown;
+        }
         Err(error) => {
             slot.record(PlaceResult::Unanswered, took);
             if !matches!(error, SendError::Forbidden) {
@@ -380,38 +390,32 @@
             };
         }
     };
-    let head = request
-        .app
-        .dialect
-        .decode_answer_head(answer.status(), answer.headers());
-    if head.not_executed || head.misdirected {
-        let position = net::Arrival::of(&answer).map_or(0, net::Arrival::position);
-        log::info!(target: "forward", id = &*request.id, upstream = &*upstream.id, position,
-            status = answer.status().as_u16(), answers = head.attempt_id.as_deref().unwrap_or("nothing"); "rejected");
-    }
     let mut tracker = request.app.service_tracker.lock();
-    if let Some(load) = head.load {
+    if let Some(load) = answer.load {
         tracker.load_reported(&upstream.id, load, now);
     }
-    if head.not_executed {
-        slot.record(PlaceResult::Rejected, took);
-    }
-    if head.not_executed || head.misdirected {
-        tracker.engine_busy(&upstream.id, now + BUSY_BACKOFF);
-        return AttemptOutcome::NotExecuted;
-    }
-    if let (Some(id), Some(signature)) = (&head.attempt_id, head.signature)
-        && **id == *request.id
-    {
-        tracker.event_received(&upstream.id, took as f64);
-        drop(tracker);
-        slot.record_answer(head.load, took);
-        request.record_answer(answer.status());
-        return AttemptOutcome::Answer(answer, signature);
+    match answer.statement.clone() {
+        Statement::Rejected => {
+            slot.record(PlaceResult::Rejected, took);
+            tracker.engine_busy(&upstream.id, now + BUSY_BACKOFF);
+            AttemptOutcome::NotExecuted
+        }
+        Statement::Misdirected => {
+            tracker.engine_busy(&upstream.id, now + BUSY_BACKOFF);
+            AttemptOutcome::NotExecuted
+        }
+        Statement::Executed(signature) => {
+            tracker.event_received(&upstream.id, took as f64);
+            drop(tracker);
+            slot.record_answer(answer.load, took);
+            request.record_answer(answer.status);
+            AttemptOutcome::Answer(answer.into_response(), signature)
+        }
+        Statement::Unsigned => {
+            tracker.engine_failed(&upstream.id, now);
+            drop(tracker);
+            answer.log_unsigned(&request.id, &upstream.id);
+            AttemptOutcome::Unknown
+        }
     }
-    tracker.engine_failed(&upstream.id, now);
-    let status = answer.status().as_u16();
-    log::warn!(target: "forward", id = &*request.id, upstream = &*upstream.id, status,
-        answers = head.attempt_id.as_deref().unwrap_or("nothing"); "answer does not match the request");
-    AttemptOutcome::Unknown
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`control`] is the leader, which orders loads and takes over steps whose owner is gone.
 
 mod access;
+mod answer;
 pub mod app;
 mod call_queue;
 pub mod control;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -8,7 +8,6 @@
 use batch::Draft;
 use batch::Permit;
 use batch::Sample;
-use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
 use kernel::Millis;
@@ -24,6 +23,11 @@
 use tokio::time::timeout;
 
 use crate::App;
+use crate::answer;
+use crate::answer::Answer;
+use crate::answer::Attribution;
+use crate::answer::Outbound;
+use crate::answer::Statement;
 use crate::engine_loads;
 use crate::events::Events;
 use crate::events::NextEvent;
@@ -223,10 +227,14 @@
             }
         };
         // The process may be paused, or the step may end, until the request is written.
-        let condition = self.owned.send_condition(&self.app, self.permit);
-        let answer = self.app.http.send_if(request, ANSWER_TIMEOUT, condition);
-        match answer.await {
-            Ok(answer) => self.handle_answer(sample, draft, answer, slot).await,
+        let outbound = Outbound {
+            request,
+            id: Some(sample.id.clone()),
+            condition: self.owned.send_condition(&self.app, self.permit),
+        };
+        match answer::send(&self.app, outbound, ANSWER_TIMEOUT).await {
+            Ok(Attribution::Own(answer)) => self.handle_answer(sample, draft, answer, slot).await,
+            Ok(Attribution::Foreign) => RunOutcome::Broken("answer of something else"),
             Err(net::SendError::Forbidden) => RunOutcome::PermitExpired,
             Err(net::SendError::Unconnected) => RunOutcome::Broken("no connection"),
             Err(net::SendError::Timeout) => RunOutcome::Broken("no answer"),
@@ -238,45 +246,35 @@
         &self,
         sample: &Sample,
         draft: &Mutex<Draft>,
-        answer: Response<Incoming>,
+        answer: Answer<Incoming>,
         slot: &EngineSlot<'_>,
     ) -> RunOutcome {
-        let now = self.app.clock.now();
-        let head = self
-            .app
-            .dialect
-            .decode_answer_head(answer.status(), answer.headers());
-        if head.not_executed || head.misdirected {
-            let position = net::Arrival::of(&answer).map_or(0, net::Arrival::position);
-            log::info!(target: "run", id = &*sample.id, upstream = &*self.engine.id, position,
-                status = answer.status().as_u16(), answers = head.attempt_id.as_deref().unwrap_or("nothing"); "rejected");
-        }
-        {
-            let mut tracker = self.app.engine_tracker.lock();
-            if let Some(load) = head.load {
-                tracker.load_reported(&self.engine.id, load, now);
-                self.record_pace(&mut tracker, load.pace, now);
+        self.record_load(&answer);
+        match &answer.statement {
+            Statement::Executed(_) => (),
+            Statement::Rejected => {
+                engine_loads::record_rejection(self, answer.load, slot.started_at);
+                return RunOutcome::NotExecuted;
             }
-            if head.misdirected {
-                tracker.engine_busy(&self.engine.id, now + BUSY_BACKOFF);
+            Statement::Misdirected => {
+                let busy_until = self.app.clock.now() + BUSY_BACKOFF;
+                let mut tracker = self.app.engine_tracker.lock();
+                tracker.engine_busy(&self.engine.id, busy_until);
                 return RunOutcome::NotExecuted;
             }
+            Statement::Unsigned => {
+                answer.log_unsigned(&sample.id, &self.engine.id);
+                return RunOutcome::Broken("not signed");
+            }
         }
-        if head.not_executed {
-            engine_loads::record_rejection(self, head.load, slot.started_at);
-            return RunOutcome::NotExecuted;
-        }
-        if head.attempt_id.as_deref() != Some(&*sample.id) || head.signature.is_none() {
-            return RunOutcome::Broken("answer of something else");
-        }
-        match answer.status() {
+        match answer.status {
             StatusCode::OK => (),
             StatusCode::UNPROCESSABLE_ENTITY => return RunOutcome::Rejected,
             _ => return RunOutcome::Failed,
         }
         engine_loads::record_accepted(self, slot.started_at);
-        let mut events = Events::new(answer.into_body());
-        let Some(version) = head.version else {
+        let mut events = Events::new(answer.body);
+        let Some(version) = answer.version else {
             return read_unversioned(draft, &mut events).await;
         };
         if !self.accepts_version(&draft.lock(), version) {
@@ -285,6 +283,17 @@
         self.read_events(sample, draft, version, events, slot).await
     }
 
+    /// Records the load that the engine has reported.
+    fn record_load(&self, answer: &Answer<Incoming>) {
+        let Some(load) = answer.load else {
+            return;
+        };
+        let now = self.app.clock.now();
+        let mut tracker = self.app.engine_tracker.lock();
+        tracker.load_reported(&self.engine.id, load, now);
+        self.record_pace(&mut tracker, load.pace, now);
+    }
+
     /// Records the pace that the engine has reported.
     fn record_pace(&self, tracker: &mut EngineTracker, pace: Option<u32>, now: Millis) {
         let Some(pace) = pace.filter(|_| self.app.settings.placement.critical_moves) else {
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -24,6 +24,11 @@
 use tokio::time::timeout;
 
 use crate::App;
+use crate::answer;
+use crate::answer::Answer;
+use crate::answer::Attribution;
+use crate::answer::Outbound;
+use crate::answer::Statement;
 use crate::call_queue::PlaceResult;
 use crate::call_queue::QueueRefusal;
 use crate::call_queue::QueuedCall;
@@ -43,7 +48,7 @@
 /// The outcome of one attempt.
 enum AttemptOutcome {
     /// The head of the answer.
-    Stream(Box<Response<Incoming>>, UpstreamSlot),
+    Stream(Box<Answer<Incoming>>, UpstreamSlot),
     /// The upstream has not executed the request and never will.
     NotExecuted,
     /// The request was not executed: its service is busy for so many milliseconds.
@@ -177,9 +182,19 @@
         let left = Duration::from_millis(self.request.time_left());
         let app = &self.request.app;
         let started = app.clock.now();
-        let condition = self.request.send_condition();
-        let answer = match app.http.send_if(request, left, condition).await {
-            Ok(answer) => answer,
+        let outbound = Outbound {
+            request,
+            id: Some(self.request.id.clone()),
+            condition: self.request.send_condition(),
+        };
+        let answer = match answer::send(app, outbound, left).await {
+            Ok(Attribution::Own(answer)) => answer,
+            Ok(Attribution::Foreign) => {
+                slot.record(PlaceResult::Unanswered, app.clock.now() - started);
+                let mut tracker = app.service_tracker.lock();
+                tracker.engine_failed(&upstream.id, app.clock.now());
+                return AttemptOutcome::Unknown;
+            }
             Err(error) => {
                 slot.record(PlaceResult::Unanswered, app.clock.now() - started);
                 if !matches!(error, SendError::Forbidden) {
@@ -198,42 +213,36 @@
                 };
             }
         };
-        let head = self
-            .request
-            .app
-            .dialect
-            .decode_answer_head(answer.status(), answer.headers());
         let took = app.clock.now() - started;
-        if head.not_executed || head.misdirected {
-            let position = net::Arrival::of(&answer).map_or(0, net::Arrival::position);
-            log::info!(target: "stream", id = &*self.request.id, upstream = &*upstream.id, position,
-                status = answer.status().as_u16(), answers = head.attempt_id.as_deref().unwrap_or("nothing"); "rejected");
-        }
-        if head.not_executed {
-            slot.record(PlaceResult::Rejected, took);
-        }
-        if head.not_executed || head.misdirected {
-            return AttemptOutcome::NotExecuted;
-        }
-        slot.record_answer(head.load, took);
-        match head.attempt_id.as_deref() == Some(&*self.request.id) && head.signature.is_some() {
-            true => AttemptOutcome::Stream(Box::new(answer), slot),
-            false => AttemptOutcome::Unknown,
+        match &answer.statement {
+            Statement::Rejected => {
+                slot.record(PlaceResult::Rejected, took);
+                AttemptOutcome::NotExecuted
+            }
+            Statement::Misdirected => AttemptOutcome::NotExecuted,
+            Statement::Executed(_) => {
+                slot.record_answer(answer.load, took);
+                AttemptOutcome::Stream(Box::new(answer), slot)
+            }
+            Statement::Unsigned => {
+                slot.record_answer(answer.load, took);
+                answer.log_unsigned(&self.request.id, &upstream.id);
+                AttemptOutcome::Unknown
+            }
         }
     }
 
-    async fn answer(self, answer: Response<Incoming>, slot: UpstreamSlot) -> Reply {
-        let (head, body) = answer.into_parts();
-        if head.status != StatusCode::OK {
-            return self.reply_whole(head, body).await;
+    async fn answer(self, answer: Answer<Incoming>, slot: UpstreamSlot) -> Reply {
+        if answer.status != StatusCode::OK {
+            return self.reply_whole(answer).await;
         }
         let (sender, out) = net::body::stream();
         let mut reply = Response::new(out);
-        *reply.status_mut() = head.status;
-        *reply.headers_mut() = self.request.app.dialect.reply_headers(&head.headers);
+        *reply.status_mut() = answer.status;
+        *reply.headers_mut() = self.request.app.dialect.reply_headers(&answer.headers);
         tokio::spawn(async move {
             let id = self.request.id.clone();
-            let is_complete = self.pump(body, slot, &sender).await;
+            let is_complete = self.pump(answer.body, slot, &sender).await;
             if !is_complete {
                 log::info!(target: "stream", id = &*id; "stream aborted");
                 // The caller must not take a partial answer for a complete one.
@@ -245,14 +254,14 @@
     }
 
     /// Forwards an answer that is not a stream, once it is complete.
-    async fn reply_whole(self, head: http::response::Parts, body: Incoming) -> Reply {
-        let Ok(bytes) = net::body::read(body, MAX_ANSWER_BYTES).await else {
+    async fn reply_whole(self, answer: Answer<Incoming>) -> Reply {
+        let Ok(bytes) = net::body::read(answer.body, MAX_ANSWER_BYTES).await else {
             return Refusal::OutcomeUnknown.reply();
         };
-        self.request.record_answer(head.status);
+        self.request.record_answer(answer.status);
         let mut reply = Response::new(net::body::full(bytes));
-        *reply.status_mut() = head.status;
-        *reply.headers_mut() = self.request.app.dialect.reply_headers(&head.headers);
+        *reply.status_mut() = answer.status;
+        *reply.headers_mut() = self.request.app.dialect.reply_headers(&answer.headers);
         reply
     }
 
@@ -289,7 +298,7 @@
                     }
                     match self.open(last.as_deref()).await {
                         AttemptOutcome::Stream(answer, next) => {
-                            events = Events::new(answer.into_body());
+                            events = Events::new(answer.body);
                             slot = Some(next);
                         }
                         AttemptOutcome::NotExecuted
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -16,6 +16,9 @@
 /// Attempts at upstreams, by outcome.
 pub const ATTEMPTS: &str = "snipeway_upstream_attempts_total";
 
+/// Answers of upstreams that belong to another request than the one that was sent.
+pub const FOREIGN_ANSWERS: &str = "snipeway_foreign_answers_total";
+
 /// Runs for which a better engine was found, by outcome.
 pub const MOVES: &str = "snipeway_moves_total";
 
@@ -112,6 +115,10 @@
         "time until callers had their answer"
     );
     metrics::describe_counter!(ATTEMPTS, "attempts at upstreams by outcome");
+    metrics::describe_counter!(
+        FOREIGN_ANSWERS,
+        "answers of upstreams that belong to another request"
+    );
     metrics::describe_counter!(MOVES, "runs for which a better engine was found by outcome");
     metrics::describe_gauge!(WAITING_CALLS, "calls that wait here by service");
     metrics::describe_histogram!(
