Attribute the answers to queries of engines' states and to load orders

A copy of the answer to a sample was decoded as the state of an engine, or its status taken for the outcome of a load order (a 200 means that the engine has the version already), and the connection went on owing the right answer: a sample got an engine's state as its answer.

Both carry no ID, so an answer that has one belongs to something else; its connection is closed as any other's. A copy of an earlier state or outcome has no ID either and cannot be told apart: orders carry the number of orders before them and are checked by a later query, so it costs a moment and breaks nothing.

For load orders the same function is used; no test of their own.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -13,11 +13,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use net::SendCondition;
 use table::Upstream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::App;
+use crate::answer;
+use crate::answer::Attribution;
+use crate::answer::Outbound;
 use crate::dialect::DialectError;
 use crate::dialect::ReportedState;
 use crate::replication;
@@ -124,6 +128,9 @@
     /// The answer does not follow the protocol.
     #[error(transparent)]
     Dialect(#[from] DialectError),
+    /// The answer belongs to another request.
+    #[error("the answer belongs to another request")]
+    Foreign,
     /// The engine was restarted, and the list still names its previous start.
     #[error("another start answers")]
     Start,
@@ -144,11 +151,16 @@
         .uri(net::client::uri(engine.addr, path))
         .body(http_body_util::Full::default())?;
     let sent_at = app.clock.now();
-    let answer = app
-        .http
-        .fetch(request, STATE_TIMEOUT, MAX_STATE_BYTES)
-        .await?;
-    let state = app.dialect.decode_state(answer.body())?;
+    let outbound = Outbound {
+        request,
+        id: None,
+        condition: SendCondition::new(|| true),
+    };
+    let answer = match answer::fetch(app, outbound, STATE_TIMEOUT, MAX_STATE_BYTES).await? {
+        Attribution::Own(answer) => answer,
+        Attribution::Foreign => return Err(StateError::Foreign),
+    };
+    let state = app.dialect.decode_state(&answer.body)?;
     // The answer is valid for the new start only, which the list will name within a second or two.
     if let (Some(started_at), Some(listed)) = (state.started_at, engine.incarnation.started_at)
         && started_at != listed
--- a/crates/node/src/control/load_orders.rs
+++ b/crates/node/src/control/load_orders.rs
@@ -22,6 +22,9 @@
 use super::load_notices::LoadNotices;
 use super::targets::Targets;
 use crate::App;
+use crate::answer;
+use crate::answer::Attribution;
+use crate::answer::Outbound;
 use crate::dialect::EngineOrder;
 use crate::dialect::EngineOrderOutcome;
 use crate::dialect::ReportedState;
@@ -275,11 +278,14 @@
                 return Err(SendError::Garbled);
             }
         };
-        let answer = self
-            .app
-            .http
-            .fetch_if(request, ORDER_TIMEOUT, MAX_ANSWER_BYTES, condition)
-            .await?;
-        Ok(self.app.dialect.engine_order_outcome(answer.status()))
+        let outbound = Outbound {
+            request,
+            id: None,
+            condition,
+        };
+        match answer::fetch(self.app, outbound, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await? {
+            Attribution::Own(answer) => Ok(self.app.dialect.engine_order_outcome(answer.status)),
+            Attribution::Foreign => Err(SendError::Garbled),
+        }
     }
 }
