Log at which event a stream was resumed, with which status, and where it ended

Hypotheses: the answer to the resumed request is no stream of events and is read as one (the claim), or the connection of the first run broke in a way that looks like the regular end, or the resumed run ended too early by itself. `stream resumed` and `stream ended` tell them apart: the status of the resumed run, and the last event at the end.

--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -286,6 +286,8 @@
                     }
                 }
                 NextEvent::End => {
+                    log::info!(target: "stream", id = &*self.request.id,
+                        to = last.as_deref().unwrap_or("nothing"); "stream ended");
                     self.request.record_answer(StatusCode::OK);
                     return true;
                 }
@@ -298,6 +300,9 @@
                     }
                     match self.open(last.as_deref()).await {
                         AttemptOutcome::Stream(answer, next) => {
+                            log::info!(target: "stream", id = &*self.request.id, upstream = &*next.upstream.id,
+                                status = answer.status.as_u16(), first = last.as_deref().unwrap_or("nothing");
+                                "stream resumed");
                             events = Events::new(answer.body);
                             slot = Some(next);
                         }
