Check that an answer continues a stream before any of it counts as the rest

Cause: the status of the first answer to a stream was checked, that of the answer to a request to continue it was not. Its body was read as events whatever it was: an empty 500 was the regular end, a body that ends with a blank line went to the caller as an event. Nothing compared the numbers either, so a gap, a repetition or a block without a number was forwarded, and after a block without a number the next run sent it again. Samples had checks of their own, but not of the type: an empty 200 of another type ended a sample as complete.

Fix: `event_run` decides for calls and samples alike whether an answer is a run of events (status 200, type of an event stream or none named) and whether each event follows the last one. An answer that does not continue the stream counts as an attempt that failed: the next upstream is asked within `MaxAttempts` and the time left, and when none is left the caller's connection is reset. A continuing run has to begin with the next event; a stream with text of no event is not continued, comments apart. The broken run's connection is closed before another upstream is asked. A regular end right after the last event still ends a stream: that is how an upstream answers when nothing is left.

--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -22,6 +22,18 @@
     Broken,
 }
 
+/// Returns whether all lines of a block are comments.
+///
+/// # Examples
+///
+/// ```
+/// assert!(node::events::is_comment(": keep-alive"));
+/// assert!(!node::events::is_comment(": keep-alive\ndata: a"));
+/// ```
+pub fn is_comment(block: &str) -> bool {
+    block.lines().all(|line| line.starts_with(':'))
+}
+
 /// Splits a stream of bytes into events.
 ///
 /// # Examples
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod dependency;
 pub mod dialect;
 mod engine_loads;
+mod event_run;
 pub mod events;
 mod fingerprint;
 pub mod forward;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -29,8 +29,10 @@
 use crate::answer::Outbound;
 use crate::answer::Statement;
 use crate::engine_loads;
-use crate::events::Events;
-use crate::events::NextEvent;
+use crate::event_run;
+use crate::event_run::EventRun;
+use crate::event_run::OpenError;
+use crate::event_run::RunItem;
 use crate::fingerprint;
 use crate::owner::OwnedStep;
 
@@ -54,6 +56,9 @@
 /// The connection broke during the answer.
 const STREAM_BROKE: &str = "stream broke";
 
+/// An event did not follow the last one.
+const OUT_OF_SEQUENCE: &str = "event out of turn";
+
 /// Reasons for which a run breaks off when its engine crashes.
 const CRASH_REASONS: [&str; 2] = [CONNECTION_BROKE, STREAM_BROKE];
 
@@ -267,14 +272,19 @@
                 return RunOutcome::Broken("not signed");
             }
         }
-        match answer.status {
-            StatusCode::OK => (),
-            StatusCode::UNPROCESSABLE_ENTITY => return RunOutcome::Rejected,
-            _ => return RunOutcome::Failed,
+        match event_run::check_head(answer.status, &answer.headers) {
+            Ok(()) => (),
+            Err(OpenError::Status(StatusCode::UNPROCESSABLE_ENTITY)) => {
+                return RunOutcome::Rejected;
+            }
+            Err(OpenError::Status(_)) => return RunOutcome::Failed,
+            Err(error @ OpenError::ContentType) => return RunOutcome::Broken(error.reason()),
         }
         engine_loads::record_accepted(self, slot.started_at);
-        let mut events = Events::new(answer.body);
-        let Some(version) = answer.version else {
+        let version = answer.version;
+        let last_event = draft.lock().last_event;
+        let mut events = EventRun::new(&self.app.dialect, answer, Some(last_event));
+        let Some(version) = version else {
             return read_unversioned(draft, &mut events).await;
         };
         if !self.accepts_version(&draft.lock(), version) {
@@ -319,7 +329,7 @@
         sample: &Sample,
         draft: &Mutex<Draft>,
         mut version: u64,
-        mut events: Events,
+        mut events: EventRun,
         slot: &EngineSlot<'_>,
     ) -> RunOutcome {
         let tokens = u64::from(self.app.engine_memory(&self.service).event_tokens);
@@ -327,17 +337,16 @@
         let mut received: u64 = 0;
         let mut gaps = RecentGaps::default();
         loop {
-            let next = timeout(EVENT_TIMEOUT, events.next()).await;
-            let block = match next {
-                Ok(NextEvent::Block(block)) => block,
-                Ok(NextEvent::End) if draft.lock().last_event > 0 => return RunOutcome::Completed,
-                Ok(NextEvent::End) => return RunOutcome::Broken("empty"),
-                Ok(NextEvent::Broken) => return RunOutcome::Broken(STREAM_BROKE),
+            let event = match timeout(EVENT_TIMEOUT, events.next()).await {
+                Ok(RunItem::Event(_, event)) => event,
+                Ok(RunItem::Comment(_)) => continue,
+                Ok(RunItem::End) if draft.lock().last_event > 0 => return RunOutcome::Completed,
+                Ok(RunItem::End) => return RunOutcome::Broken("empty"),
+                Ok(RunItem::Broken) => return RunOutcome::Broken(STREAM_BROKE),
+                Ok(RunItem::Unnumbered(_)) => return RunOutcome::Broken("no event"),
+                Ok(RunItem::OutOfSequence) => return RunOutcome::Broken(OUT_OF_SEQUENCE),
                 Err(_) => return RunOutcome::Broken("silent"),
             };
-            let Some(event) = self.app.dialect.decode_event(&block) else {
-                return RunOutcome::Broken("no event");
-            };
             if let Some(next) = event.version {
                 version = next;
                 if !self.accepts_version(&draft.lock(), version) {
@@ -345,7 +354,7 @@
                 }
             }
             if !draft.lock().add(event.number, &event.data, version) {
-                return RunOutcome::Broken("event out of turn");
+                return RunOutcome::Broken(OUT_OF_SEQUENCE);
             }
             let now = self.app.clock.now();
             received += 1;
@@ -417,9 +426,9 @@
 /// If a run broke off after the last event of its sample, the text is complete, but this instance does not know that.
 /// Continuing the run gives an answer without events, and so without a version. It has to count as the end of the
 /// sample, which would otherwise be requested repeatedly until its step ends.
-async fn read_unversioned(draft: &Mutex<Draft>, events: &mut Events) -> RunOutcome {
+async fn read_unversioned(draft: &Mutex<Draft>, events: &mut EventRun) -> RunOutcome {
     match timeout(EVENT_TIMEOUT, events.next()).await {
-        Ok(NextEvent::End) if draft.lock().last_event > 0 => RunOutcome::Completed,
+        Ok(RunItem::End) if draft.lock().last_event > 0 => RunOutcome::Completed,
         _ => RunOutcome::Broken("no version"),
     }
 }
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -3,6 +3,8 @@
 //! Events are forwarded as they arrive. A stream that breaks is resumed after its last event at another upstream
 //! where the route allows it; otherwise the answer is aborted, so that the caller does not take it for complete.
 
+mod pump;
+
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,18 +12,15 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::request::Parts;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use kernel::Millis;
 use net::Reply;
 use net::SendError;
-use net::body::Sender;
 use table::Config;
 use table::Route;
 use team::Principal;
-use tokio::time::timeout;
 
 use crate::App;
 use crate::answer;
@@ -33,15 +32,11 @@
 use crate::call_queue::QueueRefusal;
 use crate::call_queue::QueuedCall;
 use crate::dialect::Caller;
-use crate::events::Events;
-use crate::events::NextEvent;
+use crate::event_run;
 use crate::forwarded_request::ForwardedRequest;
 use crate::forwarded_request::UpstreamSlot;
 use crate::refusal::Refusal;
 
-/// Time without an event after which the upstream of a stream counts as lost.
-const MAX_EVENT_GAP: Duration = Duration::from_millis(1_500);
-
 /// Largest answer in bytes that is not a stream; it is buffered.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
@@ -59,6 +54,15 @@
     Unknown,
 }
 
+/// Why a run of a stream is opened.
+#[derive(Clone, Copy, Debug)]
+enum Opening<'a> {
+    /// It is the first one.
+    First,
+    /// The run before broke off after this event, if any.
+    Resumption(Option<&'a str>),
+}
+
 /// The state of one caller's stream.
 struct Stream {
     request: ForwardedRequest,
@@ -87,7 +91,7 @@
         last_event: caller.last_event.clone(),
         tried: Vec::new(),
     };
-    match stream.open(None).await {
+    match stream.open(Opening::First).await {
         AttemptOutcome::Stream(answer, slot) => {
             // Attempts to resume a stream that breaks neither take a place nor wait for one.
             stream.queued = None;
@@ -126,8 +130,8 @@
         AttemptOutcome::Busy(delay)
     }
 
-    /// Opens the stream after an event, trying one upstream after the other.
-    async fn open(&mut self, last: Option<&str>) -> AttemptOutcome {
+    /// Opens a run of the stream, trying one upstream after the other.
+    async fn open(&mut self, opening: Opening<'_>) -> AttemptOutcome {
         let resumable = self.route.resumable;
         let mut may_have_run = false;
         let mut why = "no upstream left";
@@ -145,7 +149,7 @@
                 }
             };
             self.tried.push(slot.upstream.id.clone());
-            match self.attempt(slot, last).await {
+            match self.attempt(slot, opening).await {
                 AttemptOutcome::NotExecuted => (),
                 AttemptOutcome::Unknown if resumable => may_have_run = true,
                 outcome => return outcome,
@@ -160,13 +164,17 @@
         }
     }
 
-    async fn attempt(&self, slot: UpstreamSlot, last: Option<&str>) -> AttemptOutcome {
+    async fn attempt(&self, slot: UpstreamSlot, opening: Opening<'_>) -> AttemptOutcome {
         let upstream = &slot.upstream;
+        let last = match opening {
+            Opening::First => None,
+            Opening::Resumption(last) => last,
+        };
         let Some(request) = self.request.build_request(upstream, last) else {
             return AttemptOutcome::NotExecuted;
         };
         let number = self.request.record_send();
-        let outcome = self.send_attempt(request, slot).await;
+        let outcome = self.send_attempt(request, slot, opening).await;
         if matches!(outcome, AttemptOutcome::NotExecuted) {
             self.request.mark_unexecuted(number);
         }
@@ -177,6 +185,7 @@
         &self,
         request: Request<Full<Bytes>>,
         mut slot: UpstreamSlot,
+        opening: Opening<'_>,
     ) -> AttemptOutcome {
         let upstream = slot.upstream.clone();
         let left = Duration::from_millis(self.request.time_left());
@@ -222,7 +231,10 @@
             Statement::Misdirected => AttemptOutcome::NotExecuted,
             Statement::Executed(_) => {
                 slot.record_answer(answer.load, took);
-                AttemptOutcome::Stream(Box::new(answer), slot)
+                match self.continues(&answer, &upstream.id, opening) {
+                    true => AttemptOutcome::Stream(Box::new(answer), slot),
+                    false => AttemptOutcome::Unknown,
+                }
             }
             Statement::Unsigned => {
                 slot.record_answer(answer.load, took);
@@ -232,8 +244,21 @@
         }
     }
 
+    /// Returns whether an answer can be the rest of the stream. The first one reaches the caller whatever it is.
+    fn continues(&self, answer: &Answer<Incoming>, upstream: &str, opening: Opening<'_>) -> bool {
+        let Opening::Resumption(last) = opening else {
+            return true;
+        };
+        let Err(error) = event_run::check_head(answer.status, &answer.headers) else {
+            return true;
+        };
+        log::warn!(target: "stream", id = &*self.request.id, upstream, status = answer.status.as_u16(),
+            first = last.unwrap_or("nothing"), why = error.reason(); "stream not resumed");
+        false
+    }
+
     async fn answer(self, answer: Answer<Incoming>, slot: UpstreamSlot) -> Reply {
-        if answer.status != StatusCode::OK {
+        if event_run::check_head(answer.status, &answer.headers).is_err() {
             return self.reply_whole(answer).await;
         }
         let (sender, out) = net::body::stream();
@@ -242,7 +267,7 @@
         *reply.headers_mut() = self.request.app.dialect.reply_headers(&answer.headers);
         tokio::spawn(async move {
             let id = self.request.id.clone();
-            let is_complete = self.pump(answer.body, slot, &sender).await;
+            let is_complete = self.pump(answer, slot, &sender).await;
             if !is_complete {
                 log::info!(target: "stream", id = &*id; "stream aborted");
                 // The caller must not take a partial answer for a complete one.
@@ -264,55 +289,4 @@
         *reply.headers_mut() = self.request.app.dialect.reply_headers(&answer.headers);
         reply
     }
-
-    /// Forwards events until the end; returns whether it was reached.
-    async fn pump(mut self, body: Incoming, slot: UpstreamSlot, sender: &Sender) -> bool {
-        let mut events = Events::new(body);
-        let mut slot = Some(slot);
-        let mut last = self.last_event.clone();
-        loop {
-            let next = tokio::select! {
-                next = timeout(MAX_EVENT_GAP, events.next()) => next.unwrap_or(NextEvent::Broken),
-                () = sender.closed() => return true
-            };
-            match next {
-                NextEvent::Block(block) => {
-                    if let Some(event) = self.request.app.dialect.decode_event(&block) {
-                        last = Some(event.number.to_string().into());
-                    }
-                    let block = Bytes::from(block + "\n\n");
-                    if sender.send(Ok(block)).await.is_err() {
-                        return true;
-                    }
-                }
-                NextEvent::End => {
-                    log::info!(target: "stream", id = &*self.request.id,
-                        to = last.as_deref().unwrap_or("nothing"); "stream ended");
-                    self.request.record_answer(StatusCode::OK);
-                    return true;
-                }
-                NextEvent::Broken => {
-                    if let Some(slot) = slot.take() {
-                        self.request.check_crash(&slot.upstream).await;
-                    }
-                    if !self.route.resumable {
-                        return false;
-                    }
-                    match self.open(last.as_deref()).await {
-                        AttemptOutcome::Stream(answer, next) => {
-                            log::info!(target: "stream", id = &*self.request.id, upstream = &*next.upstream.id,
-                                status = answer.status.as_u16(), first = last.as_deref().unwrap_or("nothing");
-                                "stream resumed");
-                            events = Events::new(answer.body);
-                            slot = Some(next);
-                        }
-                        AttemptOutcome::NotExecuted
-                        | AttemptOutcome::Busy(_)
-                        | AttemptOutcome::Quarantined(_)
-                        | AttemptOutcome::Unknown => return false,
-                    }
-                }
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/node/src/stream/pump.rs
@@ -0,0 +1,160 @@
+//! Forwards the events of a stream, from one run after the other, until the caller has all of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use hyper::body::Incoming;
+use net::body::Sender;
+use tokio::time::timeout;
+
+use super::AttemptOutcome;
+use super::Opening;
+use super::Stream;
+use crate::answer::Answer;
+use crate::event_run::EventRun;
+use crate::event_run::RunItem;
+use crate::forwarded_request::UpstreamSlot;
+
+/// Time without an event after which the upstream of a stream counts as lost.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(1_500);
+
+/// How the forwarding of a run ended.
+enum RunEnd {
+    /// The run has reached the end of the stream.
+    Complete,
+    /// The caller has closed its connection.
+    CallerLeft,
+    /// The connection to the upstream broke, or nothing more came.
+    Broken,
+    /// The run does not continue what the caller has received, for this reason.
+    Unusable(&'static str),
+}
+
+/// What to do with an item of a run.
+enum ItemAction {
+    Forward(String),
+    End(RunEnd),
+}
+
+/// What the caller has received so far.
+struct Progress {
+    /// The last event, as a header names it.
+    last: Option<Arc<str>>,
+    /// Whether another run can continue after the last event.
+    is_resumable: bool,
+    /// Whether the run has yet to show by an event that it continues the stream.
+    is_unconfirmed: bool,
+}
+
+impl Progress {
+    fn last_number(&self) -> Option<u64> {
+        self.last.as_ref()?.parse().ok()
+    }
+
+    fn advance(&mut self, item: RunItem) -> ItemAction {
+        match item {
+            RunItem::Event(block, event) => {
+                self.last = Some(event.number.to_string().into());
+                self.is_unconfirmed = false;
+                ItemAction::Forward(block)
+            }
+            RunItem::Comment(block) => ItemAction::Forward(block),
+            RunItem::Unnumbered(_) if self.is_unconfirmed => {
+                ItemAction::End(RunEnd::Unusable("no event"))
+            }
+            RunItem::Unnumbered(block) => {
+                // Another run would send it again.
+                self.is_resumable = false;
+                ItemAction::Forward(block)
+            }
+            RunItem::End => ItemAction::End(RunEnd::Complete),
+            RunItem::Broken => ItemAction::End(RunEnd::Broken),
+            RunItem::OutOfSequence => ItemAction::End(RunEnd::Unusable("event out of sequence")),
+        }
+    }
+}
+
+impl Stream {
+    /// Forwards the events of an answer, and of those that continue it, until the end; returns whether it was reached
+    /// or the caller has left.
+    pub(super) async fn pump(
+        mut self,
+        mut answer: Answer<Incoming>,
+        mut slot: UpstreamSlot,
+        sender: &Sender,
+    ) -> bool {
+        let mut progress = Progress {
+            last: self.last_event.clone(),
+            is_resumable: self.route.resumable,
+            is_unconfirmed: false,
+        };
+        loop {
+            match self.forward_run(answer, &mut progress, sender).await {
+                RunEnd::Complete => {
+                    self.request.record_answer(StatusCode::OK);
+                    log::info!(target: "stream", id = &*self.request.id,
+                        to = progress.last.as_deref().unwrap_or("nothing"); "stream ended");
+                    return true;
+                }
+                RunEnd::CallerLeft => return true,
+                RunEnd::Broken => self.request.check_crash(&slot.upstream).await,
+                RunEnd::Unusable(why) => {
+                    log::warn!(target: "stream", id = &*self.request.id, upstream = &*slot.upstream.id,
+                        to = progress.last.as_deref().unwrap_or("nothing"), why; "run does not continue the stream");
+                }
+            }
+            drop(slot);
+            (answer, slot) = match self.resume(&progress).await {
+                Some(next) => next,
+                None => return false,
+            };
+            progress.is_unconfirmed = true;
+        }
+    }
+
+    /// Forwards the events of one run. Its connection is closed when it ends before the stream does, so that the
+    /// upstream stops working on it.
+    async fn forward_run(
+        &self,
+        answer: Answer<Incoming>,
+        progress: &mut Progress,
+        sender: &Sender,
+    ) -> RunEnd {
+        let dialect = &self.request.app.dialect;
+        let mut run = EventRun::new(dialect, answer, progress.last_number());
+        loop {
+            let item = tokio::select! {
+                item = timeout(MAX_EVENT_GAP, run.next()) => item.unwrap_or(RunItem::Broken),
+                () = sender.closed() => return RunEnd::CallerLeft,
+            };
+            let block = match progress.advance(item) {
+                ItemAction::Forward(block) => block,
+                ItemAction::End(end) => return end,
+            };
+            if sender.send(Ok(Bytes::from(block + "\n\n"))).await.is_err() {
+                return RunEnd::CallerLeft;
+            }
+        }
+    }
+
+    /// Has another upstream continue the stream; [`None`] if none does.
+    async fn resume(&mut self, progress: &Progress) -> Option<(Answer<Incoming>, UpstreamSlot)> {
+        if !progress.is_resumable {
+            return None;
+        }
+        let opening = Opening::Resumption(progress.last.as_deref());
+        match self.open(opening).await {
+            AttemptOutcome::Stream(answer, slot) => {
+                log::info!(target: "stream", id = &*self.request.id, upstream = &*slot.upstream.id,
+                    first = progress.last.as_deref().unwrap_or("nothing"); "stream resumed");
+                Some((*answer, slot))
+            }
+            AttemptOutcome::NotExecuted
+            | AttemptOutcome::Busy(_)
+            | AttemptOutcome::Quarantined(_)
+            | AttemptOutcome::Unknown => None,
+        }
+    }
+}
