Let requests end until the last sixth of a stop, and hand over beside them

Cause: requests and steps together, one after the other, had 0.75 of the stop grace, and the rest was for the removal of the entry alone. What ran then was cut by the end of the process. The time for accepting requests did not follow from the grace at all.

Fix: `leave::StopSchedule` divides the stop grace: requests are accepted for 2.5 s, at most a half; requests and steps end beside each other within 11/12, which leaves half of the last sixth for the last bytes to callers; the removal of the entry has 1/24 and is given up then (the entry expires by itself), so that a platform that does not answer does not hold up the stop; the rest is for log lines.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod frontend;
 pub mod handover;
 pub mod hint;
+pub mod leave;
 pub mod member;
 mod message;
 mod overload;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -22,7 +22,6 @@
 use tokio::signal::unix::signal;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::App;
 use crate::Dialect;
@@ -31,6 +30,7 @@
 use crate::dependency::DependencyStatus;
 use crate::frontend;
 use crate::hint;
+use crate::leave;
 use crate::member;
 use crate::overload;
 use crate::peer_relay::PeerRelay;
@@ -42,13 +42,6 @@
 use crate::slot_reports;
 use crate::telemetry;
 
-/// Time for which a leaving instance still accepts requests: callers' load balancers probe once a second and stop
-/// sending after two failed probes.
-const LEAVING_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
-
-/// Fraction of the stop grace after which the remaining work is left to other instances.
-const LEAVING_FRACTION: f64 = 0.75;
-
 /// Interval between reads of the settings file, which may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -156,27 +149,9 @@
         Ok(Self { app, drain, front })
     }
 
-    /// Stops gracefully: readiness ends, then no request is accepted, then running requests end. Other instances
-    /// take over unfinished steps.
-    pub async fn leave(mut self) {
-        let app = &self.app;
-        log::info!(target: "start", steps = app.running_steps.len(); "leaving");
-        app.start_leaving();
-        let time_left = Duration::from_millis(app.settings.stop_grace).mul_f64(LEAVING_FRACTION);
-        let ended = timeout(time_left, async {
-            if let Some(front) = self.front.take() {
-                sleep(LEAVING_ACCEPT_TIME).await;
-                self.drain.begin();
-                // A listener that has panicked has no requests left.
-                let _ = front.await;
-            }
-            while !app.running_steps.is_empty() {
-                sleep(Duration::from_millis(50)).await;
-            }
-        });
-        let whole = ended.await.is_ok();
-        member::remove_entry(app).await;
-        log::info!(target: "start", whole, steps = app.running_steps.len(); "stopped");
+    /// Stops gracefully, within the time that a stop may take.
+    pub async fn leave(self) {
+        leave::leave(&self.app, &self.drain, self.front).await;
     }
 }
 
