Let callers decide how long to wait for a stream that nobody else can continue

A stream without an event for 1.5 s was broken off to continue it at another upstream, also where its route does not allow that or where it had been sent to as many upstreams as allowed: the caller lost it for nothing. The limit now holds only while another upstream can continue the stream; otherwise it is the time that the request has.

--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -119,6 +119,10 @@
             .ok_or(QueueRefusal::NoUpstream)
     }
 
+    fn max_attempts(&self) -> usize {
+        self.route.max_attempts.max(1) as usize
+    }
+
     /// Returns the outcome of a stream that was not executed.
     fn not_executed(&self, why: &str) -> AttemptOutcome {
         let Some(queued) = &self.queued else {
@@ -140,7 +144,7 @@
                 "request crashes upstreams");
             return AttemptOutcome::Quarantined(left);
         }
-        while self.tried.len() < self.route.max_attempts.max(1) as usize {
+        while self.tried.len() < self.max_attempts() {
             let slot = match self.choose().await {
                 Ok(slot) => slot,
                 Err(refusal) => {
--- a/crates/node/src/stream/pump.rs
+++ b/crates/node/src/stream/pump.rs
@@ -17,7 +17,7 @@
 use crate::event_run::RunItem;
 use crate::forwarded_request::UpstreamSlot;
 
-/// Time without an event after which the upstream of a stream counts as lost.
+/// Time without an event after which a stream is continued at another upstream.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1_500);
 
 /// How the forwarding of a run ended.
@@ -125,8 +125,9 @@
         let dialect = &self.request.app.dialect;
         let mut run = EventRun::new(dialect, answer, progress.last_number());
         loop {
+            let max_gap = self.max_gap(progress);
             let item = tokio::select! {
-                item = timeout(MAX_EVENT_GAP, run.next()) => item.unwrap_or(RunItem::Broken),
+                item = timeout(max_gap, run.next()) => item.unwrap_or(RunItem::Broken),
                 () = sender.closed() => return RunEnd::CallerLeft,
             };
             let block = match progress.advance(item) {
@@ -139,6 +140,16 @@
         }
     }
 
+    /// Returns how long an event may take. Where no other upstream can continue the stream, its caller decides how long
+    /// to wait within the time that the request has.
+    fn max_gap(&self, progress: &Progress) -> Duration {
+        let is_last = self.tried.len() >= self.max_attempts();
+        match progress.is_resumable && !is_last {
+            true => MAX_EVENT_GAP,
+            false => MAX_EVENT_GAP.max(Duration::from_millis(self.request.time_left())),
+        }
+    }
+
     /// Has another upstream continue the stream; [`None`] if none does.
     async fn resume(&mut self, progress: &Progress) -> Option<(Answer<Incoming>, UpstreamSlot)> {
         if !progress.is_resumable {
