Follow the configuration and the upstreams for as long as steps run

A control instance that had led was killed and restarted, took back the step that it owned, and ran nothing of it; since it was live, nobody else took the step.

Cause: a control instance followed the configuration and the list of upstreams only while it led. A step that it owns outlasts the leadership, so after a restart it had neither, and after losing the lead it went on with those of that moment.

Fix: `replication::demand` keeps both current while a control instance leads or runs steps. Its steps wait for a confirmation of an old configuration as those of other instances do.

That a control instance that loses the lead goes on with the newest state follows from the same code and has no test of its own.

--- a/crates/node/src/access.rs
+++ b/crates/node/src/access.rs
@@ -20,7 +20,7 @@
 use crate::App;
 use crate::dialect::Caller;
 use crate::refusal::Refusal;
-use crate::settings::Role;
+use crate::replication;
 
 /// Divisor of `apply_limit`; the quotient is the age up to which a configuration counts as fresh. A newer one may
 /// have been acknowledged while this one was being read.
@@ -59,8 +59,7 @@
 pub(crate) fn needs_confirmation(app: &App) -> bool {
     let (age, now) = (config_age(app), app.clock.now());
     let config_use = app.confirmation.policy.lock().config_use(age, now);
-    // A control instance follows the configuration only while it leads.
-    let follows = app.settings.role == Role::Entry && app.config.load().is_some();
+    let follows = replication::needs_state(app) && app.config.load().is_some();
     follows && config_use == ConfigUse::Confirmed
 }
 
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -48,6 +48,7 @@
 use crate::overload::Overload;
 use crate::owner::OwnedStep;
 use crate::replication::ConfirmationState;
+use crate::replication::Demand;
 use crate::result_cache::ResultCache;
 use crate::slot_reports::Receivers;
 use crate::sync_status::SyncStatus;
@@ -114,6 +115,8 @@
     pub replica_changed: watch::Sender<()>,
     /// The confirmations of the configuration.
     pub(crate) confirmation: ConfirmationState,
+    /// Whether this instance needs the replica, if it is a control instance.
+    pub(crate) demand: Demand,
     /// Revision of the configuration that was last put in force.
     pub(crate) applied_config: Mutex<i64>,
     /// What the synchronisation of the configuration is doing.
@@ -189,6 +192,7 @@
             replica: Mutex::default(),
             replica_changed: watch::Sender::default(),
             confirmation,
+            demand: Demand::default(),
             applied_config: Mutex::default(),
             sync_status: Mutex::default(),
             running_steps: ShardedMap::new(),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -24,7 +24,7 @@
 use crate::answer::Outbound;
 use crate::dialect::DialectError;
 use crate::dialect::ReportedState;
-use crate::replication;
+use crate::replication::LeadershipGuard;
 use leadership::Leadership;
 
 /// Interval between two passes of the leader over the engines.
@@ -72,8 +72,8 @@
 async fn lead(app: &Arc<App>, leadership: Leadership) {
     let fence = leadership.fencing_token();
     log::info!(target: "control", fence; "became leader");
+    let _leading = LeadershipGuard::new(app);
     let mut tasks = JoinSet::new();
-    tasks.spawn(replication::follow(app.clone()));
     let targets = targets::Targets::default();
     tasks.spawn(targets::follow(app.clone(), targets.clone()));
     tasks.spawn(orphans::run(app.clone(), targets.clone()));
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -161,6 +161,7 @@
     if !registered {
         return;
     }
+    app.demand.step_started();
     app.result_caches.remove(&owned.step);
     hint::publish(app, &owned.step);
     let app = app.clone();
--- a/crates/node/src/replication.rs
+++ b/crates/node/src/replication.rs
@@ -3,6 +3,7 @@
 mod applied_state;
 mod config;
 mod confirmation;
+mod demand;
 mod reader;
 mod upstream_list;
 
@@ -28,6 +29,10 @@
 use crate::telemetry;
 use applied_state::AppliedState;
 pub(crate) use confirmation::ConfirmationState;
+pub(crate) use demand::Demand;
+pub(crate) use demand::LeadershipGuard;
+pub(crate) use demand::follow_on_demand;
+pub(crate) use demand::needs_state;
 use reader::PlatformReader;
 
 /// Longest time that a starting instance waits for the list of members, in milliseconds: it writes its own entry
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -134,7 +134,10 @@
         tokio::spawn(member::refresh_members(app.clone()));
         match app.settings.role {
             Role::Entry => drop(tokio::spawn(replication::follow(app.clone()))),
-            Role::Control => drop(tokio::spawn(control::run(app.clone()))),
+            Role::Control => {
+                tokio::spawn(control::run(app.clone()));
+                tokio::spawn(replication::follow_on_demand(app.clone()));
+            }
         }
         tokio::spawn(control::orphans::reclaim(app.clone()));
         tokio::spawn(prune_caches(app.clone()));
