Reach a team's step only by its own name

Names were tried as they came, after the one with the caller's own digest: a step accepted without a team is accessible to all. In the same way a submission was answered 202 as if it were known already, and an instance without a configuration served such a step without any key.

Cause: one set of names for records with and without a team, and nothing that tells a caller's name from a stored one.

Fix: `Principal::unscoped_name` is the only way from a caller's name to that of a record without a team, and gives none where the name has the form of those of teams' records. Reads, ends and submissions ask it. Where no teams are configured, names of any form are the caller's own; an instance that has no configuration yet answers 503 to them.

--- a/crates/node/src/access.rs
+++ b/crates/node/src/access.rs
@@ -103,10 +103,17 @@
 /// Returns the principal of a request that concerns a step submitted before.
 pub(crate) fn authorize_step(app: &App, caller: &Caller) -> Result<Principal, Refusal> {
     let Some(config) = app.config.load_full() else {
-        // A step submitted without a key is found without one. The team of a key is not known yet.
+        // A step submitted without a key is found without one, unless its name may be that of a team's step. The team of
+        // a key is not known yet.
+        let is_scoped = caller
+            .operation
+            .step()
+            .is_some_and(|step| team::has_scope(step));
         return match caller.credential {
-            Credential::None => Ok(Principal::NoTeams),
-            Credential::Malformed | Credential::Key(_) => Err(Refusal::NotExecuted),
+            Credential::None if !is_scoped => Ok(Principal::NoTeams),
+            Credential::None | Credential::Malformed | Credential::Key(_) => {
+                Err(Refusal::NotExecuted)
+            }
         };
     };
     authorize(app, &config, config.has_open_steps(&caller.host), caller)
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -87,12 +87,14 @@
 }
 
 impl Operation {
-    /// Returns whether the operation concerns a step submitted before.
-    pub fn concerns_step(&self) -> bool {
-        matches!(
-            self,
-            Self::ReadResults { .. } | Self::ReadBody { .. } | Self::EndStep { .. }
-        )
+    /// Returns the step submitted before that the operation concerns, if any.
+    pub fn step(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::ReadResults { step, .. }
+            | Self::ReadBody { step, .. }
+            | Self::EndStep { step } => Some(step),
+            Self::Route | Self::Invalid(_) => None,
+        }
     }
 }
 
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -28,12 +28,7 @@
     let (head, body) = split(call);
     let caller = app.dialect.decode_caller(&head);
     // Requests about a step carry no identifier of their own and are logged under the step's.
-    let id = match &caller.operation {
-        Operation::ReadResults { step, .. }
-        | Operation::ReadBody { step, .. }
-        | Operation::EndStep { step } => step.clone(),
-        Operation::Invalid(_) | Operation::Route => caller.id.clone(),
-    };
+    let id = caller.operation.step().unwrap_or(&caller.id).clone();
     let (route, mut reply) = dispatch(&app, head, caller, body).await;
     if app.is_leaving() {
         refusal::close_connection(&mut reply);
@@ -62,7 +57,7 @@
     caller: Caller,
     body: Body,
 ) -> (&'static str, Reply) {
-    if caller.operation.concerns_step() {
+    if caller.operation.step().is_some() {
         return dispatch_step(app, &caller).await;
     }
     match &caller.operation {
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -51,10 +51,11 @@
     if !keys::is_valid_name(step) {
         return Vec::new();
     }
-    match principal {
-        Principal::Team(_) => vec![principal.scoped_name(step), step.clone()],
-        Principal::NoTeams | Principal::Anonymous => vec![step.clone()],
-    }
+    let scoped = principal.team().map(|_| principal.scoped_name(step));
+    scoped
+        .into_iter()
+        .chain(principal.unscoped_name(step))
+        .collect()
 }
 
 /// Replies with the results of a step from a position on.
--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -112,12 +112,15 @@
     if app.is_leaving() {
         return Refusal::NotExecuted.reply();
     }
-    if !keys::is_valid_name(&caller.id) {
+    let unscoped_id = principal.unscoped_name(&caller.id);
+    // Without a team, a step would be stored under a name that may be that of a team's step.
+    let has_name = principal.team().is_some() || unscoped_id.is_some();
+    if !keys::is_valid_name(&caller.id) || !has_name {
         return Refusal::Invalid.reply();
     }
     let submission = Submission {
         id: principal.scoped_name(&caller.id),
-        legacy_id: principal.team().map(|_| caller.id.clone()),
+        legacy_id: unscoped_id.filter(|_| principal.team().is_some()),
         team: principal.team().cloned(),
         host: caller.host.clone(),
         path: head.uri.path().into(),
--- a/crates/team/src/lib.rs
+++ b/crates/team/src/lib.rs
@@ -14,6 +14,7 @@
 pub use key::Credential;
 pub use key::Key;
 pub use principal::Principal;
+pub use principal::has_scope;
 pub use teams::Team;
 pub use teams::Teams;
 pub use teams::TeamsError;
