--- a/crates/net/src/condition.rs
+++ b/crates/net/src/condition.rs
@@ -42,6 +42,17 @@
         Self(Arc::new(holds))
     }
 
+    /// Creates a condition that always holds.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert!(net::SendCondition::always().holds());
+    /// ```
+    pub fn always() -> Self {
+        Self::new(|| true)
+    }
+
     /// Returns whether the request may be sent now.
     pub fn holds(&self) -> bool {
         (self.0)()
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -154,7 +154,7 @@
     let outbound = Outbound {
         request,
         id: None,
-        condition: SendCondition::new(|| true),
+        condition: SendCondition::always(),
     };
     let answer = match answer::fetch(app, outbound, STATE_TIMEOUT, MAX_STATE_BYTES).await? {
         Attribution::Own(answer) => answer,
