--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,9 +6,12 @@
 //!
 //! - [`frontend`] handles callers' requests: [`forward`] forwards calls, [`steps`] handles operations on steps.
 //! - `overload` sheds calls while the instance lacks processor time.
+//! - `answer` sends requests to upstreams, and attributes what comes back before anything in it counts.
+//! - `event_run` checks that the events of a run continue those received before, for streams and samples.
 //! - [`owner`] runs the samples of the steps that this instance owns, each in [`mod@run`].
 //! - [`step_head`] decides by a step's head at the platform whether the step may start or continue.
 //! - [`replication`] keeps the configuration and the list of upstreams current.
+//! - [`leave`] stops the instance within the time that a stop may take.
 //! - [`control`] is the leader, which orders loads and takes over steps whose owner is gone.
 
 mod access;
