--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -21,6 +21,7 @@
 use table::Config;
 use table::Route;
 use team::Principal;
+use tokio::time::timeout;
 
 use crate::App;
 use crate::answer;
@@ -284,8 +285,11 @@
 
     /// Forwards an answer that is not a stream, once it is complete.
     async fn reply_whole(self, answer: Answer<Incoming>) -> Reply {
-        let Ok(bytes) = net::body::read(answer.body, MAX_ANSWER_BYTES).await else {
-            return Refusal::OutcomeUnknown.reply();
+        let left = Duration::from_millis(self.request.time_left());
+        let bytes = match timeout(left, net::body::read(answer.body, MAX_ANSWER_BYTES)).await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(_)) => return Refusal::OutcomeUnknown.reply(),
+            Err(_) => return Refusal::TimedOut.reply(),
         };
         self.request.record_answer(answer.status);
         let mut reply = Response::new(net::body::full(bytes));
