Name the upstream in the lines about its answers

`answer does not match the request` and `rejected` named the request alone, so an operator could not see which upstream sends answers twice.

--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -28,6 +28,8 @@
 pub(crate) struct Outbound {
     /// The request.
     pub(crate) request: Request<Full<Bytes>>,
+    /// The upstream, as it is named in the log.
+    pub(crate) upstream: Arc<str>,
     /// The ID that the upstream repeats in its answer; [`None`] for a request that has none.
     pub(crate) id: Option<Arc<str>>,
     /// The condition under which it may be sent.
@@ -116,11 +118,12 @@
 ) -> Result<Attribution<Incoming>, SendError> {
     let Outbound {
         request,
+        upstream,
         id,
         condition,
     } = outbound;
     let response = app.http.send_if(request, limit, condition).await?;
-    Ok(attribute(app, id.as_deref(), response))
+    Ok(attribute(app, &upstream, id.as_deref(), response))
 }
 
 /// Sends a request and reads the whole answer, both within `limit`.
@@ -145,9 +148,14 @@
         .unwrap_or(Err(SendError::Timeout))
 }
 
-/// Attributes an answer to the request with an ID. The connection of one that belongs to another request is closed,
+/// Attributes an answer of an upstream to the request with an ID. The connection of one that belongs to another request is closed,
 /// because it still owes the answer to this one, which whoever sent on it next would get.
-fn attribute<B>(app: &App, id: Option<&str>, response: Response<B>) -> Attribution<B> {
+fn attribute<B>(
+    app: &App,
+    upstream: &str,
+    id: Option<&str>,
+    response: Response<B>,
+) -> Attribution<B> {
     let head = app
         .dialect
         .decode_answer_head(response.status(), response.headers());
@@ -157,7 +165,7 @@
         if let Some(arrival) = arrival {
             arrival.close_connection();
         }
-        log::warn!(target: "answer", id = id.unwrap_or_default(), position,
+        log::warn!(target: "answer", id = id.unwrap_or_default(), upstream, position,
             status = response.status().as_u16(), answers = head.attempt_id.as_deref().unwrap_or("nothing");
             "answer does not match the request");
         metrics::counter!(telemetry::FOREIGN_ANSWERS).increment(1);
@@ -170,7 +178,7 @@
         None => Statement::Unsigned,
     };
     if matches!(statement, Statement::Rejected | Statement::Misdirected) {
-        log::info!(target: "answer", id = id.unwrap_or_default(), position,
+        log::info!(target: "answer", id = id.unwrap_or_default(), upstream, position,
             status = response.status().as_u16(); "rejected");
     }
     let (parts, body) = response.into_parts();
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -153,6 +153,7 @@
     let sent_at = app.clock.now();
     let outbound = Outbound {
         request,
+        upstream: engine.id.clone(),
         id: None,
         condition: SendCondition::always(),
     };
--- a/crates/node/src/control/load_orders.rs
+++ b/crates/node/src/control/load_orders.rs
@@ -219,7 +219,7 @@
             fencing_token: self.leadership.fencing_token(),
             prior_orders: state.accepted_orders,
         };
-        let result = self.send(&order, condition).await;
+        let result = self.send(engine, &order, condition).await;
         let (label, pause) = match result {
             Ok(EngineOrderOutcome::Accepted) => ("taken", LOAD_TIME),
             Ok(EngineOrderOutcome::Conflict) => ("conflict", ENGINE_BACKOFF),
@@ -267,6 +267,7 @@
 
     async fn send(
         &self,
+        engine: &Upstream,
         order: &EngineOrder,
         condition: SendCondition,
     ) -> Result<EngineOrderOutcome, SendError> {
@@ -280,6 +281,7 @@
         };
         let outbound = Outbound {
             request,
+            upstream: engine.id.clone(),
             id: None,
             condition,
         };
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -337,6 +337,7 @@
     let limit = Duration::from_millis(limit_ms);
     let outbound = Outbound {
         request: http_request,
+        upstream: upstream.id.clone(),
         id: Some(request.id.clone()),
         condition: request.send_condition(),
     };
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -234,6 +234,7 @@
         // The process may be paused, or the step may end, until the request is written.
         let outbound = Outbound {
             request,
+            upstream: self.engine.id.clone(),
             id: Some(sample.id.clone()),
             condition: self.owned.send_condition(&self.app, self.permit),
         };
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -198,6 +198,7 @@
         let started = app.clock.now();
         let outbound = Outbound {
             request,
+            upstream: upstream.id.clone(),
             id: Some(self.request.id.clone()),
             condition: self.request.send_condition(),
         };
