Say in the field's terms why an answer is attributed

Cause of a duplicate answer's harm, as the code states it now: HTTP/1.1 matches answers to requests by their order alone.

--- a/crates/net/src/arrival.rs
+++ b/crates/net/src/arrival.rs
@@ -1,8 +1,7 @@
 //! How a response arrived: on which connection, and after how many other responses.
 //!
-//! A server may send a response twice. The copy arrives where the response to the next request on the connection is
-//! expected. So the sender of that request has to know whether the connection has carried responses before, and has to
-//! close a connection that still owes the right one.
+//! HTTP/1.1 matches responses to requests by their order alone. A sender that cannot rely on the order has to know
+//! whether the connection has carried responses before, and has to close a connection that still owes the right one.
 
 use std::io;
 use std::sync::Arc;
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -1,9 +1,10 @@
 //! Attributes the answers of upstreams to requests.
 //!
-//! An upstream may send an answer twice. The copy arrives where the answer to the next request on the connection is
-//! expected. So before it is known which request an answer belongs to, nothing in it counts: neither its status, nor
-//! the statement that the request was not executed, nor the load that it reports. [`send`] and [`fetch`] are the only
-//! ways to send a request to an upstream, and return the parts of an answer only once it is attributed.
+//! HTTP/1.1 matches answers to requests by their order alone, so after a duplicate answer each later request on the
+//! connection would get the one before. Until it is known which request an answer belongs to, nothing in it counts:
+//! neither its status, nor the statement that the request was not executed, nor the load that it reports. [`send`] and
+//! [`fetch`] are the only ways to send a request to an upstream, and return the parts of an answer only once it is
+//! attributed.
 
 use std::sync::Arc;
 use std::time::Duration;
