Build the crates that the review uses with its own lock files again

Callers saw: nothing; whoever cloned the code could run none of the review's five cases. Where `target/review` and `target/review-2` were left from before, the old binaries ran and nothing showed.

Cause: the stand-ins use crates/net by path, with lock files of their own, which stay as they are. Their entry of `net` lists its dependencies, so any new one needs a new lock. Nothing but a person built the stand-ins.

Change: `net` needs neither any more. The IDs that a connection has carried are a module of their own (`ids`): digests from the standard library's keyed hash, in a sorted list, at most 256 of 8 bytes, so no map and no hasher for one is needed. `hashbrown` and `fnv` would not do: a package that the lock holds is still a new dependency of `net` there. Handing the memory in from a crate above was weighed: a trait and its plumbing through Client, for a list of numbers.

--- a/crates/net/src/arrival.rs
+++ b/crates/net/src/arrival.rs
@@ -15,16 +15,15 @@
 
 use futures_util::task::AtomicWaker;
 use http::Response;
-use kernel::Set;
 use parking_lot::Mutex;
 
+use crate::ids::CarriedIds;
+use crate::ids::IdDigest;
+
 /// Maximum number of bytes that a connection may bring between a request and the head of its response: a head and
 /// informational responses before it.
 const MAX_UNANSWERED_BYTES: usize = 128 << 10;
 
-/// Maximum number of request IDs that a connection carries; it is closed after that. They take some 4 KB.
-const MAX_IDS: usize = 256;
-
 /// The state of a connection that its requests and responses refer to.
 #[derive(Clone, Debug)]
 pub(crate) struct ConnectionState(Arc<Inner>);
@@ -39,8 +38,8 @@
     is_head_due: AtomicBool,
     /// Number of bytes read since it is.
     unanswered_bytes: AtomicUsize,
-    /// Digests of the IDs of the requests that it has carried.
-    ids: Mutex<Set<u64>>,
+    /// The IDs of the requests that it has carried.
+    ids: Mutex<CarriedIds>,
     /// Wakes the task that reads from the connection.
     reader: AtomicWaker,
 }
@@ -83,9 +82,8 @@
 
     /// Records that a request with this ID is written to the connection. Returns false if the connection must not carry
     /// it, because it has carried the ID before or cannot remember more IDs.
-    pub(crate) fn admit(&self, id: u64) -> bool {
-        let mut ids = self.0.ids.lock();
-        ids.len() < MAX_IDS && ids.insert(id)
+    pub(crate) fn admit(&self, id: IdDigest) -> bool {
+        self.0.ids.lock().insert(id)
     }
 
     /// Records that a request is written next.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -22,6 +22,8 @@
 use crate::body;
 use crate::condition::RequestBody;
 use crate::connect::Connector;
+use crate::ids::IdDigest;
+use crate::ids::IdHasher;
 
 /// Time for which an idle connection is kept. It is below the usual idle timeout of servers, so that a request is
 /// rarely sent on a connection that its server is closing.
@@ -110,8 +112,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: legacy::Client<Connector, RequestBody>,
-    /// Computes the digests of request IDs.
-    ids: ahash::RandomState,
+    ids: IdHasher,
     /// Memory for the bodies that are read, if it is limited.
     bodies: Option<BodyBudget>,
 }
@@ -152,7 +153,7 @@
             .build(Connector(connector));
         Self {
             inner,
-            ids: ahash::RandomState::new(),
+            ids: IdHasher::default(),
             bodies: None,
         }
     }
@@ -258,7 +259,7 @@
         limit: Duration,
         condition: SendCondition,
     ) -> Result<Response<Incoming>, SendError> {
-        let id = self.ids.hash_one(id);
+        let id = self.ids.digest(id);
         let deadline = Instant::now() + limit;
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
@@ -273,7 +274,7 @@
     async fn attempt(
         &self,
         request: Request<Full<Bytes>>,
-        id: Option<u64>,
+        id: Option<IdDigest>,
         limit: Duration,
         condition: SendCondition,
     ) -> Attempt {
--- a/crates/net/src/condition.rs
+++ b/crates/net/src/condition.rs
@@ -25,6 +25,7 @@
 use parking_lot::Mutex;
 
 use crate::arrival::ConnectionState;
+use crate::ids::IdDigest;
 
 /// A condition that must hold whenever bytes of a request are written.
 ///
@@ -72,7 +73,7 @@
 pub(crate) struct ConditionalWrite {
     condition: SendCondition,
     /// Digest of the request's ID, if no connection may carry it twice.
-    id: Option<u64>,
+    id: Option<IdDigest>,
     connection: Mutex<Option<ConnectionState>>,
     is_repeated: AtomicBool,
     is_rejected: AtomicBool,
@@ -80,7 +81,7 @@
 }
 
 impl ConditionalWrite {
-    fn new(condition: SendCondition, id: Option<u64>) -> Self {
+    fn new(condition: SendCondition, id: Option<IdDigest>) -> Self {
         Self {
             condition,
             id,
@@ -177,7 +178,7 @@
     pub(crate) fn conditional(
         mut request: Request<Full<Bytes>>,
         condition: SendCondition,
-        id: Option<u64>,
+        id: Option<IdDigest>,
     ) -> (Request<Self>, Arc<ConditionalWrite>) {
         let write = Arc::new(ConditionalWrite::new(condition, id));
         let connection = capture_connection(&mut request);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod events;
 pub mod handler;
 pub mod identity;
+mod ids;
 mod json;
 pub mod server;
 
