Run a step again whose task has panicked

Callers would see: a step that makes no progress until its time is over (LOST), although engines are free. Not seen by the users; listed as open in the postmortem on unplaced items, by reading.

Cause: the task that runs a step is spawned and nobody looks at how it ends. After a panic the step stays registered at an instance that lives, so neither that instance nor another takes it over. The class is that of the items that nobody ran: what is owed depends on one task without which nothing goes on.

Now the task is awaited, and run again from the step's results and drafts after the usual pause, with a line and a count (`step runs again after a panic`, snipeway_steps_total{outcome="panicked"}). The results that were being written count as a write of unknown outcome, as when a write is not answered.

The product's own interface has one task a sample in progress; there a panic costs that sample. That stays open, and is in the postmortem.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -29,6 +29,7 @@
 use crate::hint;
 use crate::slot_reports;
 use crate::step_head::Ownership;
+use crate::telemetry;
 
 /// Pause after a platform call whose outcome is unknown.
 pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -155,6 +156,16 @@
     })
 }
 
+/// Removes a step from those that this instance runs, unless it runs a newer revision by now.
+fn unregister(app: &App, owned: &Arc<OwnedStep>) {
+    app.running_steps.with_shard(&owned.step, |map| {
+        let registered = map.get(&owned.step);
+        if registered.is_some_and(|registered| Arc::ptr_eq(registered, owned)) {
+            map.remove(&owned.step);
+        }
+    });
+}
+
 fn start(app: &Arc<App>, owned: OwnedStep, why: &str) {
     let owned = Arc::new(owned);
     let registered = register(app, &owned);
@@ -166,34 +177,39 @@
     app.demand.step_started();
     app.result_caches.remove(&owned.step);
     hint::publish(app, &owned.step);
-    let app = app.clone();
-    tokio::spawn(async move {
-        adopt_leftover_drafts(&app, &owned);
-        let mut runner = StepRunner::new(&app, &owned);
-        slot_reports::announce(&app).await;
-        runner.run().await;
-        let ledger_done = owned.ledger.lock().is_done();
-        log::info!(target: "owner", id = &*owned.step, ended = owned.has_ended(),
-            lost = owned.is_lost(), whole = ledger_done; "step done");
-        if !owned.is_lost() {
-            record_leftovers(&app, &owned);
-            let retention = async {
-                runner.finish_runs().await;
-                sleep(ENDED_RETENTION).await;
-            };
-            // The limit includes the time that running samples take to finish or to be handed over.
-            let _ = timeout(ENDED_RETENTION, retention).await;
-        }
-        drop(runner);
-        app.running_steps.with_shard(&owned.step, |map| {
-            if map
-                .get(&owned.step)
-                .is_some_and(|registered| Arc::ptr_eq(registered, &owned))
-            {
-                map.remove(&owned.step);
-            }
-        });
-    });
+    tokio::spawn(run_until_done(app.clone(), owned));
+}
+
+/// Runs a step until it is done, again whenever the task that runs it panics: while the instance lives, no other one takes
+/// the step over.
+async fn run_until_done(app: Arc<App>, owned: Arc<OwnedStep>) {
+    while let Err(error) = tokio::spawn(run(app.clone(), owned.clone())).await {
+        let error = error.to_string();
+        log::error!(target: "owner", id = &*owned.step, error = error.as_str(); "step runs again after a panic");
+        metrics::counter!(telemetry::STEPS, "outcome" => "panicked").increment(1);
+        sleep(RETRY_PAUSE).await;
+    }
+    unregister(&app, &owned);
+}
+
+async fn run(app: Arc<App>, owned: Arc<OwnedStep>) {
+    adopt_leftover_drafts(&app, &owned);
+    let mut runner = StepRunner::new(&app, &owned);
+    slot_reports::announce(&app).await;
+    runner.run().await;
+    let ledger_done = owned.ledger.lock().is_done();
+    log::info!(target: "owner", id = &*owned.step, ended = owned.has_ended(),
+        lost = owned.is_lost(), whole = ledger_done; "step done");
+    if owned.is_lost() {
+        return;
+    }
+    record_leftovers(&app, &owned);
+    let retention = async {
+        runner.finish_runs().await;
+        sleep(ENDED_RETENTION).await;
+    };
+    // The limit includes the time that running samples take to finish or to be handed over.
+    let _ = timeout(ENDED_RETENTION, retention).await;
 }
 
 /// Adopts the drafts that earlier steps have left of this step's samples. One instance runs all steps of a route, so
