Measure what the memory of IDs costs on a hot route

A connection carries each ID once and at most 256 of them, so a hot route opens a new one every 256 requests. What that costs was not known.

HTTP/2 is not built in, and the product's own interface, which checks identities, has no IDs, so neither matters here. Conclusion: the limit stays.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -39,6 +39,11 @@
             "Latency and processor time that an entry adds to a call",
             &[],
         ),
+        cmd(
+            "connections",
+            "Cost of carrying a limited number of requests with IDs on a connection",
+            &[],
+        ),
         cmd(
             "journal",
             "Platform writes at 10, 100 and 1,000 orders per second",
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! machines and runs. The figures in docs/MEASUREMENTS.md come from here.
 
 pub mod cli;
+mod connections;
 mod cpu;
 mod fleet;
 mod goodput;
@@ -33,6 +34,7 @@
             "goodput" => goodput::run().await,
             "slow" => slow::run().await,
             "overhead" => overhead::run().await,
+            "connections" => connections::run().await,
             "journal" => journal::run().await,
             "limits" => limits::run().await,
             "trainer" => trainer::run(&parsed).await,
