Search the end of an event with memchr

Seen: streams_are_resumed_elsewhere_when_filler_never_ends::event failed once on this machine (arm64), 50 ms of processor time for each endless event, bound 47.5.

Cause, traced: the reader compares each pair of bytes of what it holds, 1 MB for an event that never ends; in a build without optimization that is most of the time.

The bound stays.

--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -7,10 +7,14 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use memchr::memmem;
 
 /// Largest event in bytes; a stream with a longer one counts as broken.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// What ends an event.
+const EVENT_END: &[u8] = b"\n\n";
+
 /// The next item of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NextEvent {
@@ -61,7 +65,7 @@
     /// Removes and returns the next complete event.
     pub fn pop(&mut self) -> Option<String> {
         let unscanned = &self.bytes[self.scanned..];
-        let Some(offset) = unscanned.windows(2).position(|pair| pair == b"\n\n") else {
+        let Some(offset) = memmem::find(unscanned, EVENT_END) else {
             // The last byte may be the first one of the end.
             self.scanned = self.bytes.len().saturating_sub(1);
             return None;
@@ -69,7 +73,7 @@
         let end = self.scanned + offset;
         self.scanned = 0;
         let block = String::from_utf8_lossy(&self.bytes[..end]).into_owned();
-        self.bytes.drain(..end + 2);
+        self.bytes.drain(..end + EVENT_END.len());
         Some(block)
     }
 
