Drop blocks without a number within a stream, and go on

Cause: such a block was forwarded to the caller, and a stream of which the caller has one was not resumed, since another run might send it again. One block is enough. For a sample such a block broke the run; where each engine sends one before its first event, the sample is never completed.

Many blocks are filler, as comments are, and break the run. Whether a stream is resumable depends on its route alone now.

A number that goes back was handled already, and has a case.

--- a/crates/node/src/event_run.rs
+++ b/crates/node/src/event_run.rs
@@ -28,6 +28,9 @@
 /// processor time from other requests.
 const MAX_FILLER_BLOCKS: usize = 100;
 
+/// A run has ended, but it is not known whether as a whole: [`RunItem::UnclearEnd`].
+pub(crate) const UNCLEAR_END: &str = "unclear end";
+
 /// Why an answer is no run of events.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum OpenError {
@@ -54,10 +57,10 @@
     Event(String, Event),
     /// A comment, which belongs to no event.
     Comment(String),
-    /// A block without the number of an event.
-    Unnumbered(String),
     /// The regular end.
     End,
+    /// The end right after blocks without a number, of which the last one may have been the last event.
+    UnclearEnd,
     /// The connection broke, the run ended inside an event, or it does not get on to the next one.
     Broken,
     /// An event that does not follow the last one: some are missing, or one comes again.
@@ -94,10 +97,18 @@
 /// A run whose events are read.
 pub(crate) struct EventRun {
     events: Events,
+    /// The ID of its request.
+    id: Arc<str>,
+    /// The upstream.
+    upstream: Arc<str>,
     dialect: Arc<dyn Dialect>,
     last: Option<u64>,
     /// What has come since the last event that belongs to none.
     filler: Filler,
+    /// Number of blocks without a number, which belong to no answer and are dropped.
+    unnumbered: usize,
+    /// Whether one has come since the last event.
+    is_end_unclear: bool,
 }
 
 /// Returns whether an answer can be read as a run of events.
@@ -125,37 +136,60 @@
     pub(crate) fn new(
         dialect: &Arc<dyn Dialect>,
         answer: Answer<Incoming>,
+        id: Arc<str>,
+        upstream: Arc<str>,
         last: Option<u64>,
     ) -> Self {
         Self {
             events: Events::new(answer.body),
+            id,
+            upstream,
             dialect: dialect.clone(),
             last,
             filler: Filler::default(),
+            unnumbered: 0,
+            is_end_unclear: false,
         }
     }
 
     /// Waits for the next item. Cancel safe: dropping the future loses no data.
     pub(crate) async fn next(&mut self) -> RunItem {
-        let block = match self.events.next().await {
-            NextEvent::Block(block) => block,
-            NextEvent::End => return RunItem::End,
-            NextEvent::Broken => return RunItem::Broken,
-        };
-        let Some(event) = self.dialect.decode_event(&block) else {
+        loop {
+            let block = match self.events.next().await {
+                NextEvent::Block(block) => block,
+                NextEvent::End if self.is_end_unclear => return RunItem::UnclearEnd,
+                NextEvent::End => return RunItem::End,
+                NextEvent::Broken => return RunItem::Broken,
+            };
+            if let Some(event) = self.dialect.decode_event(&block) {
+                return self.advance(block, event);
+            }
             if self.filler.add(&block) == FillerOutcome::TooMuch {
                 return RunItem::Broken;
             }
-            return match events::is_comment(&block) {
-                true => RunItem::Comment(block),
-                false => RunItem::Unnumbered(block),
-            };
-        };
+            if events::is_comment(&block) {
+                return RunItem::Comment(block);
+            }
+            self.drop_unnumbered();
+        }
+    }
+
+    fn advance(&mut self, block: String, event: Event) -> RunItem {
         if self.last.is_some_and(|last| event.number != last + 1) {
             return RunItem::OutOfSequence;
         }
         self.last = Some(event.number);
         self.filler = Filler::default();
+        self.is_end_unclear = false;
         RunItem::Event(block, event)
     }
+
+    fn drop_unnumbered(&mut self) {
+        self.is_end_unclear = true;
+        self.unnumbered += 1;
+        if self.unnumbered == 1 {
+            log::warn!(target: "answer", id = &*self.id, upstream = &*self.upstream,
+                to = self.last.unwrap_or_default(); "block without a number dropped");
+        }
+    }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -34,6 +34,7 @@
 use crate::event_run::EventRun;
 use crate::event_run::OpenError;
 use crate::event_run::RunItem;
+use crate::event_run::UNCLEAR_END;
 use crate::owner::OwnedStep;
 
 /// Time limit for the start of an engine's answer: ten events of an ordinary engine, three of a slow one. An engine
@@ -240,7 +241,13 @@
         engine_loads::record_accepted(self, slot.started_at());
         let version = answer.version;
         let last_event = draft.lock().last_event;
-        let mut events = EventRun::new(&self.app.dialect, answer, Some(last_event));
+        let mut events = EventRun::new(
+            &self.app.dialect,
+            answer,
+            sample.id.clone(),
+            self.engine.id.clone(),
+            Some(last_event),
+        );
         let Some(version) = version else {
             return read_unversioned(draft, &mut events).await;
         };
@@ -301,7 +308,7 @@
                 Ok(RunItem::End) if draft.lock().last_event > 0 => return RunOutcome::Completed,
                 Ok(RunItem::End) => return RunOutcome::Broken("empty"),
                 Ok(RunItem::Broken) => return RunOutcome::Broken(STREAM_BROKE),
-                Ok(RunItem::Unnumbered(_)) => return RunOutcome::Broken("no event"),
+                Ok(RunItem::UnclearEnd) => return RunOutcome::Broken(UNCLEAR_END),
                 Ok(RunItem::OutOfSequence) => return RunOutcome::Broken(OUT_OF_SEQUENCE),
                 Err(_) => return RunOutcome::Broken("silent"),
             };
--- a/crates/node/src/stream/pump.rs
+++ b/crates/node/src/stream/pump.rs
@@ -16,6 +16,7 @@
 use crate::answer::Answer;
 use crate::event_run::EventRun;
 use crate::event_run::RunItem;
+use crate::event_run::UNCLEAR_END;
 use crate::forwarded_request::UpstreamSlot;
 
 /// Time without an event after which a stream is continued at another upstream.
@@ -43,10 +44,6 @@
 struct Progress {
     /// The last event, as a header names it.
     last: Option<Arc<str>>,
-    /// Whether another run can continue after the last event.
-    is_resumable: bool,
-    /// Whether the run has yet to show by an event that it continues the stream.
-    is_unconfirmed: bool,
 }
 
 impl Progress {
@@ -58,19 +55,11 @@
         match item {
             RunItem::Event(block, event) => {
                 self.last = Some(event.number.to_string().into());
-                self.is_unconfirmed = false;
                 ItemAction::Forward(block)
             }
             RunItem::Comment(block) => ItemAction::Forward(block),
-            RunItem::Unnumbered(_) if self.is_unconfirmed => {
-                ItemAction::End(RunEnd::Unusable("no event"))
-            }
-            RunItem::Unnumbered(block) => {
-                // Another run would send it again.
-                self.is_resumable = false;
-                ItemAction::Forward(block)
-            }
             RunItem::End => ItemAction::End(RunEnd::Complete),
+            RunItem::UnclearEnd => ItemAction::End(RunEnd::Unusable(UNCLEAR_END)),
             RunItem::Broken => ItemAction::End(RunEnd::Broken),
             RunItem::OutOfSequence => ItemAction::End(RunEnd::Unusable("event out of sequence")),
         }
@@ -88,11 +77,11 @@
     ) -> bool {
         let mut progress = Progress {
             last: self.last_event.clone(),
-            is_resumable: self.route.resumable,
-            is_unconfirmed: false,
         };
         loop {
-            match self.forward_run(answer, &mut progress, sender).await {
+            let upstream = &slot.upstream.id;
+            let end = self.forward_run(answer, upstream, &mut progress, sender);
+            match end.await {
                 RunEnd::Complete => {
                     self.request.record_answer(StatusCode::OK);
                     log::info!(target: "stream", id = &*self.request.id,
@@ -112,7 +101,6 @@
                 Some(next) => next,
                 None => return false,
             };
-            progress.is_unconfirmed = true;
         }
     }
 
@@ -128,14 +116,20 @@
     async fn forward_run(
         &self,
         answer: Answer<Incoming>,
+        upstream: &Arc<str>,
         progress: &mut Progress,
         sender: &Sender,
     ) -> RunEnd {
-        let dialect = &self.request.app.dialect;
-        let mut run = EventRun::new(dialect, answer, progress.last_number());
+        let mut run = EventRun::new(
+            &self.request.app.dialect,
+            answer,
+            self.request.id.clone(),
+            upstream.clone(),
+            progress.last_number(),
+        );
         let mut last_event_at = Instant::now();
         loop {
-            let event_due = self.event_due(progress, last_event_at);
+            let event_due = self.event_due(last_event_at);
             let item = tokio::select! {
                 item = timeout_at(event_due, run.next()) => item.unwrap_or(RunItem::Broken),
                 () = sender.closed() => return RunEnd::CallerLeft,
@@ -156,10 +150,10 @@
 
     /// Returns when the next event is due, whatever else comes before it. Where no other upstream can continue the
     /// stream, its caller decides how long to wait within the time that the request has.
-    fn event_due(&self, progress: &Progress, last_event_at: Instant) -> Instant {
+    fn event_due(&self, last_event_at: Instant) -> Instant {
         let due = last_event_at + MAX_EVENT_GAP;
         let is_last = self.tried.len() >= self.max_attempts();
-        match progress.is_resumable && !is_last {
+        match self.route.resumable && !is_last {
             true => due,
             false => due.max(Instant::now() + Duration::from_millis(self.request.time_left())),
         }
@@ -167,7 +161,7 @@
 
     /// Has another upstream continue the stream; [`None`] if none does.
     async fn resume(&mut self, progress: &Progress) -> Option<(Answer<Incoming>, UpstreamSlot)> {
-        if !progress.is_resumable {
+        if !self.route.resumable {
             return None;
         }
         let opening = Opening::Resumption(progress.last.as_deref());
