Give requests for scores more time with each attempt that the limit ends

Callers would see: a step whose samples never get their scores, where scorers take seconds.

Now the limit doubles with each attempt that it ends, up to the route's timeout. An upstream that is silent is still left after 1.5 s the first time.

Failed before: a_sample_is_scored_by_a_scorer_that_takes_seconds (0 of 2 samples in 15 s; with the doubling taken out again as well).

--- a/crates/node/src/score.rs
+++ b/crates/node/src/score.rs
@@ -14,6 +14,7 @@
 use kernel::Millis;
 use table::Route;
 use team::Principal;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::App;
@@ -24,9 +25,10 @@
 use crate::owner::OwnedStep;
 use crate::telemetry;
 
-/// Time limit of an attempt, including its second upstream: ten times the target latency of plain services. Without
-/// it, unresponsive upstreams would delay a sample for as long as its step lasts.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time limit of the first attempt, including its second upstream. Without one, unresponsive upstreams would delay a
+/// sample for as long as its step lasts. It doubles with each attempt that it ends, up to the time that the route gives a
+/// request, since scorers may take seconds.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Interval between two checks whether the step is known to be open.
 const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -54,6 +56,7 @@
     let body = Bytes::from(scoring.body.clone());
     let mut retries = Retries::new(max_failures);
     let mut attempts = 0;
+    let mut limit = FIRST_TIMEOUT;
     let score = loop {
         if app.clock.now() >= deadline {
             break None;
@@ -75,7 +78,11 @@
             );
             // The second upstream is tried only while the step is known to be open, too.
             let request = request.with_condition(owned.send_condition(app, permit));
-            result = attempt(request, &route).await;
+            let sent_at = Instant::now();
+            result = attempt(request, &route, limit).await;
+            if result == AttemptResult::Inconclusive && sent_at.elapsed() >= limit {
+                limit = next_timeout(limit, &route);
+            }
         }
         attempts += 1;
         match retries.decide(result) {
@@ -100,8 +107,14 @@
         .cloned()
 }
 
-async fn attempt(request: ForwardedRequest, route: &Route) -> AttemptResult {
-    match forward::forward_score(Arc::new(request), route, ATTEMPT_TIMEOUT).await {
+/// Returns the time limit after an attempt that this one has ended.
+fn next_timeout(limit: Duration, route: &Route) -> Duration {
+    let longest = Duration::from_millis(route.timeout).max(FIRST_TIMEOUT);
+    (limit * 2).min(longest)
+}
+
+async fn attempt(request: ForwardedRequest, route: &Route, limit: Duration) -> AttemptResult {
+    match forward::forward_score(Arc::new(request), route, limit).await {
         ForwardOutcome::Answer { answer, signature } if answer.status().is_success() => {
             AttemptResult::Scored(signature)
         }
