Let hedges, retries and time limits of attempts follow what the service takes

Cause: three constants for how long work takes. A second attempt began after 110 ms, without a budget unless calls wait at the instance; an attempt ended after half of the time left, however long the work takes.

The new crate `attempt` decides, from the service's own answers (an HDR histogram in a window of two parts): another attempt begins a quarter after the 0.97 quantile, not before a quarter of the target, with a tenth of the service's slots free, within 0.1 of the calls; an attempt is ended early only after twice the slowest answers' time and while another one fits; no retry that can hardly be answered in time, and a budget for those that may have run. Requests for scores use the same path. Settings, metrics and the fields of `sent` are new.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -39,6 +39,7 @@
             "Latency and processor time that an entry adds to a call",
             &[],
         ),
+        cmd("attempts", "Time to decide on the attempts of a call", &[]),
         cmd(
             "connections",
             "Cost of carrying a limited number of requests with IDs on a connection",
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 //! A command that compares with a baseline measures both in the same run, since absolute figures differ between
 //! machines and runs. The figures in docs/MEASUREMENTS.md come from here.
 
+mod attempts;
 pub mod cli;
 mod connections;
 mod cpu;
@@ -34,6 +35,10 @@
             "goodput" => goodput::run().await,
             "slow" => slow::run().await,
             "overhead" => overhead::run().await,
+            "attempts" => {
+                attempts::run();
+                Ok(())
+            }
             "connections" => connections::run().await,
             "journal" => journal::run().await,
             "limits" => limits::run().await,
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -50,6 +50,7 @@
 use crate::replication::ConfirmationState;
 use crate::replication::Demand;
 use crate::result_cache::ResultCache;
+use crate::service_attempts::AttemptTable;
 use crate::slot_reports::Receivers;
 use crate::sync_status::SyncStatus;
 
@@ -88,6 +89,8 @@
     pub upstreams: Mutex<UpstreamList>,
     /// Load and failures of the upstreams of plain services, as observed by this instance.
     pub service_tracker: Mutex<EngineTracker>,
+    /// The attempts at each service.
+    pub(crate) attempts: AttemptTable,
     /// The calls that wait for each service.
     pub(crate) call_queues: CallQueues,
     /// Shares of teams in the requests to each service.
@@ -170,8 +173,10 @@
         let overload = Overload::new(settings.max_delay);
         let confirmation = ConfirmationState::new(&settings.name, settings.apply_limit);
         let answer_bytes = settings.memory / ANSWER_MEMORY_DIVISOR;
+        let attempts = AttemptTable::new(settings.attempts);
         Arc::new(Self {
             settings,
+            attempts,
             overload,
             clock,
             meter,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -1,15 +1,18 @@
 //! Forwards calls to plain services.
 //!
-//! Load pattern: a low rate of calls with a short deadline, to upstreams that crash, stop responding or become
-//! slow. A call that may run twice is sent to a second upstream as soon as it takes longer than nearly all calls
-//! do; one that may not is sent again only when it is certain not to have run. Each attempt needs a place in the window
-//! of its service, where calls wait for one (`call_queue`).
+//! Load pattern: calls of milliseconds to seconds, to upstreams that crash, stop responding or become slow. A call that
+//! may run twice is sent to a second upstream as soon as it takes longer than nearly all calls of its service do; one that
+//! may not is sent again only when it is certain not to have run. When that is, and how long an attempt may take, decides
+//! the crate `attempt`. Each attempt needs a place in the window of its service, where calls wait for one (`call_queue`).
 
 mod attempt;
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::attempt::Failure;
+use ::attempt::Objective;
+use ::attempt::Permission;
 use bytes::Bytes;
 use http::Response;
 use http::request::Parts;
@@ -21,7 +24,8 @@
 use table::RouteKind;
 use team::Principal;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::App;
@@ -31,17 +35,12 @@
 use crate::forwarded_request::ForwardedRequest;
 use crate::forwarded_request::UpstreamSlot;
 use crate::refusal::Refusal;
+use crate::service_attempts::HedgeOutcome;
+use crate::service_attempts::count_hedges;
 
 use self::attempt::AttemptOutcome;
 use self::attempt::attempt;
 
-/// Delay after which a call that may be repeated is sent to a second upstream as well: several times the usual
-/// duration of a lookup, and early enough for the second answer to meet the latency that callers aim at.
-const HEDGE_DELAY: Duration = Duration::from_millis(110);
-
-/// Divisor of the time left that gives the time limit of one attempt, for a call that may be repeated.
-const ATTEMPT_TIME_DIVISOR: u32 = 2;
-
 /// Reason in the log for requests that are quarantined or blocked because upstreams crash under them.
 const QUARANTINE_REASON: &str = "request crashes upstreams";
 
@@ -113,6 +112,15 @@
     Scorer,
 }
 
+/// Why an attempt was begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// It is the first one, or follows one that has failed.
+    Turn,
+    /// Another one has not been answered for long.
+    Hedge,
+}
+
 /// The attempts of one call.
 struct Attempts<'a> {
     request: Arc<ForwardedRequest>,
@@ -121,7 +129,11 @@
     /// The call in the queue of its service, if calls wait here.
     queued: Option<QueuedCall>,
     tried: Vec<Arc<str>>,
-    running: JoinSet<AttemptOutcome>,
+    running: JoinSet<(Cause, AttemptOutcome)>,
+    /// Number of hedges so far.
+    hedges: usize,
+    /// When another attempt may begin beside one that runs.
+    hedge_at: Instant,
     requester: Requester,
     /// Whether an attempt may have been executed.
     may_have_run: bool,
@@ -141,6 +153,8 @@
             queued,
             tried: Vec::new(),
             running: JoinSet::new(),
+            hedges: 0,
+            hedge_at: Instant::now(),
             requester,
             may_have_run: false,
         }
@@ -161,26 +175,29 @@
         loop {
             let outcome = tokio::select! {
                 Some(outcome) = self.running.join_next() => outcome,
-                () = sleep(HEDGE_DELAY), if self.may_hedge() => {
-                    self.start_hedge();
+                () = sleep_until(self.hedge_at), if self.may_hedge() => {
+                    self.hedge();
                     continue;
                 }
             };
             // A panicked attempt may have sent the request.
-            match outcome.unwrap_or(AttemptOutcome::Unknown) {
+            let (cause, outcome) = outcome.unwrap_or((Cause::Turn, AttemptOutcome::Unknown));
+            let failure = match outcome {
                 AttemptOutcome::Answer(answer, signature) => {
+                    self.count_hedge_won(cause);
                     return ForwardOutcome::Answer { answer, signature };
                 }
-                AttemptOutcome::NotExecuted => (),
-                AttemptOutcome::Unknown => self.may_have_run = true,
-            }
+                AttemptOutcome::NotExecuted => Failure::NotExecuted,
+                AttemptOutcome::Unknown => Failure::Unknown,
+            };
+            self.may_have_run |= failure == Failure::Unknown;
             if self.may_have_run && !self.may_repeat() {
                 return self.fail("outcome unknown");
             }
             if self.request.admit().await.is_some() {
                 return self.fail(QUARANTINE_REASON);
             }
-            if let Some(why) = self.start_replacement(queue).await {
+            if let Some(why) = self.start_replacement(failure, queue).await {
                 return self.fail(why);
             }
         }
@@ -206,15 +223,23 @@
             Some(queued) => queued.acquire(&self.request, &self.tried).await?,
             None => self.reserve_slot(queue).ok_or(QueueRefusal::NoUpstream)?,
         };
-        self.send(slot);
+        self.send(slot, Cause::Turn);
         Ok(())
     }
 
     /// Starts an attempt after another one has failed. Returns why the call fails, if it does.
-    async fn start_replacement(&mut self, queue: bool) -> Option<&'static str> {
+    async fn start_replacement(&mut self, failure: Failure, queue: bool) -> Option<&'static str> {
+        if self.tried.len() >= self.max_attempts() {
+            return self.running.is_empty().then_some("no upstream left");
+        }
+        if let Permission::Denied(denial) = self.may_retry(failure) {
+            return self.running.is_empty().then_some(denial.reason());
+        }
         if self.queued.is_some() && !self.running.is_empty() {
             // The answer to the attempt that still runs must not wait for a place.
-            self.start_hedge();
+            if let Some(slot) = self.reserve_beside() {
+                self.send(slot, Cause::Turn);
+            }
             return None;
         }
         match self.start_next(queue).await {
@@ -225,17 +250,81 @@
         }
     }
 
+    fn may_retry(&self, failure: Failure) -> Permission {
+        let Some(service) = &self.service else {
+            return Permission::Granted;
+        };
+        let app = &self.request.app;
+        let left = self.request.time_left();
+        app.attempts.retry(service, failure, left, app.clock.now())
+    }
+
     /// Starts an attempt beside one that runs, if one is allowed and an upstream has a free slot.
-    fn start_hedge(&mut self) {
-        if self.tried.len() >= self.max_attempts() {
+    fn hedge(&mut self) {
+        let Some(service) = self.service.clone() else {
             return;
+        };
+        // Denied now, it may be granted later.
+        self.hedge_at = self.next_hedge(&service);
+        let outcome = self.begin_hedge(&service);
+        if let HedgeOutcome::Denied(denial) = outcome {
+            log::debug!(target: "forward", id = &*self.request.id, why = denial.reason(); "hedge denied");
         }
-        let slot = match &self.queued {
+        count_hedges(&service, outcome, 1);
+    }
+
+    fn begin_hedge(&mut self, service: &Arc<str>) -> HedgeOutcome {
+        let Some(slot) = self.reserve_beside() else {
+            return HedgeOutcome::NoSlot;
+        };
+        let app = &self.request.app;
+        let left = self.request.time_left();
+        if let Permission::Denied(denial) = app.attempts.hedge(app, service, left) {
+            return HedgeOutcome::Denied(denial);
+        }
+        self.hedges += 1;
+        self.send(slot, Cause::Hedge);
+        HedgeOutcome::Begun
+    }
+
+    /// Reserves a place and a free slot for an attempt beside one that runs.
+    fn reserve_beside(&self) -> Option<UpstreamSlot> {
+        match &self.queued {
             Some(queued) => queued.hedge(&self.request, &self.tried),
             None => self.reserve_slot(false),
+        }
+    }
+
+    /// Returns when another attempt may begin beside one that begins now.
+    fn next_hedge(&self, service: &Arc<str>) -> Instant {
+        let app = &self.request.app;
+        let objective = Objective {
+            target: self.route.target_latency,
+            timeout: self.route.timeout,
         };
-        if let Some(slot) = slot {
-            self.send(slot);
+        let delay = app
+            .attempts
+            .hedge_delay(service, objective, app.clock.now());
+        Instant::now() + Duration::from_millis(delay)
+    }
+
+    /// Returns the time limit of an attempt that begins now, in milliseconds.
+    fn time_limit(&self, left: Millis) -> Millis {
+        let is_last = self.tried.len() >= self.max_attempts();
+        match &self.service {
+            Some(service) if self.may_repeat() && !is_last => {
+                let app = &self.request.app;
+                app.attempts.time_limit(service, left, app.clock.now())
+            }
+            _ => left,
+        }
+    }
+
+    /// Counts that the answer came from an attempt with this cause, and forgets the hedges.
+    fn count_hedge_won(&mut self, cause: Cause) {
+        if let (Some(service), Cause::Hedge) = (&self.service, cause) {
+            count_hedges(service, HedgeOutcome::Won, 1);
+            self.hedges -= 1;
         }
     }
 
@@ -244,19 +333,24 @@
         self.request.reserve_slot(service, &self.tried, queue)
     }
 
-    fn send(&mut self, slot: UpstreamSlot) {
+    fn send(&mut self, slot: UpstreamSlot, cause: Cause) {
         let upstream = &slot.upstream;
         self.tried.push(upstream.id.clone());
+        if let Some(service) = &self.service {
+            self.hedge_at = self.next_hedge(service);
+            // Scores are asked for anew while no upstream has a free slot, so a call counts once it is sent.
+            if self.tried.len() == 1 {
+                self.request.app.attempts.began(service);
+            }
+        }
         let left = self.request.time_left();
-        let limit = match self.may_repeat() && self.tried.len() < self.max_attempts() {
-            true => left / Millis::from(ATTEMPT_TIME_DIVISOR),
-            false => left,
-        };
+        let limit = self.time_limit(left);
         log::info!(target: "forward", id = &*self.request.id, upstream = &*upstream.id,
-            attempt = self.tried.len(), left_ms = left; "sent");
+            attempt = self.tried.len(), left_ms = left, limit_ms = limit,
+            hedge = cause == Cause::Hedge; "sent");
         let request = self.request.clone();
         self.running
-            .spawn(async move { attempt(&request, slot, limit).await });
+            .spawn(async move { (cause, attempt(&request, slot, limit).await) });
     }
 
     /// Returns the refusal of a call that was not executed.
@@ -304,3 +398,12 @@
         ForwardOutcome::Refused(refusal)
     }
 }
+
+impl Drop for Attempts<'_> {
+    /// Counts the hedges that did not bring the answer.
+    fn drop(&mut self) {
+        if let Some(service) = &self.service {
+            count_hedges(service, HedgeOutcome::Lost, self.hedges);
+        }
+    }
+}
--- a/crates/node/src/forward/attempt.rs
+++ b/crates/node/src/forward/attempt.rs
@@ -121,6 +121,9 @@
             drop(tracker);
             slot.record_answer(answer.load, took);
             request.record_answer(answer.status);
+            if !answer.status.is_server_error() {
+                request.app.attempts.answered(&upstream.service, took, now);
+            }
             AttemptOutcome::Answer(answer.into_response(), signature)
         }
         Statement::Unsigned => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod result_cache;
 pub mod run;
 mod score;
+mod service_attempts;
 pub mod settings;
 pub mod slot_reports;
 pub mod start;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,9 +2,12 @@
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
+use attempt::Policy;
 use conf::Document;
+use conf::Section;
 use conf::SettingsErrors;
 use kernel::Millis;
 
@@ -108,6 +111,8 @@
     pub placement: Placement,
     /// Number of calls that may wait for each service; 0 if none may.
     pub call_queue: usize,
+    /// Decides on attempts of calls.
+    pub attempts: Policy,
     /// The log settings.
     pub logs: logs::Settings,
 }
@@ -202,6 +207,10 @@
     let call_queue = calls.get_or("queue", "a number of calls", 0);
     doc.finish_section(calls);
 
+    let mut section = doc.take_section("attempts");
+    let attempts = read_attempts(&mut section);
+    doc.finish_section(section);
+
     let mut log = doc.take_section("log");
     let level = log.get_or(
         "level",
@@ -243,6 +252,7 @@
         max_delay,
         placement,
         call_queue,
+        attempts,
         logs: logs::Settings {
             level,
             format: logs::Format::Json,
@@ -251,3 +261,32 @@
         },
     })
 }
+
+/// Quantiles after which an attempt may begin beside another one: with less than half, most calls would run twice, and with
+/// 1, none ever would.
+const HEDGE_QUANTILES: RangeInclusive<f64> = 0.5..=0.999;
+
+/// Shares of the calls.
+const SHARES: RangeInclusive<f64> = 0.0..=1.0;
+
+fn read_attempts(section: &mut Section) -> Policy {
+    let default = Policy::default();
+    let mut read = |key, range: RangeInclusive<f64>, expected, default| {
+        let value = section.get_or(key, expected, default);
+        if !range.contains(&value) {
+            section.report_invalid(key, expected);
+        }
+        value
+    };
+    let share = "a part of the calls, from 0 to 1";
+    Policy {
+        hedge_quantile: read(
+            "hedge_quantile",
+            HEDGE_QUANTILES,
+            "a number from 0.5 to 0.999",
+            default.hedge_quantile,
+        ),
+        hedge_share: read("hedge_share", SHARES, share, default.hedge_share),
+        retry_share: read("retry_share", SHARES, share, default.retry_share),
+    }
+}
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -214,6 +214,10 @@
         sleep(PRUNE_INTERVAL).await;
         hint::prune(&app);
         app.crashes.prune();
+        if let Some(config) = app.config.load_full() {
+            app.attempts
+                .prune(|service| config.service(service).is_some());
+        }
         let mut caches = Vec::new();
         app.result_caches
             .for_each_shard(|map| caches.extend(map.values().cloned()));
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -22,6 +22,15 @@
 /// Runs for which a better engine was found, by outcome.
 pub const MOVES: &str = "snipeway_moves_total";
 
+/// Attempts beside one that runs, by service and outcome.
+pub const HEDGES: &str = "snipeway_hedges_total";
+
+/// Attempts after a failed one that were denied, by service and reason.
+pub const DENIED_RETRIES: &str = "snipeway_retries_denied_total";
+
+/// Time after which an attempt may begin beside one that runs, in milliseconds, by service.
+pub const HEDGE_DELAY: &str = "snipeway_hedge_delay_milliseconds";
+
 /// Calls that wait here, by service.
 pub const WAITING_CALLS: &str = "snipeway_calls_waiting";
 
@@ -139,6 +148,19 @@
     );
     metrics::describe_counter!(SAMPLES, "samples that ended by outcome");
     metrics::describe_gauge!(WAITING_SAMPLES, "samples that make no progress by reason");
+    metrics::describe_counter!(
+        HEDGES,
+        "attempts beside one that runs by service and outcome"
+    );
+    metrics::describe_counter!(
+        DENIED_RETRIES,
+        "attempts after a failed one that were denied by service and reason"
+    );
+    metrics::describe_gauge!(
+        HEDGE_DELAY,
+        Unit::Milliseconds,
+        "time after which an attempt may begin beside one that runs by service"
+    );
     metrics::describe_counter!(SCORES, "requests for the score of a sample by outcome");
     metrics::describe_counter!(
         crash::CRASHES_METRIC,
--- a/crates/place/src/tracker.rs
+++ b/crates/place/src/tracker.rs
@@ -264,6 +264,22 @@
         self.scale.remaining_events(expected, done)
     }
 
+    /// Returns the number of free slots of a service's upstreams, as far as this instance knows, and of all their slots.
+    /// An upstream that has failed, or is leaving, has none.
+    pub fn slots(&self, list: &UpstreamList, service: &str, now: Millis) -> (u32, u32) {
+        let present = list.of_service(service).filter(|engine| !engine.leaving);
+        let mut total = (0, 0);
+        for engine in present {
+            let free = match self.engines.get(&engine.id) {
+                Some(state) if state.is_backing_off(now) => 0,
+                Some(state) => state.free_slots(engine.slots, now),
+                None => engine.slots,
+            };
+            total = (total.0 + free, total.1 + engine.slots);
+        }
+        total
+    }
+
     /// Returns the number of this instance's runs on an engine.
     pub fn own_runs(&self, id: &str) -> u32 {
         self.engines.get(id).map_or(0, |engine| engine.own_runs)
