Send no calls for a while to an upstream that a hedge has overtaken

Seen in the table of attempts: one of twelve upstreams silent, work of 300 ms, half of the slots: p99 5,276 ms. Each call that met the silent upstream after the tenth waited for the end of its attempt, 5 s of 10.

Cause: an upstream counted as failed only when an attempt ended, so it went on to be chosen as the quickest, and the budget of hedges was spent on calls to it.

Now the upstreams whose attempts are still unanswered when a hedge brings the answer count as failed then, with the backoff that any failure has.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -121,6 +121,13 @@
     Hedge,
 }
 
+/// An attempt that has ended.
+struct Ended {
+    upstream: Arc<str>,
+    cause: Cause,
+    outcome: AttemptOutcome,
+}
+
 /// The attempts of one call.
 struct Attempts<'a> {
     request: Arc<ForwardedRequest>,
@@ -129,7 +136,9 @@
     /// The call in the queue of its service, if calls wait here.
     queued: Option<QueuedCall>,
     tried: Vec<Arc<str>>,
-    running: JoinSet<(Cause, AttemptOutcome)>,
+    running: JoinSet<Ended>,
+    /// The upstreams of the attempts that run.
+    unanswered: Vec<Arc<str>>,
     /// Number of hedges so far.
     hedges: usize,
     /// When another attempt may begin beside one that runs.
@@ -153,6 +162,7 @@
             queued,
             tried: Vec::new(),
             running: JoinSet::new(),
+            unanswered: Vec::new(),
             hedges: 0,
             hedge_at: Instant::now(),
             requester,
@@ -180,15 +190,13 @@
                     continue;
                 }
             };
-            // A panicked attempt may have sent the request.
-            let (cause, outcome) = outcome.unwrap_or((Cause::Turn, AttemptOutcome::Unknown));
-            let failure = match outcome {
-                AttemptOutcome::Answer(answer, signature) => {
-                    self.count_hedge_won(cause);
+            let failure = match outcome.map(|ended| self.take_outcome(ended)) {
+                Ok(AttemptOutcome::Answer(answer, signature)) => {
                     return ForwardOutcome::Answer { answer, signature };
                 }
-                AttemptOutcome::NotExecuted => Failure::NotExecuted,
-                AttemptOutcome::Unknown => Failure::Unknown,
+                Ok(AttemptOutcome::NotExecuted) => Failure::NotExecuted,
+                // A panicked attempt may have sent the request.
+                Ok(AttemptOutcome::Unknown) | Err(_) => Failure::Unknown,
             };
             self.may_have_run |= failure == Failure::Unknown;
             if self.may_have_run && !self.may_repeat() {
@@ -320,12 +328,29 @@
         }
     }
 
-    /// Counts that the answer came from an attempt with this cause, and forgets the hedges.
-    fn count_hedge_won(&mut self, cause: Cause) {
-        if let (Some(service), Cause::Hedge) = (&self.service, cause) {
+    /// Records that an attempt has ended.
+    fn take_outcome(&mut self, ended: Ended) -> AttemptOutcome {
+        self.unanswered.retain(|id| *id != ended.upstream);
+        if let (AttemptOutcome::Answer(..), Cause::Hedge) = (&ended.outcome, ended.cause) {
+            self.record_hedge_won();
+        }
+        ended.outcome
+    }
+
+    /// Records that a hedge has brought the answer. The upstreams that it has overtaken get no calls for a while: the budget
+    /// is for the first calls to an upstream that turns slow or silent, not for each of them.
+    fn record_hedge_won(&mut self) {
+        let app = &self.request.app;
+        let now = app.clock.now();
+        let mut tracker = app.service_tracker.lock();
+        for id in &self.unanswered {
+            tracker.engine_failed(id, now);
+        }
+        drop(tracker);
+        if let Some(service) = &self.service {
             count_hedges(service, HedgeOutcome::Won, 1);
-            self.hedges -= 1;
         }
+        self.hedges = self.hedges.saturating_sub(1);
     }
 
     fn reserve_slot(&self, queue: bool) -> Option<UpstreamSlot> {
@@ -348,9 +373,16 @@
         log::info!(target: "forward", id = &*self.request.id, upstream = &*upstream.id,
             attempt = self.tried.len(), left_ms = left, limit_ms = limit,
             hedge = cause == Cause::Hedge; "sent");
-        let request = self.request.clone();
-        self.running
-            .spawn(async move { (cause, attempt(&request, slot, limit).await) });
+        let (request, upstream) = (self.request.clone(), upstream.id.clone());
+        self.unanswered.push(upstream.clone());
+        self.running.spawn(async move {
+            let outcome = attempt(&request, slot, limit).await;
+            Ended {
+                upstream,
+                cause,
+                outcome,
+            }
+        });
     }
 
     /// Returns the refusal of a call that was not executed.
