Tell a process the memory and the descriptors of its machine

How many descriptors there are it did not know at all.

Less than 32 MB is refused with the key and the range.

--- a/completions/snipeway-platform.bash
+++ b/completions/snipeway-platform.bash
@@ -4,6 +4,6 @@
     case "$prev" in
         --config) COMPREPLY=($(compgen -f -- "$cur")); return ;;
     esac
-    COMPREPLY=($(compgen -W "--config --check --help --version" -- "$cur"))
+    COMPREPLY=($(compgen -W "--config --memory-mb --descriptors --check --help --version" -- "$cur"))
 }
 complete -F _snipeway_platform snipeway-platform
--- a/completions/snipeway-platform.fish
+++ b/completions/snipeway-platform.fish
@@ -1,4 +1,6 @@
 complete -c snipeway-platform -l config -d 'Settings; without it, the file that SNIPEWAY_NODE_FILE names'
+complete -c snipeway-platform -l memory-mb -d 'Memory that the process may take; it goes before the settings'
+complete -c snipeway-platform -l descriptors -d 'File descriptors that it may have open; it goes before the settings'
 complete -c snipeway-platform -l check -d 'Check the settings and exit'
 complete -c snipeway-platform -l help -d 'Show this help and exit'
 complete -c snipeway-platform -l version -d 'Show the version and exit'
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,6 +10,8 @@
 use conf::Section;
 use conf::SettingsErrors;
 use kernel::Millis;
+use rustix::process::Resource;
+use rustix::process::getrlimit;
 
 /// The role of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +62,15 @@
     pub critical_moves: bool,
 }
 
+/// What the command line says of the machine. It goes before the settings file.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MachineLimits {
+    /// Memory of the process in megabytes.
+    pub memory_mb: Option<usize>,
+    /// Number of file descriptors that the process may have open.
+    pub descriptors: Option<usize>,
+}
+
 /// The settings of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -79,6 +90,8 @@
     pub peer_port: u16,
     /// Memory of the process in bytes.
     pub memory: usize,
+    /// Number of file descriptors that the process may have open.
+    pub descriptors: usize,
     /// Available CPU in cores; instances with the most of it run steps.
     pub cores: f64,
     /// The address of the platform's store.
@@ -117,6 +130,20 @@
     pub logs: logs::Settings,
 }
 
+impl Settings {
+    /// Returns the settings on a machine with these limits.
+    #[must_use]
+    pub fn on(mut self, machine: MachineLimits) -> Self {
+        if let Some(memory_mb) = machine.memory_mb {
+            self.memory = memory_mb << 20;
+        }
+        if let Some(descriptors) = machine.descriptors {
+            self.descriptors = descriptors;
+        }
+        self
+    }
+}
+
 /// Default fraction of a service's engines that may load at the same time: a weight store is sized for about a
 /// fifth of the engines at full speed, and with more at the same time each would take longer.
 const DEFAULT_LOADING_SHARE: f64 = 0.2;
@@ -124,6 +151,12 @@
 /// Memory of a process in megabytes, where the settings name none.
 const DEFAULT_MEMORY_MB: usize = 128;
 
+/// The least memory of a process in megabytes: what it takes at rest, and as much again.
+pub const MIN_MEMORY_MB: usize = 32;
+
+/// Number of descriptors of a process, where the system names no limit.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
+
 /// Default fraction of the samples for which capacity is ordered. No capacity is ordered unless an operator
 /// configures it: each upstream is paid for by the second, and steps end with their longest sample, which more
 /// upstreams do not shorten.
@@ -149,6 +182,10 @@
     let peer_port = instance.require::<u16>("peer", "a port");
     let cores = instance.get_or("cores", "a part of a core, as 0.5", 1.0);
     let memory = instance.get_or("memory_mb", "megabytes", DEFAULT_MEMORY_MB);
+    if memory < MIN_MEMORY_MB {
+        instance.report_invalid("memory_mb", "megabytes, at least 32");
+    }
+    let descriptors = instance.get_or("descriptors", "a number", own_descriptors());
     doc.finish_section(instance);
 
     let mut plat = doc.take_section("platform");
@@ -232,6 +269,7 @@
         readiness,
         peer_port: peer_port.unwrap_or_default(),
         memory: memory << 20,
+        descriptors,
         cores,
         platform: platform.unwrap_or((unset, 0).into()),
         stop_grace: millis(stop_grace),
@@ -262,6 +300,12 @@
     })
 }
 
+/// Returns the number of descriptors that the system lets this process have.
+fn own_descriptors() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.map_or(DEFAULT_DESCRIPTORS, |limit| limit as usize)
+}
+
 /// Quantiles after which an attempt may begin beside another one: with less than half, most calls would run twice, and with
 /// 1, none ever would.
 const HEDGE_QUANTILES: RangeInclusive<f64> = 0.5..=0.999;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -38,6 +38,7 @@
 use crate::refusal::Refusal;
 use crate::replication;
 use crate::settings;
+use crate::settings::MachineLimits;
 use crate::settings::Role;
 use crate::slot_reports;
 use crate::telemetry;
@@ -73,15 +74,17 @@
 /// Returns an error when the settings are invalid or an address cannot be listened on.
 pub async fn run(
     file: &str,
+    machine: MachineLimits,
     dialect: Arc<dyn Dialect>,
     protocol: Arc<dyn Protocol>,
 ) -> eyre::Result<()> {
-    let settings = settings::read(file, &conf::load(file)?)?;
+    let settings = settings::read(file, &conf::load(file)?)?.on(machine);
     logs::init(&settings.logs)?;
     let mut term = signal(SignalKind::terminate())?;
     let running = Running::start(settings, dialect, protocol).await?;
     tokio::spawn(follow_settings(
         file.to_owned(),
+        machine,
         running.app.settings.clone(),
     ));
     term.recv().await;
@@ -266,7 +269,7 @@
 
 /// Reloads the settings file: the log level changes at once, other changes are logged and take effect at the next
 /// start.
-async fn follow_settings(file: String, mut current: Settings) {
+async fn follow_settings(file: String, machine: MachineLimits, mut current: Settings) {
     let Ok(mut hup) = signal(SignalKind::hangup()) else {
         log::error!(target: "start", "cannot listen for the reload signal");
         return;
@@ -284,7 +287,7 @@
                 continue;
             }
         };
-        match settings::read(&file, &text) {
+        match settings::read(&file, &text).map(|settings| settings.on(machine)) {
             Ok(settings) if settings == current => (),
             Ok(settings) => {
                 log::set_max_level(settings.logs.level);
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Tests of the settings of an instance.
 
 use node::settings;
+use node::settings::MachineLimits;
 use yare::parameterized;
 
 /// Settings with a section of attempts.
@@ -38,3 +39,34 @@
     assert_eq!(settings.attempts.hedge_share, 0.0);
     assert_eq!(settings.attempts.retry_share, 1.0);
 }
+
+// Guards against shares of a memory that a process cannot live in.
+#[test]
+fn too_little_memory_is_rejected() {
+    let text = text("").replace("peer = 1\n", "peer = 1\nmemory_mb = 8\n");
+
+    let errors = settings::read("node.ini", &text).unwrap_err().to_string();
+
+    assert!(
+        errors.contains("memory_mb") && errors.contains("at least 32"),
+        "{errors}"
+    );
+}
+
+// Guards against a process on a small machine that divides up the memory of a larger one.
+#[test]
+fn limits_of_the_machine_go_before_the_settings() {
+    let text = text("").replace(
+        "peer = 1\n",
+        "peer = 1\nmemory_mb = 128\ndescriptors = 900\n",
+    );
+    let machine = MachineLimits {
+        memory_mb: Some(88),
+        descriptors: None,
+    };
+
+    let settings = settings::read("node.ini", &text).unwrap().on(machine);
+
+    assert_eq!(settings.memory, 88 << 20);
+    assert_eq!(settings.descriptors, 900);
+}
