Close connections without progress when the places are gone

Ordinary callers got no connection, and an instance none to upstreams or the store: clients opened connections with half a head, or nothing, and stayed. Each held a place and a descriptor for 20 s; when the 4,096 places or the descriptors were gone, nobody was accepted any more. Heads and what the kernel holds unread of each connection had no bound together.

A listener has places by the descriptors (200 are left to files) and by the memory of its machine: 402 for callers at 88 MB, where ordinary callers keep idle ones for seconds. When all are taken, the connection that has waited longest without progress is closed for the new one: an address with many first; one that was served before only when no other can; never one whose request is under way, unless its caller does not take the answer. What the kernel holds of a connection is bounded (32 KB each way), a read takes at most 8 KB, so hyper's buffers don't grow, and a connection whose caller has not taken the answer for 20 s is closed.

--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -3,14 +3,12 @@
 //! Each body has a length limit of its own, but the sum over all that are received at the same time has none: servers
 //! whose bodies never end would take the memory of the process in a moment.
 
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-
 use bytes::Bytes;
 use http_body_util::BodyExt;
 
 use crate::body::ReadError;
+use crate::memory::Memory;
+use crate::memory::Reservation;
 
 /// Number of bytes of each body that are not counted, so that ordinary bodies are received whatever others take.
 const UNCOUNTED_BYTES: usize = 16 << 10;
@@ -36,22 +34,17 @@
 /// # }
 /// ```
 #[derive(Clone, Debug)]
-pub struct BodyBudget {
-    /// Number of bytes that are left.
-    left: Arc<AtomicUsize>,
-}
+pub struct BodyBudget(Memory);
 
 impl BodyBudget {
     /// Creates a budget of so many bytes.
     pub fn new(bytes: usize) -> Self {
-        Self {
-            left: Arc::new(AtomicUsize::new(bytes)),
-        }
+        Self(Memory::new(bytes))
     }
 
     /// Returns the number of bytes that are left.
     pub fn left(&self) -> usize {
-        self.left.load(Ordering::Relaxed)
+        self.0.left()
     }
 
     /// Reads a whole body. Its bytes count until the result is dropped.
@@ -64,7 +57,10 @@
         B: http_body::Body<Data = Bytes>,
     {
         let mut body = std::pin::pin!(body);
-        let mut received = Received::new(self.clone());
+        let mut received = Received {
+            bytes: Vec::new(),
+            reservation: self.0.reserve_anyway(0),
+        };
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| ReadError::Truncated)?;
             // Trailers are dropped.
@@ -74,45 +70,29 @@
             if received.bytes.len() + data.len() > limit {
                 return Err(ReadError::TooLong(limit));
             }
-            received.push(&data)?;
+            received.push(&data, &self.0)?;
         }
         Ok(Bytes::from_owner(received))
     }
-
-    fn take(&self, bytes: usize) -> Result<(), ReadError> {
-        let take = |left: usize| left.checked_sub(bytes);
-        let taken = self
-            .left
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
-        taken.map(|_| ()).map_err(|_| ReadError::OverBudget)
-    }
 }
 
 /// The bytes of a body that have been received, and what of the budget they take.
 #[derive(Debug)]
 struct Received {
-    budget: BodyBudget,
     bytes: Vec<u8>,
-    taken: usize,
+    reservation: Reservation,
 }
 
 impl Received {
-    fn new(budget: BodyBudget) -> Self {
-        Self {
-            budget,
-            bytes: Vec::new(),
-            taken: 0,
-        }
-    }
-
     /// Appends bytes, after taking from the budget what the buffer grows by.
-    fn push(&mut self, data: &[u8]) -> Result<(), ReadError> {
+    fn push(&mut self, data: &[u8], budget: &Memory) -> Result<(), ReadError> {
         let length = self.bytes.len() + data.len();
         if length > self.bytes.capacity() {
             let capacity = length.max(self.bytes.capacity() * 2);
             let counted = capacity.saturating_sub(UNCOUNTED_BYTES);
-            self.budget.take(counted - self.taken)?;
-            self.taken = counted;
+            let growth = counted - self.reservation.bytes();
+            let reservation = budget.reserve(growth, 0).ok_or(ReadError::OverBudget)?;
+            self.reservation.merge(reservation);
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
@@ -125,9 +105,3 @@
         &self.bytes
     }
 }
-
-impl Drop for Received {
-    fn drop(&mut self) {
-        self.budget.left.fetch_add(self.taken, Ordering::Relaxed);
-    }
-}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 
 use crate::BodyBudget;
+use crate::Payload;
 use crate::SendCondition;
 use crate::arrival;
 use crate::body;
@@ -48,6 +49,9 @@
 /// Maximum number of bytes that are buffered for a connection, which also limits the head of a response.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
+/// Size of the kernel's buffer for what is sent on a connection, in bytes.
+const SEND_BUFFER_BYTES: usize = 256 << 10;
+
 /// Timeout of a connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -146,6 +150,7 @@
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+        connector.set_send_buffer_size(Some(SEND_BUFFER_BYTES));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_idle_timeout(timeout)
             .pool_timer(TokioTimer::new())
@@ -212,7 +217,7 @@
     /// # #[tokio::main(flavor = "current_thread")]
     /// # async fn main() {
     /// let client = net::Client::new();
-    /// let request = http::Request::get("http://127.0.0.1:9/").body(Default::default()).unwrap();
+    /// let request = http::Request::get("http://127.0.0.1:9/").body(net::Payload::default()).unwrap();
     /// let expired = net::SendCondition::new(|| false);
     /// let result = client.send_if(request, Duration::from_secs(1), expired).await;
     /// assert!(matches!(result, Err(net::SendError::Forbidden)));
@@ -220,10 +225,11 @@
     /// ```
     pub async fn send_if(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<Payload>>,
         limit: Duration,
         condition: SendCondition,
     ) -> Result<Response<Incoming>, SendError> {
+        let request = request.map(Into::into);
         match self.attempt(request, None, limit, condition).await {
             Attempt::Ended(result) => result,
             // Only a request with an ID is kept back for its connection.
@@ -246,7 +252,7 @@
     /// # #[tokio::main(flavor = "current_thread")]
     /// # async fn main() {
     /// let client = net::Client::new();
-    /// let request = http::Request::get("http://127.0.0.1:9/").body(Default::default()).unwrap();
+    /// let request = http::Request::get("http://127.0.0.1:9/").body(net::Payload::default()).unwrap();
     /// let (limit, always) = (Duration::from_secs(1), net::SendCondition::always());
     /// let result = client.send_identified(request, "r-1", limit, always).await;
     /// assert!(matches!(result, Err(net::SendError::Unconnected)));
@@ -254,11 +260,12 @@
     /// ```
     pub async fn send_identified(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<Payload>>,
         id: &str,
         limit: Duration,
         condition: SendCondition,
     ) -> Result<Response<Incoming>, SendError> {
+        let request = request.map(Into::into);
         let id = self.ids.digest(id);
         let deadline = Instant::now() + limit;
         loop {
@@ -273,7 +280,7 @@
 
     async fn attempt(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
         id: Option<IdDigest>,
         limit: Duration,
         condition: SendCondition,
--- a/crates/net/src/condition.rs
+++ b/crates/net/src/condition.rs
@@ -19,11 +19,11 @@
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
-use http_body_util::Full;
 use hyper_util::client::legacy::connect::CaptureConnection;
 use hyper_util::client::legacy::connect::capture_connection;
 use parking_lot::Mutex;
 
+use crate::Payload;
 use crate::arrival::ConnectionState;
 use crate::ids::IdDigest;
 
@@ -168,7 +168,7 @@
 /// The body of a request, which passes the request's condition to the connection that writes it.
 #[derive(Debug)]
 pub(crate) struct RequestBody {
-    bytes: Full<Bytes>,
+    payload: Payload,
     write: Arc<ConditionalWrite>,
     connection: CaptureConnection,
 }
@@ -176,14 +176,14 @@
 impl RequestBody {
     /// Returns the request with a condition, and its writes; no connection carries two requests with the same `id`.
     pub(crate) fn conditional(
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Payload>,
         condition: SendCondition,
         id: Option<IdDigest>,
     ) -> (Request<Self>, Arc<ConditionalWrite>) {
         let write = Arc::new(ConditionalWrite::new(condition, id));
         let connection = capture_connection(&mut request);
-        let request = request.map(|bytes| Self {
-            bytes,
+        let request = request.map(|payload| Self {
+            payload,
             write: write.clone(),
             connection,
         });
@@ -219,16 +219,16 @@
             let error = io::Error::other("the connection of a conditional request is unknown");
             return Poll::Ready(Some(Err(error)));
         }
-        let frame = Pin::new(&mut self.bytes).poll_frame(cx);
+        let frame = Pin::new(&mut self.payload).poll_frame(cx);
         frame.map_err(|never| match never {})
     }
 
     fn is_end_stream(&self) -> bool {
         self.pass_condition();
-        self.bytes.is_end_stream()
+        self.payload.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.bytes.size_hint()
+        self.payload.size_hint()
     }
 }
--- a/crates/net/src/handler.rs
+++ b/crates/net/src/handler.rs
@@ -17,7 +17,9 @@
 use http::Method;
 use http::Uri;
 
+use crate::Inbound;
 use crate::Reply;
+use crate::inbound::RequestInbound;
 
 /// A request as a server received it.
 #[derive(Debug)]
@@ -32,6 +34,8 @@
     pub body: Body,
     /// Address of the client, if known.
     pub from: Option<SocketAddr>,
+    /// The connection on which it has come.
+    pub inbound: Arc<Inbound>,
 }
 
 impl Call {
@@ -53,6 +57,17 @@
     }
 }
 
+/// Takes the connection out of gotham's state; a request that another server has accepted gets one of its own.
+fn take_inbound(state: &mut State) -> Arc<Inbound> {
+    match RequestInbound::try_take_from(state) {
+        Some(RequestInbound(inbound)) => inbound,
+        None => {
+            let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
+            Arc::new(Inbound::new(client_addr(state).unwrap_or(unknown)))
+        }
+    }
+}
+
 type ReplyFuture = Pin<Box<dyn Future<Output = Reply> + Send>>;
 type BoxedFn<A> = Arc<dyn Fn(Arc<A>, Call) -> ReplyFuture + Send + Sync>;
 
@@ -102,6 +117,7 @@
             headers: HeaderMap::take_from(&mut state),
             body: Body::take_from(&mut state),
             from: client_addr(&state),
+            inbound: take_inbound(&mut state),
         };
         let reply = (self.function.0)(self.app.0, call);
         Box::pin(async move { Ok((state, reply.await)) })
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,7 +1,8 @@
 //! HTTP server with graceful shutdown.
 //!
 //! gotham's own server can't drain, limit its connections or time out slow headers. This accept loop serves
-//! connections with hyper-util and passes each request to gotham's router.
+//! connections with hyper-util and passes each request to gotham's router. When all places are taken, the connection that
+//! has waited longest without progress is closed for a new one.
 
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
@@ -9,9 +10,12 @@
 use std::time::Duration;
 
 use gotham::handler::NewHandler;
+use gotham::helpers::http::Body;
 use gotham::service::call_handler;
 use gotham::state::State;
 use http::Request;
+use http::Response;
+use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
@@ -19,16 +23,25 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
+use socket2::SockRef;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::Inbound;
+use crate::exchange;
+use crate::exchange::RequestBody;
+use crate::exchange::ResponseGuard;
+use crate::inbound::RequestInbound;
+use crate::inbound_stream::InboundStream;
+use crate::places::Places;
 
 /// Limits of a server's connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Number of concurrent connections; further ones wait to be accepted.
+    /// Number of concurrent connections. When there are as many, one that makes no progress is closed for a new one, which
+    /// waits to be accepted if there is none.
     pub connections: usize,
     /// Time within which the headers of a request must arrive.
     pub header_timeout: Duration,
@@ -36,6 +49,10 @@
     pub head_bytes: usize,
     /// Time for running requests to end after a drain begins; then their connections are closed.
     pub grace: Duration,
+    /// Time after which a connection is closed whose other side does not take its response.
+    pub write_timeout: Duration,
+    /// Size of the kernel's buffers of a connection for each direction, in bytes.
+    pub buffer_bytes: usize,
 }
 
 impl Default for Limits {
@@ -45,6 +62,8 @@
             header_timeout: Duration::from_secs(10),
             head_bytes: 32 << 10,
             grace: Duration::from_secs(600),
+            write_timeout: Duration::from_secs(20),
+            buffer_bytes: 32 << 10,
         }
     }
 }
@@ -52,6 +71,9 @@
 /// Delay after a failed accept, which is usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval between two looks for connections whose other side does not take what is written.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Signal that makes servers shut down gracefully.
 #[derive(Clone, Debug)]
 pub struct Drain {
@@ -95,42 +117,67 @@
     let graceful = GracefulShutdown::new();
     // Dropping the set closes its connections, so that a server whose future is dropped leaves none open.
     let mut connections = JoinSet::new();
-    let permits = Arc::new(Semaphore::new(limits.connections));
+    let places = Places::new(limits.connections, limits.write_timeout);
+    set_buffers(&listener, limits.buffer_bytes);
+    let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
     loop {
-        let permit = tokio::select! {
-            biased;
-            () = drain.begun() => break,
-            permit = permits.clone().acquire_owned() => permit,
-        };
         let accepted = tokio::select! {
             biased;
             () = drain.begun() => break,
+            _ = sweep.tick() => {
+                places.close_blocked();
+                continue;
+            }
             accepted = listener.accept() => accepted,
         };
         let (stream, from) = match accepted {
             Ok(pair) => pair,
             Err(error) => {
                 log::warn!(error = error.to_string().as_str(); "could not accept a connection");
+                places.make_room();
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
-        let connection = serve_connection(stream, from, &handler, limits, &graceful);
+        let place = tokio::select! {
+            biased;
+            () = drain.begun() => break,
+            place = places.take() => place,
+        };
+        // Otherwise small responses wait for a delayed acknowledgment. A failure only adds latency.
+        let _ = stream.set_nodelay(true);
+        let inbound = Arc::new(Inbound::new(from));
+        let membership = places.open.add(&inbound);
+        let stream = InboundStream::new(stream, &inbound);
+        let connection = serve_connection(stream, from, &inbound, &handler, limits, &graceful);
         connections.spawn(async move {
-            connection.await;
-            drop(permit);
+            tokio::select! {
+                () = connection => (),
+                () = inbound.closed() => (),
+            }
+            drop((membership, place));
         });
         while connections.try_join_next().is_some() {}
     }
     drop(listener);
-    tokio::time::timeout(limits.grace, graceful.shutdown())
-        .await
-        .is_ok()
+    timeout(limits.grace, graceful.shutdown()).await.is_ok()
+}
+
+/// Bounds what the kernel holds for each connection that is accepted.
+fn set_buffers(listener: &TcpListener, bytes: usize) {
+    let socket = SockRef::from(listener);
+    let result = socket
+        .set_recv_buffer_size(bytes)
+        .and_then(|()| socket.set_send_buffer_size(bytes));
+    if let Err(error) = result {
+        log::warn!(error = error.to_string().as_str(); "could not bound the buffers of connections");
+    }
 }
 
 fn serve_connection<H>(
-    stream: TcpStream,
+    stream: InboundStream,
     from: SocketAddr,
+    inbound: &Arc<Inbound>,
     handler: &Arc<H>,
     limits: Limits,
     graceful: &GracefulShutdown,
@@ -139,12 +186,22 @@
     H: NewHandler + 'static,
 {
     let handler = handler.clone();
+    let inbound = inbound.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let state = State::from_request(request, from);
-        call_handler(handler.clone(), AssertUnwindSafe(state))
+        inbound.request_began(!request.body().is_end_stream());
+        let end = ResponseGuard(inbound.clone());
+        let request = request.map(|body| RequestBody {
+            body,
+            inbound: inbound.clone(),
+        });
+        let mut state = State::from_request(request, from);
+        state.put(RequestInbound(inbound.clone()));
+        let response = call_handler(handler.clone(), AssertUnwindSafe(state));
+        async move {
+            let response: Response<Body> = response.await?;
+            Ok::<_, gotham::anyhow::Error>(response.map(|body| exchange::guard(body, end)))
+        }
     });
-    // Otherwise small responses wait for a delayed acknowledgment. A failure only adds latency.
-    let _ = stream.set_nodelay(true);
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -41,6 +41,7 @@
 mod peer_server;
 pub mod refusal;
 pub mod replication;
+mod resources;
 mod request_counts;
 pub mod result_cache;
 pub mod run;
--- /dev/null
+++ b/crates/node/src/resources.rs
@@ -0,0 +1,69 @@
+//! How the memory and the file descriptors of a process are divided among what takes them.
+//!
+//! What is not listed here is left to the process itself, to samples and results, and to connections that it opens.
+
+use std::time::Duration;
+
+use net::Limits;
+
+use crate::Settings;
+use crate::settings::Role;
+
+/// Divisor of the memory that gives the memory for connections.
+const CONNECTION_DIVISOR: usize = 4;
+
+/// Memory that a connection takes with what has arrived on it and is not read, in bytes.
+const CONNECTION_BYTES: usize = 56 << 10;
+
+/// Descriptors that are left to files.
+const FILE_DESCRIPTORS: usize = 200;
+
+/// Divisors of the other descriptors that give those of a listener.
+const MAIN_DIVISOR: usize = 2;
+const PEER_DIVISOR: usize = 8;
+const READINESS_DIVISOR: usize = 32;
+
+/// The fewest connections of a listener.
+const MIN_CONNECTIONS: usize = 16;
+
+/// The most connections of a listener.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// Time for which a connection may be idle or take for its headers: callers keep idle ones for about ten seconds,
+/// and a connection closed by this side just when a caller uses it costs that caller an attempt.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Whom a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Listener {
+    /// Callers.
+    Callers,
+    /// Other instances and readers of the metrics.
+    Peers,
+    /// The check whether the instance is ready.
+    Readiness,
+}
+
+/// Returns the limits of a listener's connections.
+pub(crate) fn limits(settings: &Settings, listener: Listener) -> Limits {
+    Limits {
+        connections: connections(settings, listener),
+        header_timeout: HEADER_TIMEOUT,
+        ..Limits::default()
+    }
+}
+
+fn connections(settings: &Settings, listener: Listener) -> usize {
+    let divisor = match (listener, settings.role) {
+        (Listener::Callers, _) | (Listener::Peers, Role::Control) => MAIN_DIVISOR,
+        (Listener::Peers, Role::Entry) => PEER_DIVISOR,
+        (Listener::Readiness, _) => READINESS_DIVISOR,
+    };
+    let sockets = settings.descriptors.saturating_sub(FILE_DESCRIPTORS);
+    let by_descriptors = sockets / divisor;
+    let by_memory =
+        settings.memory / CONNECTION_DIVISOR / CONNECTION_BYTES * MAIN_DIVISOR / divisor;
+    by_descriptors
+        .min(by_memory)
+        .clamp(MIN_CONNECTIONS, MAX_CONNECTIONS)
+}
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -37,6 +37,8 @@
 use crate::peer_server;
 use crate::refusal::Refusal;
 use crate::replication;
+use crate::resources;
+use crate::resources::Listener;
 use crate::settings;
 use crate::settings::MachineLimits;
 use crate::settings::Role;
@@ -55,10 +57,6 @@
 /// Time after which unused results are removed from memory, in milliseconds.
 const UNREAD_RESULTS_TTL: u64 = 4_000;
 
-/// Time for which a connection may be idle or take for its headers: callers keep idle ones for about ten seconds,
-/// and a connection closed by this side just when a caller uses it costs that caller an attempt.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// A running instance.
 pub struct Running {
     /// The shared state; its settings hold the ports that the instance listens on.
@@ -119,6 +117,7 @@
         serve(
             internal,
             HandlerFn::new(&shared, handle_internal),
+            resources::limits(&app.settings, Listener::Peers),
             &Drain::default(),
         );
         if let Some(readiness) = readiness {
@@ -126,11 +125,13 @@
             serve(
                 readiness,
                 HandlerFn::new(&app, handle_readiness),
+                resources::limits(&app.settings, Listener::Readiness),
                 &Drain::default(),
             );
         }
         let front = HandlerFn::new(&app, frontend::handle);
-        let front = callers.map(|callers| serve(callers, front, &drain));
+        let limits = resources::limits(&app.settings, Listener::Callers);
+        let front = callers.map(|callers| serve(callers, front, limits, &drain));
         app.plat
             .set_relay(Arc::new(PeerRelay(Arc::downgrade(&app))));
         tokio::spawn(member::maintain_entry(app.clone()));
@@ -177,12 +178,9 @@
 fn serve<A: Send + Sync + 'static>(
     listener: TcpListener,
     handler: HandlerFn<A>,
+    limits: Limits,
     drain: &Drain,
 ) -> JoinHandle<bool> {
-    let limits = Limits {
-        header_timeout: HEADER_TIMEOUT,
-        ..Limits::default()
-    };
     let drain = drain.clone();
     tokio::spawn(net::server::serve(listener, handler, limits, drain))
 }
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -331,8 +331,8 @@
         limits: Limits {
             connections,
             header_timeout: duration(headers),
-            head_bytes: defaults.head_bytes,
             grace: duration(grace),
+            ..defaults
         },
     }
 }
