Bound the memory that callers' bodies take together

Callers saw an entry end: it ran out of memory under many bodies of legal length. Of a body over the limit as much as the limit was taken, whatever its announced length.

Bodies are copied into segments of up to 64 kB, each counted until the last clone has passed it on; calls are sent to upstreams from them, without a copy. All together take 45% of the memory, of which the last sixteenth is for the first 16 kB of bodies, so that ordinary requests come in beside large ones. When it is used up, a body that has made no progress for 250 ms gives way (less than 4 kB is no progress); one that arrives whole or goes on does not, and the new one is refused: 503 with `Retry-After`, `Connection: close`, at once. What is announced over the limit gets 413 before a byte of it is read; what is not complete in the time that its request has, 408. That time begins with the head now: a body that came slowly was not counted, and its request got as much time again at the upstream.

Metrics: snipeway_body_bytes, snipeway_body_bytes_limit, snipeway_bodies_refused_total{reason}; a line `body not received`.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod token;
 
 pub use digest::digest;
+pub use digest::digest_segments;
 pub use id::AttemptId;
 pub use id::RequestId;
 pub use map::Map;
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -15,9 +15,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use net::Arrival;
+use net::Payload;
 use net::SendCondition;
 use net::SendError;
 use place::Load;
@@ -29,7 +29,7 @@
 /// A request to an upstream.
 pub(crate) struct Outbound {
     /// The request.
-    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) request: Request<Payload>,
     /// The upstream, as it is named in the log.
     pub(crate) upstream: Arc<str>,
     /// The ID that the upstream repeats in its answer; [`None`] for a request that has none.
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -17,6 +17,7 @@
 use kernel::Millis;
 use kernel::Set;
 use kernel::ShardedMap;
+use net::Uploads;
 use parking_lot::Mutex;
 use place::EngineMemory;
 use place::EngineTracker;
@@ -49,6 +50,7 @@
 use crate::owner::OwnedStep;
 use crate::replication::ConfirmationState;
 use crate::replication::Demand;
+use crate::resources;
 use crate::result_cache::ResultCache;
 use crate::service_attempts::AttemptTable;
 use crate::slot_reports::Receivers;
@@ -66,9 +68,6 @@
 /// than an outage in which entries expire plus the seconds until they are back.
 const RECENT_MEMBER_TTL: Millis = 60_000;
 
-/// Divisor of the memory of the process that gives the memory for answers that are being received.
-const ANSWER_MEMORY_DIVISOR: usize = 8;
-
 /// State shared by all parts of an instance.
 pub struct App {
     /// The settings of this instance.
@@ -81,6 +80,8 @@
     pub plat: Client,
     /// HTTP client for upstreams.
     pub http: net::Client,
+    /// The bodies of callers' requests, and a limit on their memory.
+    pub(crate) uploads: Uploads,
     /// Name and start time of this process.
     pub me: Owner,
     /// The configuration in force, once one is known.
@@ -172,10 +173,12 @@
         }
         let overload = Overload::new(settings.max_delay);
         let confirmation = ConfirmationState::new(&settings.name, settings.apply_limit);
-        let answer_bytes = settings.memory / ANSWER_MEMORY_DIVISOR;
+        let answer_bytes = resources::answer_bytes(&settings);
+        let uploads = Uploads::new(resources::upload_bytes(&settings));
         let attempts = AttemptTable::new(settings.attempts);
         Arc::new(Self {
             settings,
+            uploads,
             attempts,
             overload,
             clock,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use net::Payload;
 use net::SendCondition;
 use table::Upstream;
 use tokio::task::JoinSet;
@@ -152,7 +153,7 @@
         .body(http_body_util::Full::default())?;
     let sent_at = app.clock.now();
     let outbound = Outbound {
-        request,
+        request: request.map(Payload::from),
         upstream: engine.id.clone(),
         id: None,
         condition: SendCondition::always(),
--- a/crates/node/src/control/load_orders.rs
+++ b/crates/node/src/control/load_orders.rs
@@ -7,6 +7,7 @@
 use kernel::Map;
 use kernel::Millis;
 use kernel::Set;
+use net::Payload;
 use net::SendCondition;
 use net::SendError;
 use table::Upstream;
@@ -280,7 +281,7 @@
             }
         };
         let outbound = Outbound {
-            request,
+            request: request.map(Payload::from),
             upstream: engine.id.clone(),
             id: None,
             condition,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -15,14 +15,12 @@
 use ::attempt::Permission;
 use bytes::Bytes;
 use http::Response;
-use http::request::Parts;
 use kernel::Millis;
 use net::Reply;
 use poison::Verdict;
 use table::Config;
 use table::Route;
 use table::RouteKind;
-use team::Principal;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -31,7 +29,6 @@
 use crate::App;
 use crate::call_queue::QueueRefusal;
 use crate::call_queue::QueuedCall;
-use crate::dialect::Caller;
 use crate::forwarded_request::ForwardedRequest;
 use crate::forwarded_request::UpstreamSlot;
 use crate::refusal::Refusal;
@@ -45,15 +42,11 @@
 const QUARANTINE_REASON: &str = "request crashes upstreams";
 
 /// Forwards a call and replies with the upstream's answer.
-pub async fn forward_call(
+pub(crate) async fn forward_call(
     app: &Arc<App>,
     route: &Arc<Route>,
-    head: &Parts,
-    caller: &Caller,
-    body: Bytes,
-    principal: Principal,
+    request: ForwardedRequest,
 ) -> Reply {
-    let request = ForwardedRequest::new(app, head, caller, body, route.timeout, principal);
     let request = Arc::new(request);
     let left = Duration::from_millis(request.time_left());
     let mut attempts = Attempts::new(request, route, Requester::Caller);
--- a/crates/node/src/forwarded_request.rs
+++ b/crates/node/src/forwarded_request.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::OnceLock;
 
-use bytes::Bytes;
 use crash::Subject;
 use crash::SuspectGuard;
 use http::HeaderValue;
@@ -11,8 +10,8 @@
 use http::StatusCode;
 use http::Uri;
 use http::request::Parts;
-use http_body_util::Full;
 use kernel::Millis;
+use net::Payload;
 use net::SendCondition;
 use parking_lot::Mutex;
 use place::EngineMemory;
@@ -44,7 +43,7 @@
 pub(crate) struct ForwardedRequest {
     pub(crate) app: Arc<App>,
     pub(crate) head: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: Payload,
     /// The request ID that the caller chose.
     pub(crate) id: Arc<str>,
     /// When its time limit is reached, on this instance's clock.
@@ -61,22 +60,21 @@
 }
 
 impl ForwardedRequest {
-    /// Creates a request whose time limit is the shorter one of its caller's deadline and its route's timeout.
+    /// Creates a request of a caller.
     pub(crate) fn new(
         app: &Arc<App>,
-        head: &Parts,
+        head: Parts,
         caller: &Caller,
-        body: Bytes,
-        timeout: Millis,
+        body: Payload,
+        deadline: Millis,
         principal: Principal,
     ) -> Self {
-        let wait = caller.timeout.unwrap_or(timeout).min(timeout);
         Self {
             app: app.clone(),
-            head: head.clone(),
+            head,
             body,
             id: caller.id.clone(),
-            deadline: app.clock.now() + wait,
+            deadline,
             principal,
             attempts: Mutex::new(Some(RequestAttempts::default())),
             is_score: false,
@@ -90,7 +88,7 @@
         app: &Arc<App>,
         head: Parts,
         id: Arc<str>,
-        body: Bytes,
+        body: Payload,
         deadline: Millis,
         principal: Principal,
     ) -> Self {
@@ -219,14 +217,14 @@
         &self,
         upstream: &Upstream,
         last_event: Option<&str>,
-    ) -> Option<Request<Full<Bytes>>> {
+    ) -> Option<Request<Payload>> {
         if !self.is_permitted() {
             return None;
         }
         let path = self.head.uri.path_and_query();
         let path = path.map_or("/", |path| path.as_str());
         let uri: Uri = net::client::uri(upstream.addr, path).parse().ok()?;
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = uri;
         let dialect = &self.app.dialect;
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -1,18 +1,26 @@
 //! Handles callers' requests.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use gotham::helpers::http::Body;
 use http::request::Parts;
+use kernel::Millis;
 use net::Call;
+use net::Inbound;
+use net::Payload;
 use net::Reply;
+use net::UploadLimits;
+use net::body::ReadError;
 use table::RouteKind;
+use tokio::time::Instant;
 
 use crate::App;
 use crate::access;
 use crate::dialect::Caller;
 use crate::dialect::Operation;
 use crate::forward;
+use crate::forwarded_request::ForwardedRequest;
 use crate::overload;
 use crate::refusal;
 use crate::refusal::Refusal;
@@ -25,11 +33,11 @@
     let started = app.clock.now();
     overload::measure(&app);
     let (version, config_age) = access::check_config_age(&app);
-    let (head, body) = split(call);
+    let (head, upload) = split(call);
     let caller = app.dialect.decode_caller(&head);
     // Requests about a step carry no identifier of their own and are logged under the step's.
     let id = caller.operation.step().unwrap_or(&caller.id).clone();
-    let (route, mut reply) = dispatch(&app, head, caller, body).await;
+    let (route, mut reply) = dispatch(&app, head, caller, upload, started).await;
     if app.is_leaving() {
         refusal::close_connection(&mut reply);
     }
@@ -43,8 +51,18 @@
     reply
 }
 
-fn split(call: Call) -> (Parts, Body) {
-    let mut request = http::Request::new(call.body);
+/// The body of a request, not yet received, and the connection on which it comes.
+struct Upload {
+    body: Body,
+    inbound: Arc<Inbound>,
+}
+
+fn split(call: Call) -> (Parts, Upload) {
+    let upload = Upload {
+        body: call.body,
+        inbound: call.inbound,
+    };
+    let mut request = http::Request::new(upload);
     *request.method_mut() = call.method;
     *request.uri_mut() = call.uri;
     *request.headers_mut() = call.headers;
@@ -55,7 +73,8 @@
     app: &Arc<App>,
     head: Parts,
     caller: Caller,
-    body: Body,
+    upload: Upload,
+    started: Millis,
 ) -> (&'static str, Reply) {
     if caller.operation.step().is_some() {
         return dispatch_step(app, &caller).await;
@@ -65,7 +84,7 @@
             log::info!(target: "front", id = &*caller.id, why; "invalid request");
             ("wrong", Refusal::Invalid.reply())
         }
-        _ => dispatch_route(app, head, caller, body).await,
+        _ => dispatch_route(app, head, caller, upload, started).await,
     }
 }
 
@@ -121,7 +140,8 @@
     app: &Arc<App>,
     head: Parts,
     caller: Caller,
-    body: Body,
+    upload: Upload,
+    started: Millis,
 ) -> (&'static str, Reply) {
     let mut early = EarlyShedding::Undecided;
     if access::needs_confirmation(app) {
@@ -152,27 +172,55 @@
     {
         return ("shed", refusal.reply());
     }
-    let body = match net::body::read(body, config.max_body).await {
-        Ok(body) => body,
-        Err(net::body::ReadError::TooLong(_)) => return ("long", Refusal::BodyTooLarge.reply()),
-        Err(_) => return ("cut", Refusal::Invalid.reply()),
+    let wait = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = started + wait;
+    let payload = match receive(app, upload, config.max_body, deadline).await {
+        Ok(payload) => payload,
+        Err(refusal) => return (refusal.name(), refuse_body(&caller, refusal)),
     };
+    if route.kind == RouteKind::Rollout {
+        let reply = steps::accept::submit(app, &head, &caller, payload, &principal).await;
+        return ("submit", reply);
+    }
+    let request = ForwardedRequest::new(app, head, &caller, payload, deadline, principal);
     match route.kind {
-        RouteKind::Rollout => (
-            "submit",
-            steps::accept::submit(app, &head, &caller, &body, &principal).await,
-        ),
-        RouteKind::Idempotent => (
-            "call",
-            forward::forward_call(app, &route, &head, &caller, body, principal).await,
-        ),
-        RouteKind::Once => (
-            "once",
-            forward::forward_call(app, &route, &head, &caller, body, principal).await,
-        ),
+        RouteKind::Rollout | RouteKind::Idempotent => {
+            ("call", forward::forward_call(app, &route, request).await)
+        }
+        RouteKind::Once => ("once", forward::forward_call(app, &route, request).await),
         RouteKind::Stream => (
             "stream",
-            stream::forward_stream(app, &route, &head, &caller, body, principal).await,
+            stream::forward_stream(&route, &caller, request).await,
         ),
     }
 }
+
+/// Receives the body of a request, within the time that the request has.
+async fn receive(
+    app: &App,
+    upload: Upload,
+    max_bytes: usize,
+    deadline: Millis,
+) -> Result<Payload, Refusal> {
+    let left = deadline.saturating_sub(app.clock.now());
+    let limits = UploadLimits {
+        max_bytes,
+        deadline: Instant::now() + Duration::from_millis(left),
+    };
+    let received = app.uploads.receive(upload.body, &upload.inbound, limits);
+    received.await.map_err(|error| match error {
+        ReadError::TooLong(_) => Refusal::BodyTooLarge,
+        ReadError::OverBudget => Refusal::BodyRefused,
+        ReadError::Truncated => Refusal::Invalid,
+        ReadError::Timeout => Refusal::BodyLate,
+    })
+}
+
+/// Refuses a request whose body was not received. The rest of the body may still come, so nothing else can on its connection.
+fn refuse_body(caller: &Caller, refusal: Refusal) -> Reply {
+    metrics::counter!(telemetry::REFUSED_BODIES, "reason" => refusal.name()).increment(1);
+    log::info!(target: "front", id = &*caller.id, outcome = refusal.name(); "body not received");
+    let mut reply = refusal.reply();
+    refusal::close_connection(&mut reply);
+    reply
+}
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -44,6 +44,10 @@
     Invalid,
     /// The body is too large.
     BodyTooLarge,
+    /// There is no memory for the body now: the request has not been executed and never will be.
+    BodyRefused,
+    /// The body was not complete in the time that the request has: it has not been executed and never will be.
+    BodyLate,
 }
 
 impl Refusal {
@@ -59,14 +63,19 @@
             Self::Unauthorized => "unauthorized",
             Self::Invalid => "wrong",
             Self::BodyTooLarge => "long",
+            Self::BodyRefused => "no room",
+            Self::BodyLate => "slow",
         }
     }
 
     fn status(self) -> StatusCode {
         match self {
-            Self::NotExecuted | Self::Busy(_) | Self::Quarantined(_) | Self::Overloaded(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotExecuted
+            | Self::Busy(_)
+            | Self::Quarantined(_)
+            | Self::Overloaded(_)
+            | Self::BodyRefused => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::NotFound => StatusCode::NOT_FOUND,
@@ -92,7 +101,7 @@
     /// Returns the delay after which the caller should retry, in milliseconds.
     pub(crate) fn retry_after(self) -> Option<Millis> {
         match self {
-            Self::NotExecuted => Some(RETRY_DELAY),
+            Self::NotExecuted | Self::BodyRefused => Some(RETRY_DELAY),
             Self::Busy(delay) | Self::Overloaded(delay) => Some(delay),
             // Whole seconds, so that the caller does not return a moment too early.
             Self::Quarantined(left) => Some(left.next_multiple_of(MILLIS_PER_SECOND)),
--- a/crates/node/src/resources.rs
+++ b/crates/node/src/resources.rs
@@ -9,6 +9,12 @@
 use crate::Settings;
 use crate::settings::Role;
 
+/// Divisor of the memory that gives the memory for answers that are being received.
+const ANSWER_DIVISOR: usize = 8;
+
+/// Part of the memory for the bodies of callers' requests: room for one of 32 MB on a machine with 88 MB.
+const UPLOAD_PERCENT: usize = 45;
+
 /// Divisor of the memory that gives the memory for connections.
 const CONNECTION_DIVISOR: usize = 4;
 
@@ -44,6 +50,16 @@
     Readiness,
 }
 
+/// Returns the memory for answers of upstreams, in bytes.
+pub(crate) fn answer_bytes(settings: &Settings) -> usize {
+    settings.memory / ANSWER_DIVISOR
+}
+
+/// Returns the memory for bodies of callers' requests, in bytes.
+pub(crate) fn upload_bytes(settings: &Settings) -> usize {
+    settings.memory / 100 * UPLOAD_PERCENT
+}
+
 /// Returns the limits of a listener's connections.
 pub(crate) fn limits(settings: &Settings, listener: Listener) -> Limits {
     Limits {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 use kernel::Millis;
+use net::Payload;
 use parking_lot::Mutex;
 use place::EngineTracker;
 use place::MoveReason;
@@ -189,7 +190,7 @@
         };
         // The process may be paused, or the step may end, until the request is written.
         let outbound = Outbound {
-            request,
+            request: request.map(Payload::from),
             upstream: self.engine.id.clone(),
             id: Some(sample.id.clone()),
             condition: self.owned.send_condition(&self.app, self.permit),
--- a/crates/node/src/score.rs
+++ b/crates/node/src/score.rs
@@ -9,9 +9,9 @@
 use batch::score::AttemptResult;
 use batch::score::Decision;
 use batch::score::Retries;
-use bytes::Bytes;
 use http::StatusCode;
 use kernel::Millis;
+use net::Payload;
 use table::Route;
 use team::Principal;
 use tokio::time::Instant;
@@ -53,7 +53,7 @@
             return None;
         }
     };
-    let body = Bytes::from(scoring.body.clone());
+    let body = Payload::from(scoring.body.clone());
     let mut retries = Retries::new(max_failures);
     let mut attempts = 0;
     let mut limit = FIRST_TIMEOUT;
--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -6,10 +6,10 @@
 use batch::Head;
 use batch::Spec;
 use batch::keys;
-use bytes::Bytes;
 use http::StatusCode;
 use http::request::Parts;
 use kernel::Millis;
+use net::Payload;
 use net::Reply;
 use net::body;
 use plat::PlatError;
@@ -106,7 +106,7 @@
     app: &Arc<App>,
     head: &Parts,
     caller: &Caller,
-    bytes: &Bytes,
+    body: Payload,
     principal: &Principal,
 ) -> Reply {
     if app.is_leaving() {
@@ -125,7 +125,7 @@
         host: caller.host.clone(),
         path: head.uri.path().into(),
         timeout: caller.timeout,
-        body: bytes.to_vec(),
+        body: body.into_bytes().into(),
     };
     if app.running_steps.get(&submission.id).is_some() {
         return AcceptOutcome::Stored.reply();
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -9,21 +9,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http::request::Parts;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use kernel::Millis;
+use net::Payload;
 use net::Reply;
 use net::SendError;
 use table::Config;
 use table::Route;
-use team::Principal;
 use tokio::time::timeout;
 
-use crate::App;
 use crate::answer;
 use crate::answer::Answer;
 use crate::answer::Attribution;
@@ -75,15 +71,11 @@
 }
 
 /// Forwards a stream to a caller.
-pub async fn forward_stream(
-    app: &Arc<App>,
+pub(crate) async fn forward_stream(
     route: &Arc<Route>,
-    head: &Parts,
     caller: &Caller,
-    body: Bytes,
-    principal: Principal,
+    request: ForwardedRequest,
 ) -> Reply {
-    let request = ForwardedRequest::new(app, head, caller, body, route.timeout, principal);
     let service = Config::pick_service(route, rand::random());
     let mut stream = Stream {
         queued: QueuedCall::new(&request, route, service),
@@ -188,7 +180,7 @@
 
     async fn send_attempt(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
         mut slot: UpstreamSlot,
         opening: Opening<'_>,
     ) -> AttemptOutcome {
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -103,6 +103,15 @@
 /// Delay of the run queue in milliseconds, as last measured.
 pub const RUN_QUEUE_DELAY: &str = "snipeway_run_queue_delay_milliseconds";
 
+/// Memory that bodies of requests take, in bytes, by who sends them.
+pub const BODY_BYTES: &str = "snipeway_body_bytes";
+
+/// Memory that bodies of requests may take, in bytes, by who sends them.
+pub const BODY_BYTES_LIMIT: &str = "snipeway_body_bytes_limit";
+
+/// Bodies of callers' requests that were not received, by reason.
+pub const REFUSED_BODIES: &str = "snipeway_bodies_refused_total";
+
 /// Buckets of [`REQUEST_SECONDS`].
 const REQUEST_SECONDS_BUCKETS: [f64; 11] =
     [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
@@ -214,5 +223,16 @@
         Unit::Milliseconds,
         "delay of the run queue as last measured"
     );
+    metrics::describe_gauge!(
+        BODY_BYTES,
+        Unit::Bytes,
+        "memory that bodies of requests take by who sends them"
+    );
+    metrics::describe_gauge!(
+        BODY_BYTES_LIMIT,
+        Unit::Bytes,
+        "memory that bodies of requests may take by who sends them"
+    );
+    metrics::describe_counter!(REFUSED_BODIES, "bodies that were not received by reason");
     Some(handle)
 }
--- a/crates/poison/src/fingerprint.rs
+++ b/crates/poison/src/fingerprint.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use kernel::digest;
+use kernel::digest_segments;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -24,10 +24,20 @@
     /// assert_ne!(one, Fingerprint::new("POST", "shop.example", "/plain/a?b=c", b"Token k", b"body"));
     /// ```
     pub fn new(method: &str, host: &str, path: &str, caller: &[u8], body: &[u8]) -> Self {
-        let head = [method, host, path].map(str::as_bytes);
-        let [method, host, path] = head;
-        let parts = [method, host, path, caller, body];
-        Self(u128::from_be_bytes(digest(&parts)))
+        Self::of_segments(method, host, path, caller, std::iter::once(body))
+    }
+
+    /// Like [`Fingerprint::new`], with a body in segments.
+    pub fn of_segments<'a>(
+        method: &str,
+        host: &str,
+        path: &str,
+        caller: &[u8],
+        body: impl Iterator<Item = &'a [u8]> + Clone,
+    ) -> Self {
+        let [method, host, path] = [method, host, path].map(str::as_bytes);
+        let head = [method, host, path, caller];
+        Self(u128::from_be_bytes(digest_segments(&head, body)))
     }
 }
 
