Hold a step once while it is accepted, and count its samples

A single step of 32 MB, which the users' limits allow, took 133 MB of 88: its body was copied for the handover, decoded beside the body, and all parts were encoded at the same time. Samples that wait counted nowhere, so steps of legal length one after the other had no bound either.

The body is decoded segment by segment, each freed as it is read, and what it took is reserved for the samples until the step is gone; a step for which there is no room is refused as not run. Parts are encoded one at a time, and from 1 MB on written one at a time (from 4 MB before). Copies of all steps that are being stored share an eleventh of the memory, for which they wait in turn.

--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -1,5 +1,6 @@
 //! Records of a step that are stored at the platform, and their encoding.
 
+use std::collections::VecDeque;
 use std::hash::DefaultHasher;
 use std::hash::Hash;
 use std::hash::Hasher;
@@ -14,6 +15,9 @@
 /// memory.
 const MAX_PART_BYTES: usize = 512 << 10;
 
+/// About the memory that a sample takes without its bodies, in bytes.
+const SAMPLE_OVERHEAD_BYTES: usize = 512;
+
 /// Maximum encoding overhead of a part, in bytes.
 const MAX_OVERHEAD_BYTES: usize = 64;
 
@@ -209,21 +213,27 @@
     ///
     /// Returns [`RecordError`] if a sample cannot be encoded.
     pub fn encode_parts(&self) -> Result<Vec<Vec<u8>>, RecordError> {
-        let mut parts = Vec::new();
-        let mut first = 0;
-        while first < self.samples.len() {
-            let (count, bytes) = self.encode_part(first)?;
-            let mut chunks = bytes.chunks(MAX_PART_BYTES).peekable();
-            while let Some(chunk) = chunks.next() {
-                parts.push(encode(&Part {
-                    first: first as u32,
-                    more: chunks.peek().is_some(),
-                    bytes: chunk.to_vec(),
-                })?);
-            }
-            first += count;
+        self.parts().collect()
+    }
+
+    /// Encodes the samples part by part, so that a reader need not hold all of them in memory.
+    pub fn parts(&self) -> Parts<'_> {
+        Parts {
+            spec: self,
+            next: 0,
+            encoded: VecDeque::new(),
         }
-        Ok(parts)
+    }
+
+    /// Returns about the number of bytes that the samples take in memory.
+    pub fn size(&self) -> usize {
+        let sizes = self.samples.iter().map(|sample| {
+            let scoring = sample.scoring.as_ref();
+            SAMPLE_OVERHEAD_BYTES
+                + sample.body.len()
+                + scoring.map_or(0, |scoring| scoring.body.len())
+        });
+        sizes.sum()
     }
 
     /// Encodes as many samples from index `first` on as fit into a part, at least one; also returns
@@ -263,6 +273,49 @@
     }
 }
 
+/// The parts of a specification, each encoded when it is asked for.
+#[derive(Debug)]
+pub struct Parts<'a> {
+    spec: &'a Spec,
+    /// Index of the first sample that is not encoded.
+    next: usize,
+    /// Encoded parts of the samples before it, of which a long sample has several.
+    encoded: VecDeque<Vec<u8>>,
+}
+
+impl Parts<'_> {
+    /// Encodes the next samples.
+    fn advance(&mut self) -> Result<(), RecordError> {
+        let first = self.next;
+        let (count, bytes) = self.spec.encode_part(first)?;
+        self.next += count;
+        let mut chunks = bytes.chunks(MAX_PART_BYTES).peekable();
+        while let Some(chunk) = chunks.next() {
+            self.encoded.push_back(encode(&Part {
+                first: first as u32,
+                more: chunks.peek().is_some(),
+                bytes: chunk.to_vec(),
+            })?);
+        }
+        Ok(())
+    }
+}
+
+impl Iterator for Parts<'_> {
+    type Item = Result<Vec<u8>, RecordError>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        if self.encoded.is_empty() && self.next < self.spec.samples.len() {
+            let advanced = self.advance();
+            if let Err(error) = advanced {
+                self.next = self.spec.samples.len();
+                return Some(Err(error));
+            }
+        }
+        self.encoded.pop_front().map(Ok)
+    }
+}
+
 /// How a sample ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -54,6 +54,7 @@
 use crate::result_cache::ResultCache;
 use crate::service_attempts::AttemptTable;
 use crate::slot_reports::Receivers;
+use crate::step_copies::StepCopies;
 use crate::sync_status::SyncStatus;
 
 /// Time for which an idle connection to an upstream is kept open. Reusing it saves the upstream from opening a new
@@ -82,6 +83,8 @@
     pub http: net::Client,
     /// The bodies of callers' requests, and a limit on their memory.
     pub(crate) uploads: Uploads,
+    /// Limits the memory for copies of steps that are being stored.
+    pub(crate) step_copies: StepCopies,
     /// Name and start time of this process.
     pub me: Owner,
     /// The configuration in force, once one is known.
@@ -175,10 +178,12 @@
         let confirmation = ConfirmationState::new(&settings.name, settings.apply_limit);
         let answer_bytes = resources::answer_bytes(&settings);
         let uploads = Uploads::new(resources::upload_bytes(&settings));
+        let step_copies = StepCopies::new(resources::step_copy_bytes(&settings));
         let attempts = AttemptTable::new(settings.attempts);
         Arc::new(Self {
             settings,
             uploads,
+            step_copies,
             attempts,
             overload,
             clock,
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use kernel::Millis;
 use kernel::Priority;
+use net::Payload;
 use place::Load;
 use table::Config;
 use table::Upstream;
@@ -306,7 +307,7 @@
     /// # Errors
     ///
     /// Returns [`DialectError`].
-    fn decode_step(&self, body: &[u8]) -> Result<StepRequest, DialectError>;
+    fn decode_step(&self, body: Payload) -> Result<StepRequest, DialectError>;
 
     /// Encodes results from a position on, as many as one answer may hold.
     fn encode_page(&self, total: u32, from: usize, entries: &[Entry]) -> Vec<u8>;
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -10,6 +10,7 @@
 use std::cmp::Reverse;
 use std::sync::Arc;
 
+use bytes::Buf;
 use kernel::Millis;
 use kernel::rendezvous_rank;
 
@@ -30,6 +31,13 @@
 /// Instances that are asked in turn: each is sent the complete step, and one that declines replies at once.
 const MAX_CANDIDATES: usize = 3;
 
+/// Length of the longest step that is handed over, in bytes: it is copied for it, and what the other instance has for
+/// messages is a small part of its memory.
+const MAX_HANDOVER_BYTES: usize = 1 << 20;
+
+/// Number of copies of a step while it is handed over.
+const HANDOVER_COPIES: usize = 2;
+
 /// Returns the instances of a failure domain that run the steps of a route, in order of preference.
 ///
 /// # Examples
@@ -80,6 +88,13 @@
 
 /// Hands a step over to the instance preferred for its route.
 pub async fn hand_over(app: &Arc<App>, submission: &Submission) -> HandoverOutcome {
+    let length = submission.body.remaining();
+    if length > MAX_HANDOVER_BYTES {
+        return HandoverOutcome::Local;
+    }
+    let Some(_copies) = app.uploads.reserve(length * HANDOVER_COPIES) else {
+        return HandoverOutcome::Local;
+    };
     for member in candidates(app, submission) {
         let name = &member.owner.instance;
         if *name == app.me.instance {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -19,6 +19,7 @@
 use batch::Spec;
 use kernel::Millis;
 use kernel::Set;
+use net::Reservation;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -41,9 +42,31 @@
 /// samples must not time out early.
 const CLOCK_SKEW_ALLOWANCE: Millis = 2_500;
 
+/// The samples of a step, and the memory that is reserved for them.
+pub struct HeldSpec {
+    /// The samples.
+    pub spec: Spec,
+    /// The memory.
+    pub memory: Reservation,
+}
+
+impl HeldSpec {
+    /// Reserves memory for samples that have to be held, whether there is room or not.
+    fn required(app: &App, spec: Spec) -> Self {
+        let memory = app.uploads.reserve_anyway(spec.size());
+        Self { spec, memory }
+    }
+}
+
 /// Starts a step that was accepted by this instance.
-pub fn begin(app: &Arc<App>, step: &Arc<str>, head: Head, mut spec: Spec, ownership: Ownership) {
-    let carried_over = apply_leftovers(app, &head, &mut spec);
+pub fn begin(
+    app: &Arc<App>,
+    step: &Arc<str>,
+    head: Head,
+    mut spec: HeldSpec,
+    ownership: Ownership,
+) {
+    let carried_over = apply_leftovers(app, &head, &mut spec.spec);
     let mut owned = OwnedStep::new(app, step, head, spec, &ownership, app.clock.now());
     owned.carried_over = carried_over;
     start(app, owned, "accepted");
@@ -121,6 +144,7 @@
         .clock
         .now()
         .saturating_sub(age.saturating_sub(CLOCK_SKEW_ALLOWANCE));
+    let spec = HeldSpec::required(app, spec);
     let owned = OwnedStep::new(app, step, head, spec, &ownership, opened_at);
     {
         let mut ledger = owned.ledger.lock();
--- a/crates/node/src/owner/owned_step.rs
+++ b/crates/node/src/owner/owned_step.rs
@@ -20,6 +20,7 @@
 use kernel::Millis;
 use kernel::Priority;
 use kernel::Set;
+use net::Reservation;
 use net::SendCondition;
 use parking_lot::Mutex;
 use place::ModelDemand;
@@ -29,6 +30,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use super::HeldSpec;
 use super::step_end::StepProgress;
 use crate::App;
 use crate::result_cache::ResultPage;
@@ -50,6 +52,8 @@
     pub(super) head: Head,
     pub(super) rev: i64,
     pub(super) spec: Arc<Spec>,
+    /// The memory that the samples take.
+    _memory: Reservation,
     /// The text of each sample so far, by the sample's index in the step.
     pub(super) drafts: Vec<Mutex<Draft>>,
     /// How much of the drafts is saved at the platform.
@@ -83,7 +87,7 @@
         app: &App,
         step: &Arc<str>,
         head: Head,
-        spec: Spec,
+        HeldSpec { spec, memory }: HeldSpec,
         ownership: &Ownership,
         opened_at: Millis,
     ) -> Self {
@@ -97,6 +101,7 @@
             head,
             rev: ownership.rev(),
             spec: Arc::new(spec),
+            _memory: memory,
             opened_at,
             ledger: Mutex::new(ledger),
             progress: Mutex::default(),
--- a/crates/node/src/resources.rs
+++ b/crates/node/src/resources.rs
@@ -15,6 +15,9 @@
 /// Part of the memory for the bodies of callers' requests: room for one of 32 MB on a machine with 88 MB.
 const UPLOAD_PERCENT: usize = 45;
 
+/// Divisor of the memory that gives the memory for copies of steps that are being stored.
+const STEP_COPY_DIVISOR: usize = 11;
+
 /// Divisor of the memory that gives the memory for connections.
 const CONNECTION_DIVISOR: usize = 4;
 
@@ -60,6 +63,11 @@
     settings.memory / 100 * UPLOAD_PERCENT
 }
 
+/// Returns the memory for copies of steps that are being stored, in bytes.
+pub(crate) fn step_copy_bytes(settings: &Settings) -> usize {
+    settings.memory / STEP_COPY_DIVISOR
+}
+
 /// Returns the limits of a listener's connections.
 pub(crate) fn limits(settings: &Settings, listener: Listener) -> Limits {
     Limits {
--- a/crates/node/src/step_head.rs
+++ b/crates/node/src/step_head.rs
@@ -26,7 +26,7 @@
 
 /// Maximum total size of the specification's parts that are written in one transaction with the head. Larger
 /// specifications are written part by part before it.
-const MAX_INLINE_SPEC_BYTES: usize = 4 << 20;
+const MAX_INLINE_SPEC_BYTES: usize = 1 << 20;
 
 /// Proof from the platform that a step was open and owned by this instance at [`Ownership::sent_at`] or later.
 #[derive(Debug)]
@@ -130,21 +130,15 @@
     head: &Head,
     spec: &Spec,
 ) -> Result<TxnOutcome, PlatError> {
-    let parts = spec.encode_parts().map_err(|_| PlatError::Garbled)?;
-    let mut puts: Vec<_> = parts
-        .into_iter()
-        .enumerate()
-        .map(|(index, part)| Put::new(keys::part(step, index), part))
-        .collect();
-    let bytes: usize = puts.iter().map(|put| put.value.len()).sum();
-    if bytes > MAX_INLINE_SPEC_BYTES {
-        // The head is written last, so that a step with a head is complete.
-        for put in std::mem::take(&mut puts) {
-            let txn = Txn {
-                puts: vec![put],
-                ..Txn::default()
-            };
-            app.plat.txn(&txn).await?;
+    let _copies = app.step_copies.acquire(spec.size()).await;
+    let (mut puts, mut bytes) = (Vec::new(), 0);
+    for (index, part) in spec.parts().enumerate() {
+        let part = part.map_err(|_| PlatError::Garbled)?;
+        bytes += part.len();
+        puts.push(Put::new(keys::part(step, index), part));
+        if bytes > MAX_INLINE_SPEC_BYTES {
+            // The head is written last, so that a step with a head is complete.
+            write_parts(app, &mut puts).await?;
         }
     }
     puts.push(head_put(step, head)?);
@@ -156,6 +150,18 @@
     app.plat.txn(&txn).await
 }
 
+/// Writes parts of a specification, one at a time.
+async fn write_parts(app: &App, puts: &mut Vec<Put>) -> Result<(), PlatError> {
+    for put in puts.drain(..) {
+        let txn = Txn {
+            puts: vec![put],
+            ..Txn::default()
+        };
+        app.plat.txn(&txn).await?;
+    }
+    Ok(())
+}
+
 fn head_put(step: &str, head: &Head) -> Result<Put, PlatError> {
     let value = record::encode(head).map_err(|_| PlatError::Garbled)?;
     Ok(Put::new(keys::head(step), value))
--- a/crates/node/src/steps/accept.rs
+++ b/crates/node/src/steps/accept.rs
@@ -6,6 +6,7 @@
 use batch::Head;
 use batch::Spec;
 use batch::keys;
+use bytes::Buf;
 use http::StatusCode;
 use http::request::Parts;
 use kernel::Millis;
@@ -31,6 +32,7 @@
 use crate::handover::HandoverOutcome;
 use crate::member;
 use crate::owner;
+use crate::owner::HeldSpec;
 use crate::refusal::Refusal;
 use crate::step_head;
 use crate::step_head::CreateOutcome;
@@ -97,8 +99,8 @@
     #[serde(rename = "left")]
     pub timeout: Option<Millis>,
     /// The body of the request.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
+    #[serde(with = "crate::payload_bytes")]
+    pub body: Payload,
 }
 
 /// Accepts a step, here or at the instance that runs the steps of its route.
@@ -125,7 +127,7 @@
         host: caller.host.clone(),
         path: head.uri.path().into(),
         timeout: caller.timeout,
-        body: body.into_bytes().into(),
+        body,
     };
     if app.running_steps.get(&submission.id).is_some() {
         return AcceptOutcome::Stored.reply();
@@ -163,13 +165,30 @@
     Peer,
 }
 
+impl Origin {
+    /// Returns the outcome of a step that is not accepted here.
+    fn refused(self) -> AcceptOutcome {
+        match self {
+            Self::Unclear => AcceptOutcome::Unclear,
+            Self::Caller | Self::Peer => AcceptOutcome::Refused,
+        }
+    }
+}
+
 /// Accepts a step at this instance.
 ///
 /// The step is stored at the platform before the caller gets the reply that it is accepted. A refusal that promises
 /// that nothing runs is given only while no write was sent that may still take effect.
-async fn accept_locally(app: &Arc<App>, submission: Submission, origin: Origin) -> AcceptOutcome {
+async fn accept_locally(
+    app: &Arc<App>,
+    mut submission: Submission,
+    origin: Origin,
+) -> AcceptOutcome {
     let id = submission.id.clone();
-    let request = match app.dialect.decode_step(&submission.body) {
+    let body = std::mem::take(&mut submission.body);
+    let length = body.remaining();
+    // Decoding frees the body bit by bit, and the samples take no more than it did.
+    let request = match app.dialect.decode_step(body) {
         Ok(request) => request,
         Err(error) => {
             let why = error.to_string();
@@ -183,15 +202,19 @@
     if !serves_model(app, &submission, &request.model) {
         // Temporary: the configuration here may be a second behind that of an instance that has the model.
         log::info!(target: "steps", id = &*id, model = &*request.model; "unknown model");
-        return match origin {
-            Origin::Unclear => AcceptOutcome::Unclear,
-            Origin::Caller | Origin::Peer => AcceptOutcome::Refused,
-        };
+        return origin.refused();
     }
+    let Some(memory) = app.uploads.reserve(length) else {
+        log::info!(target: "steps", id = &*id, bytes = length; "no memory for the samples of a step");
+        return origin.refused();
+    };
     let (sender, receiver) = oneshot::channel();
     let head = make_head(app, &submission, &request);
-    let spec = Spec {
-        samples: request.samples,
+    let spec = HeldSpec {
+        spec: Spec {
+            samples: request.samples,
+        },
+        memory,
     };
     // Continues when the caller disconnects: whether the step is stored must be settled.
     let task = write_step(app.clone(), id, submission.legacy_id, head, spec, origin);
@@ -251,7 +274,7 @@
     id: Arc<str>,
     legacy_id: Option<Arc<str>>,
     head: Head,
-    spec: Spec,
+    spec: HeldSpec,
     origin: Origin,
 ) -> AcceptOutcome {
     let started = app.clock.now();
@@ -273,7 +296,7 @@
             log::warn!(target: "steps", id = &*id, took_ms = age; "outcome of the write unknown");
             return AcceptOutcome::Unclear;
         }
-        let result = step_head::create(&app, &id, legacy_id.as_deref(), &head, &spec).await;
+        let result = step_head::create(&app, &id, legacy_id.as_deref(), &head, &spec.spec).await;
         let age = app.clock.now() - started;
         match result {
             Ok(CreateOutcome::Open(ownership)) => {
