Bound the memory that messages of instances take together

Whoever reaches an instance's port for other instances could end it: 24 messages of half the greatest length, a byte short of their end, took 214 MB of 88 at an entry and at a control instance, also where they were sent to the path of the metrics. Each had a limit of 16 MB, the sum none, and no time limit.

Messages share a 32nd of the memory and have 2 s. A step for which the other instance has no room is declined (a new reply, which older instances take for none, as before) and accepted where it was submitted.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -83,6 +83,8 @@
     pub http: net::Client,
     /// The bodies of callers' requests, and a limit on their memory.
     pub(crate) uploads: Uploads,
+    /// The messages of other instances that are being received, and a limit on their memory.
+    pub(crate) messages: Uploads,
     /// Limits the memory for copies of steps that are being stored.
     pub(crate) step_copies: StepCopies,
     /// Name and start time of this process.
@@ -178,11 +180,13 @@
         let confirmation = ConfirmationState::new(&settings.name, settings.apply_limit);
         let answer_bytes = resources::answer_bytes(&settings);
         let uploads = Uploads::new(resources::upload_bytes(&settings));
+        let messages = Uploads::new(resources::message_bytes(&settings));
         let step_copies = StepCopies::new(resources::step_copy_bytes(&settings));
         let attempts = AttemptTable::new(settings.attempts);
         Arc::new(Self {
             settings,
             uploads,
+            messages,
             step_copies,
             attempts,
             overload,
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -122,6 +122,8 @@
     SlotReport(Option<SlotReport>),
     /// [`None`] when the receiver knows nothing newer.
     Config(Option<ConfirmedConfig>),
+    /// There is no room for the request now, which was not read.
+    Refused,
 }
 
 /// A configuration as another instance has it.
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -162,7 +162,7 @@
     let request = PeerRequest::Submit(submission.clone());
     match send_request(app, to, &request, HANDOVER_TIMEOUT).await {
         Some(PeerReply::Submit(Some(accepted))) => SubmitOutcome::Answered(accepted),
-        Some(PeerReply::Submit(None)) => SubmitOutcome::Declined,
+        Some(PeerReply::Submit(None) | PeerReply::Refused) => SubmitOutcome::Declined,
         _ => SubmitOutcome::NoReply,
     }
 }
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -4,15 +4,21 @@
 use std::time::Duration;
 
 use batch::record;
+use bytes::Bytes;
+use gotham::helpers::http::Body;
 use http::StatusCode;
 use kernel::Millis;
+use net::Inbound;
 use net::Reply;
+use net::UploadLimits;
+use net::body::ReadError;
 use place::LoadNotice;
 use plat::Answer;
 use plat::Call;
 use plat::PlatError;
 use spread::SyncState;
 use spread::Update;
+use tokio::time::Instant;
 
 use crate::App;
 use crate::engine_loads;
@@ -26,10 +32,14 @@
 use crate::steps;
 use crate::steps::accept;
 
+/// Time within which a message has to be complete. Nobody waits longer for a reply.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Handles a request of another instance.
 pub(crate) async fn handle(app: &Arc<App>, call: net::Call) -> Reply {
-    let body = match net::body::read(call.body, MAX_MESSAGE_BYTES).await {
+    let body = match receive(app, call.body, &call.inbound).await {
         Ok(body) => body,
+        Err(ReadError::OverBudget) => return send(&PeerReply::Refused),
         Err(error) => return reject(&error),
     };
     let response = match record::decode(&body) {
@@ -39,12 +49,25 @@
         Ok(request) => reply(app, request).await,
         Err(error) => return reject(&error),
     };
-    match record::encode(&response) {
+    send(&response)
+}
+
+fn send(response: &PeerReply) -> Reply {
+    match record::encode(response) {
         Ok(bytes) => net::body::reply(StatusCode::OK, "application/msgpack", bytes),
         Err(error) => reject(&error),
     }
 }
 
+/// Receives a message.
+async fn receive(app: &App, body: Body, inbound: &Arc<Inbound>) -> Result<Bytes, ReadError> {
+    let limits = UploadLimits {
+        max_bytes: MAX_MESSAGE_BYTES,
+        deadline: Instant::now() + MESSAGE_TIMEOUT,
+    };
+    app.messages.receive_bytes(body, inbound, limits).await
+}
+
 fn reject(error: &dyn std::fmt::Display) -> Reply {
     let error = error.to_string();
     log::warn!(target: "peer", error = error.as_str(); "invalid peer request");
--- a/crates/node/src/resources.rs
+++ b/crates/node/src/resources.rs
@@ -15,6 +15,9 @@
 /// Part of the memory for the bodies of callers' requests: room for one of 32 MB on a machine with 88 MB.
 const UPLOAD_PERCENT: usize = 45;
 
+/// Divisor of the memory that gives the memory for messages of other instances: what is decoded takes as much again, twice.
+const MESSAGE_DIVISOR: usize = 32;
+
 /// Divisor of the memory that gives the memory for copies of steps that are being stored.
 const STEP_COPY_DIVISOR: usize = 11;
 
@@ -63,6 +66,11 @@
     settings.memory / 100 * UPLOAD_PERCENT
 }
 
+/// Returns the memory for messages of other instances, in bytes.
+pub(crate) fn message_bytes(settings: &Settings) -> usize {
+    settings.memory / MESSAGE_DIVISOR
+}
+
 /// Returns the memory for copies of steps that are being stored, in bytes.
 pub(crate) fn step_copy_bytes(settings: &Settings) -> usize {
     settings.memory / STEP_COPY_DIVISOR
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -205,9 +205,13 @@
         return peer_server::handle(&state.app, call).await;
     }
     metrics::gauge!(telemetry::DROPPED_LOG_LINES).set(logs::dropped_lines() as f64);
-    let uploads = &state.app.uploads;
-    metrics::gauge!(telemetry::BODY_BYTES, "from" => "callers").set(uploads.held() as f64);
-    metrics::gauge!(telemetry::BODY_BYTES_LIMIT, "from" => "callers").set(uploads.limit() as f64);
+    for (kind, uploads) in [
+        ("callers", &state.app.uploads),
+        ("instances", &state.app.messages),
+    ] {
+        metrics::gauge!(telemetry::BODY_BYTES, "from" => kind).set(uploads.held() as f64);
+        metrics::gauge!(telemetry::BODY_BYTES_LIMIT, "from" => kind).set(uploads.limit() as f64);
+    }
     let text = state.scrape.as_ref().map(PrometheusHandle::render);
     net::body::reply(StatusCode::OK, "text/plain", text.unwrap_or_default())
 }
