Bound the memory of bodies at the product's own interface

An entry of the product's own interface could be ended in the same way: a body had a limit of 1 MB and 10 s, 4,096 of them none, and messages of peers are read, 4 MB each, before their signature can be checked.

Bodies of calls share `[limits] bodies`, 64 MiB by default, and are refused as `full`, not run, with `Retry-After` when there is no room; messages share 16 MiB.

--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Fleet whose entries are separate processes that can be killed, paused and resumed.
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -66,6 +67,20 @@
         self.signal(Signal::TERM);
     }
 
+    /// The most memory that the process has had at any time, in bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        let status = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(status).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.unwrap().trim().trim_end_matches(" kB");
+        kilobytes.parse::<usize>().unwrap() << 10
+    }
+
+    /// Returns whether the process runs.
+    pub(crate) fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Waits until the process exits, and returns whether it exited with success.
     pub(crate) async fn wait_exit(&mut self) -> bool {
         loop {
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -18,6 +18,7 @@
 use kernel::Name;
 use kernel::plugin::UnknownPlugin;
 use net::Drain;
+use net::Uploads;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use tokio::sync::Notify;
@@ -33,6 +34,9 @@
 use crate::steps::Steps;
 use clock::Clock;
 
+/// Memory that all messages of peers may take together, in bytes.
+const MESSAGE_MEMORY: usize = 16 << 20;
+
 /// The shared state of one instance: its settings, clients, queues and caches.
 pub struct App {
     /// The settings that the instance was started with.
@@ -47,6 +51,10 @@
     pub dispatchers: Map<Name, Arc<Dispatcher>>,
     /// The HTTP client for upstreams and peers.
     pub http: net::Client,
+    /// The bodies of requests, and a limit on their memory.
+    pub uploads: Uploads,
+    /// The messages of peers that are being received, and a limit on their memory.
+    pub messages: Uploads,
     /// The client for the platform's key-value service.
     pub plat: plat::Client,
     /// The journal of non-idempotent requests.
@@ -94,6 +102,8 @@
             limits: Limits::default(),
             dispatchers,
             http: net::Client::new().limit_bodies(settings.bounds.answer_memory),
+            uploads: Uploads::new(settings.bounds.body_memory),
+            messages: Uploads::new(MESSAGE_MEMORY),
             plat,
             steps: Steps::default(),
             view: Mutex::new(view),
--- a/crates/serve/src/completions.rs
+++ b/crates/serve/src/completions.rs
@@ -12,6 +12,7 @@
 use kernel::RequestId;
 use limit::order::QueueEntry;
 use net::Call;
+use net::Inbound;
 use net::Reply;
 use net::body;
 use net::body::Sender;
@@ -88,8 +89,9 @@
 pub async fn parse_body<T: serde::de::DeserializeOwned>(
     app: &App,
     body: gotham::helpers::http::Body,
+    inbound: &Arc<Inbound>,
 ) -> Result<T, Problem> {
-    let bytes = forward::read_body(app, body).await?;
+    let bytes = forward::read_body(app, body, inbound).await?;
     serde_json::from_slice(&bytes)
         .map_err(|error| deny(Type::BadRequest).with_detail(error.to_string()))
 }
@@ -118,7 +120,7 @@
     let active_contract = auth::authenticate(app, &call, trace)?;
     let contract = &active_contract.stored.contract;
     let deadline = app.clock.now() + forward::timeout(&call, contract)?;
-    let request: CompletionRequest = parse_body(app, call.body).await?;
+    let request: CompletionRequest = parse_body(app, call.body, &call.inbound).await?;
     if request.max_tokens == 0 || request.max_tokens > MAX_TOKENS {
         let detail = format!("max_tokens: expected 1 to {MAX_TOKENS}");
         return Err(deny(Type::BadRequest).with_detail(detail));
--- a/crates/serve/src/forward/outbound.rs
+++ b/crates/serve/src/forward/outbound.rs
@@ -1,5 +1,7 @@
 //! Calls as they are sent to upstreams.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use contract::Contract;
 use http::HeaderMap;
@@ -8,7 +10,10 @@
 use http::header;
 use kernel::Millis;
 use net::Call;
-use net::body;
+use net::Inbound;
+use net::UploadLimits;
+use net::body::ReadError;
+use tokio::time::Instant;
 use wire::Problem;
 use wire::caller::TIMEOUT;
 use wire::problem::Type;
@@ -30,6 +35,9 @@
     pub(super) grace: Millis,
 }
 
+/// Delay after which a caller whose body had no room should retry, in milliseconds.
+const FULL_RETRY_DELAY: Millis = 1_000;
+
 /// Headers that are not forwarded: they apply to one connection, or only to this instance.
 pub(super) const UNFORWARDED_HEADERS: [HeaderName; 10] = [
     header::AUTHORIZATION,
@@ -65,17 +73,26 @@
 /// # Errors
 ///
 /// Returns a refusal if the body is too large, arrives too slowly or is incomplete.
-pub async fn read_body(app: &App, body: gotham::helpers::http::Body) -> Result<Bytes, Problem> {
+pub async fn read_body(
+    app: &App,
+    body: gotham::helpers::http::Body,
+    inbound: &Arc<Inbound>,
+) -> Result<Bytes, Problem> {
     let bounds = &app.settings.bounds;
-    let read = body::read(body, bounds.max_body);
-    let with_error =
-        |kind: Type, error: &body::ReadError| deny(kind).with_detail(error.to_string());
-    match tokio::time::timeout(bounds.body_timeout, read).await {
-        Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(error @ body::ReadError::TooLong(_))) => Err(with_error(Type::TooLarge, &error)),
-        Ok(Err(error)) => Err(with_error(Type::BadRequest, &error)),
-        Err(_) => Err(with_error(Type::SlowRequest, &body::ReadError::Timeout)),
-    }
+    let limits = UploadLimits {
+        max_bytes: bounds.max_body,
+        deadline: Instant::now() + bounds.body_timeout,
+    };
+    let received = app.uploads.receive_bytes(body, inbound, limits).await;
+    received.map_err(|error| {
+        let problem = match error {
+            ReadError::TooLong(_) => deny(Type::TooLarge),
+            ReadError::OverBudget => deny(Type::Full).retry_after(FULL_RETRY_DELAY),
+            ReadError::Timeout => deny(Type::SlowRequest),
+            ReadError::Truncated => deny(Type::BadRequest),
+        };
+        problem.with_detail(error.to_string())
+    })
 }
 
 /// Reads a call whose deadline is `deadline`, on the monotonic clock in milliseconds.
@@ -98,7 +115,7 @@
         }
     }
     let idempotent = !non_idempotent && call.method.is_idempotent();
-    let body = read_body(app, call.body).await?;
+    let body = read_body(app, call.body, &call.inbound).await?;
     Ok(OutboundCall {
         method: call.method,
         path,
--- a/crates/serve/src/peer.rs
+++ b/crates/serve/src/peer.rs
@@ -1,14 +1,17 @@
 //! Handlers for messages from peers, which are signed MessagePack.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::StatusCode;
 use net::Call;
 use net::Reply;
+use net::UploadLimits;
 use net::body;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
 use wire::peer;
 use wire::peer::JournalReply;
 use wire::peer::JournalRequest;
@@ -22,6 +25,9 @@
 /// Maximum size of a message in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
+/// Time within which a message has to be complete.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Reads the body of a call and verifies its signature and protocol version.
 ///
 /// # Errors
@@ -32,7 +38,12 @@
     let path = call.uri.path().to_owned();
     let signature = call.header(peer::MAC_HEADER).map(str::to_owned);
     let version = call.header(peer::VERSION_HEADER).unwrap_or("").to_owned();
-    let bytes = match body::read(call.body, MAX_MESSAGE_BYTES).await {
+    let limits = UploadLimits {
+        max_bytes: MAX_MESSAGE_BYTES,
+        deadline: Instant::now() + MESSAGE_TIMEOUT,
+    };
+    let received = app.messages.receive_bytes(call.body, &call.inbound, limits);
+    let bytes = match received.await {
         Ok(bytes) => bytes,
         Err(error) => return Err(reject(StatusCode::BAD_REQUEST, &error)),
     };
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -68,6 +68,8 @@
     pub max_answer: usize,
     /// Memory that all answers of upstreams may take together, in bytes.
     pub answer_memory: usize,
+    /// Memory that all bodies of requests may take together, in bytes.
+    pub body_memory: usize,
     /// Maximum time to receive a request body.
     pub body_timeout: Duration,
     /// Bounds on connections.
@@ -315,6 +317,7 @@
     let max_body = s.get_or("body", "a number of bytes", 1 << 20);
     let max_answer = s.get_or("answer", "a number of bytes", 8 << 20);
     let answer_memory = s.get_or("answers", "a number of bytes", 64 << 20);
+    let body_memory = s.get_or("bodies", "a number of bytes", 64 << 20);
     let body_timeout = s.get_or("patience", EXPECTED_DURATION, DurationMs(10_000));
     let headers = s.get_or("headers", EXPECTED_DURATION, DurationMs(10_000));
     let grace = s.get_or("grace", EXPECTED_DURATION, DurationMs(600_000));
@@ -327,6 +330,7 @@
         max_body,
         max_answer,
         answer_memory,
+        body_memory,
         body_timeout: duration(body_timeout),
         limits: Limits {
             connections,
--- a/crates/serve/src/steps.rs
+++ b/crates/serve/src/steps.rs
@@ -120,7 +120,7 @@
 
 async fn handle_open(app: &Arc<App>, call: Call, trace: &mut Trace) -> Result<OpenedStep, Problem> {
     let active_contract = auth::authenticate(app, &call, trace)?;
-    let open: OpenStep = completions::parse_body(app, call.body).await?;
+    let open: OpenStep = completions::parse_body(app, call.body, &call.inbound).await?;
     completions::engine_dispatcher(app, &active_contract, &open.model)?;
     let contract = &active_contract.stored.contract;
     let spec = Spec {
@@ -199,7 +199,7 @@
 async fn handle_pull(app: &Arc<App>, call: Call, trace: &mut Trace) -> Result<Batch, Problem> {
     let active_contract = auth::authenticate(app, &call, trace)?;
     let step = call.segment(2).to_owned();
-    let pull: PullRequest = completions::parse_body(app, call.body).await?;
+    let pull: PullRequest = completions::parse_body(app, call.body, &call.inbound).await?;
     let customer = active_contract.stored.contract.customer.clone();
     let mut message = StepPull {
         step,
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -57,7 +57,7 @@
     let active_contract = auth::authenticate(app, &call, trace)?;
     let model = call.segment(2).to_owned();
     completions::engine_dispatcher(app, &active_contract, &model)?;
-    let announced: AnnounceVersion = completions::parse_body(app, call.body).await?;
+    let announced: AnnounceVersion = completions::parse_body(app, call.body, &call.inbound).await?;
     let customer = active_contract.stored.contract.customer.clone();
     let new = StoredVersion {
         version: announced.version,
