Give connections buffers that a large message passes without stalls

Other instances get a quarter of the descriptors.

Evidence: memory_is_bounded_when_many_small_bodies_stop_short 51 MB and 18.7 MB unread of 88; the other cases of connections and whole bodies pass, 11 of 11.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -63,7 +63,7 @@
             head_bytes: 32 << 10,
             grace: Duration::from_secs(600),
             write_timeout: Duration::from_secs(20),
-            buffer_bytes: 32 << 10,
+            buffer_bytes: 64 << 10,
         }
     }
 }
--- a/crates/node/src/resources.rs
+++ b/crates/node/src/resources.rs
@@ -25,14 +25,14 @@
 const CONNECTION_DIVISOR: usize = 4;
 
 /// Memory that a connection takes with what has arrived on it and is not read, in bytes.
-const CONNECTION_BYTES: usize = 56 << 10;
+const CONNECTION_BYTES: usize = 88 << 10;
 
 /// Descriptors that are left to files.
 const FILE_DESCRIPTORS: usize = 200;
 
 /// Divisors of the other descriptors that give those of a listener.
 const MAIN_DIVISOR: usize = 2;
-const PEER_DIVISOR: usize = 8;
+const PEER_DIVISOR: usize = 4;
 const READINESS_DIVISOR: usize = 32;
 
 /// The fewest connections of a listener.
