Show operators what bodies hold and which connections were closed

Bodies and connections gave way with nothing but a line for each refused body. snipeway_connections_closed_total{reason} counts connections that gave their place or did not take a response; a line every 10 s at most, `connections closed without progress`, has the counts since the last one, so a crowd writes no more lines than that. Reports of counts moved to a module of their own.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -34,6 +34,8 @@
 pub use json::JsonError;
 pub use memory::Reservation;
 pub use payload::Payload;
+pub use places::ClosedConnections;
+pub use places::closed_connections;
 pub use server::Drain;
 pub use server::Limits;
 pub use uploads::UploadLimits;
--- a/crates/net/src/places.rs
+++ b/crates/net/src/places.rs
@@ -1,6 +1,8 @@
 //! The places for the connections of a server.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::OwnedSemaphorePermit;
@@ -13,6 +15,26 @@
 /// Time after which a connection for which there is no place looks for one again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Connections that servers of this process have closed for a lack of progress.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClosedConnections {
+    /// Those that gave their place to another one.
+    pub displaced: u64,
+    /// Those whose other side did not take the response.
+    pub blocked: u64,
+}
+
+static DISPLACED: AtomicU64 = AtomicU64::new(0);
+static BLOCKED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns how many connections the servers of this process have closed for a lack of progress.
+pub fn closed_connections() -> ClosedConnections {
+    ClosedConnections {
+        displaced: DISPLACED.load(Ordering::Relaxed),
+        blocked: BLOCKED.load(Ordering::Relaxed),
+    }
+}
+
 /// The places for connections, and the connections that have them.
 pub(crate) struct Places {
     free: Arc<Semaphore>,
@@ -46,7 +68,7 @@
     /// Closes the connection that gives way, if there is one.
     pub(crate) fn make_room(&self) {
         if let Some(inbound) = self.open.take_evicted() {
-            log::debug!("a connection without progress gave its place to another one");
+            DISPLACED.fetch_add(1, Ordering::Relaxed);
             inbound.close();
         }
     }
@@ -55,7 +77,7 @@
     pub(crate) fn close_blocked(&self) {
         let is_late = |inbound: &Inbound| inbound.blocked_time() >= self.write_timeout;
         for inbound in self.open.take_matching(is_late) {
-            log::info!("a connection was closed whose other side does not take the response");
+            BLOCKED.fetch_add(1, Ordering::Relaxed);
             inbound.close();
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -42,6 +42,7 @@
 mod peer_server;
 pub mod refusal;
 pub mod replication;
+mod reports;
 mod request_counts;
 mod resources;
 pub mod result_cache;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -16,7 +16,6 @@
 use plat::Client;
 use plat::PlatError;
 use plat::Protocol;
-use plat::budget::CallKind;
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -37,6 +36,7 @@
 use crate::peer_server;
 use crate::refusal::Refusal;
 use crate::replication;
+use crate::reports;
 use crate::resources;
 use crate::resources::Listener;
 use crate::settings;
@@ -48,9 +48,6 @@
 /// Interval between reads of the settings file, which may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Interval between log lines about platform calls.
-const CALL_REPORT_INTERVAL: Duration = Duration::from_secs(10);
-
 /// Interval between removals of unused results from memory.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -147,7 +144,8 @@
         tokio::spawn(prune_caches(app.clone()));
         tokio::spawn(slot_reports::send_reports(app.clone()));
         tokio::spawn(publish_crashes(app.clone()));
-        tokio::spawn(report_calls(app.clone()));
+        tokio::spawn(reports::report_calls(app.clone()));
+        tokio::spawn(reports::report_closed_connections());
         if app.settings.role == Role::Entry {
             tokio::spawn(crate::request_counts::push_snapshots(app.clone()));
         }
@@ -204,14 +202,7 @@
     if call.method == Method::POST {
         return peer_server::handle(&state.app, call).await;
     }
-    metrics::gauge!(telemetry::DROPPED_LOG_LINES).set(logs::dropped_lines() as f64);
-    for (kind, uploads) in [
-        ("callers", &state.app.uploads),
-        ("instances", &state.app.messages),
-    ] {
-        metrics::gauge!(telemetry::BODY_BYTES, "from" => kind).set(uploads.held() as f64);
-        metrics::gauge!(telemetry::BODY_BYTES_LIMIT, "from" => kind).set(uploads.limit() as f64);
-    }
+    reports::publish_held(&state.app);
     let text = state.scrape.as_ref().map(PrometheusHandle::render);
     net::body::reply(StatusCode::OK, "text/plain", text.unwrap_or_default())
 }
@@ -257,21 +248,6 @@
     crash::report::publish(&app.crashes, &app.plat, &key, on_result).await;
 }
 
-/// Reports the number of platform calls, which the client counts and limits.
-async fn report_calls(app: Arc<App>) {
-    loop {
-        sleep(CALL_REPORT_INTERVAL).await;
-        let used = |kind| app.plat.budget().used(kind);
-        for kind in CallKind::ALL {
-            metrics::gauge!(telemetry::PLATFORM_CALLS, "kind" => kind.name())
-                .set(used(kind) as f64);
-        }
-        log::info!(target: "platform", reads = used(CallKind::Read), stale = used(CallKind::Stale),
-            writes = used(CallKind::Write), leases = used(CallKind::Lease),
-            watches = used(CallKind::Watch); "platform calls so far");
-    }
-}
-
 /// Reloads the settings file: the log level changes at once, other changes are logged and take effect at the next
 /// start.
 async fn follow_settings(file: String, machine: MachineLimits, mut current: Settings) {
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -109,6 +109,9 @@
 /// Memory that bodies of requests may take, in bytes, by who sends them.
 pub const BODY_BYTES_LIMIT: &str = "snipeway_body_bytes_limit";
 
+/// Connections that were closed for a lack of progress, by reason.
+pub const CLOSED_CONNECTIONS: &str = "snipeway_connections_closed_total";
+
 /// Bodies of callers' requests that were not received, by reason.
 pub const REFUSED_BODIES: &str = "snipeway_bodies_refused_total";
 
@@ -233,6 +236,10 @@
         Unit::Bytes,
         "memory that bodies of requests may take by who sends them"
     );
+    metrics::describe_counter!(
+        CLOSED_CONNECTIONS,
+        "connections that were closed for a lack of progress by reason"
+    );
     metrics::describe_counter!(REFUSED_BODIES, "bodies that were not received by reason");
     Some(handle)
 }
