Let a body that was to give way be forgotten when it ends by itself

A request could be refused with 503 for no room though there was room: the body before it on the same connection had been chosen to give way and ended by itself at the same moment, and the notice was left for the next one. It is forgotten when a body begins.

The time that a step's body takes counts as a part of the time that its caller has, as for calls.

--- a/crates/net/src/inbound.rs
+++ b/crates/net/src/inbound.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::FutureExt;
 use gotham::state::StateData;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -131,6 +132,11 @@
         self.evicted.notify_one();
     }
 
+    /// Forgets that a body was to be ended: that one may have ended by itself meanwhile.
+    pub(crate) fn forget_eviction(&self) {
+        let _ = self.evicted.notified().now_or_never();
+    }
+
     /// Waits until the body that is being received is to be ended.
     pub(crate) async fn body_evicted(&self) {
         self.evicted.notified().await;
--- a/crates/net/src/uploads.rs
+++ b/crates/net/src/uploads.rs
@@ -144,6 +144,7 @@
         if body.is_end_stream() {
             return Ok(Payload::default());
         }
+        inbound.forget_eviction();
         inbound.body_progressed();
         // Dropped last, when what has been received is released.
         let _notice = ReleaseNotice(&self.released);
--- a/crates/net/tests/uploads.rs
+++ b/crates/net/tests/uploads.rs
@@ -28,6 +28,9 @@
 /// Memory for all bodies, in bytes.
 const MEMORY: usize = 1 << 20;
 
+/// Number of times that a race is played.
+const ROUNDS: usize = 20;
+
 /// Time in which a body may not stall, and a little more.
 const STALL: Duration = Duration::from_millis(300);
 
@@ -294,3 +297,36 @@
 
     assert_eq!(empty.unwrap().unwrap().remaining(), 0);
 }
+
+/// Lets the first body of a connection end by itself just after it was chosen to give way; returns whether the next one on the
+/// connection is received.
+async fn is_next_received() -> bool {
+    let uploads = Uploads::new(MEMORY);
+    let connection = inbound();
+    let (sender, body): (Sender, Body) = net::body::stream();
+    let task = {
+        let (uploads, connection) = (uploads.clone(), connection.clone());
+        tokio::spawn(async move { uploads.receive(body, &connection, limits(MEMORY)).await })
+    };
+    send(&sender, 900_000).await;
+    tokio::time::sleep(STALL).await;
+    drop(sender);
+    let other = uploads
+        .receive(self::body(200_000, 8_000), &inbound(), limits(MEMORY))
+        .await;
+    drop((task.await, other));
+    let next = uploads
+        .receive(self::body(2_000, 2_000), &connection, limits(MEMORY))
+        .await;
+    next.is_ok()
+}
+
+// Guards against a body that is refused because an earlier one on its connection was to give way, and ended by itself.
+#[tokio::test]
+async fn the_next_body_on_a_connection_does_not_give_way_for_the_last_one() {
+    let rounds = (0..ROUNDS).map(|_| is_next_received());
+
+    let received = futures_util::future::join_all(rounds).await;
+
+    assert!(received.into_iter().all(|is_received| is_received));
+}
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -12,6 +12,7 @@
 use net::Reply;
 use net::UploadLimits;
 use net::body::ReadError;
+use table::Route;
 use table::RouteKind;
 use tokio::time::Instant;
 
@@ -139,7 +140,7 @@
 async fn dispatch_route(
     app: &Arc<App>,
     head: Parts,
-    caller: Caller,
+    mut caller: Caller,
     upload: Upload,
     started: Millis,
 ) -> (&'static str, Reply) {
@@ -179,19 +180,29 @@
         Err(refusal) => return (refusal.name(), refuse_body(&caller, refusal)),
     };
     if route.kind == RouteKind::Rollout {
+        let took = app.clock.now() - started;
+        caller.timeout = caller.timeout.map(|timeout| timeout.saturating_sub(took));
         let reply = steps::accept::submit(app, &head, &caller, payload, &principal).await;
         return ("submit", reply);
     }
     let request = ForwardedRequest::new(app, head, &caller, payload, deadline, principal);
+    forward_request(app, &route, &caller, request).await
+}
+
+/// Forwards a request whose body was received.
+async fn forward_request(
+    app: &Arc<App>,
+    route: &Arc<Route>,
+    caller: &Caller,
+    request: ForwardedRequest,
+) -> (&'static str, Reply) {
     match route.kind {
-        RouteKind::Rollout | RouteKind::Idempotent => {
-            ("call", forward::forward_call(app, &route, request).await)
+        RouteKind::Stream => {
+            let reply = stream::forward_stream(route, caller, request).await;
+            ("stream", reply)
         }
-        RouteKind::Once => ("once", forward::forward_call(app, &route, request).await),
-        RouteKind::Stream => (
-            "stream",
-            stream::forward_stream(&route, &caller, request).await,
-        ),
+        RouteKind::Once => ("once", forward::forward_call(app, route, request).await),
+        _ => ("call", forward::forward_call(app, route, request).await),
     }
 }
 
