Bound what waits for a stream's caller by its length

Callers saw: an entry that ends for lack of memory while clients ask for streams of long events and do not read them.

Cause: a streamed body kept up to 32 chunks for a receiver that does not take them, whatever their length, and beside them an event of up to 1 MB in each step from the upstream's connection to the caller's. Nothing counted them.

Change: the chunks that wait for a receiver are bounded by 16 kB together, and a longer one waits alone. The buffer in which an event is collected, and an event until its last byte is passed on, count to the memory for answers, but for the first 16 kB of each. An event without room ends its stream as one that cannot be continued; its upstream is not blamed, and no other one is asked, since its events would find no room either. Buffers grown by a long event are given back. The budget's two ways to count a growing buffer are one now (BufferShare), and a client without a budget has one without a limit.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of requests and responses.
 
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,8 @@
 use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::body::Incoming;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 
 /// Response of a server to a [`Call`](crate::Call).
@@ -78,26 +81,75 @@
     Body::new(body.map_err(|never| match never {}))
 }
 
+/// Creates a body that fails at once.
+pub fn broken(error: io::Error) -> Body {
+    let frames = futures_util::stream::iter([Err::<Frame<Bytes>, _>(error)]);
+    Body::new(StreamBody::new(frames))
+}
+
 /// Forwards a received body chunk by chunk, without buffering it. When the sender's connection breaks, the
 /// receiver's connection is closed before the end of the body.
 pub fn forward(body: Incoming) -> Body {
     Body::new(body.map_err(io::Error::other))
 }
 
-/// Sender of the chunks of a streamed body.
-///
-/// Sending an error closes the connection before the end of the body, so that the receiver notices that it is
-/// truncated.
-pub type Sender = mpsc::Sender<io::Result<Bytes>>;
-
 /// Limit on the number of chunks buffered for a slow receiver.
 const MAX_BUFFERED_CHUNKS: usize = 32;
 
+/// Limit on the length of these chunks together, in bytes. One that is longer is buffered alone.
+const MAX_BUFFERED_BYTES: usize = 16 << 10;
+
+/// A chunk of a streamed body, with what it takes of [`MAX_BUFFERED_BYTES`] until it is passed on.
+type Chunk = (io::Result<Bytes>, Option<OwnedSemaphorePermit>);
+
+/// Sender of the chunks of a streamed body.
+#[derive(Clone, Debug)]
+pub struct Sender {
+    chunks: mpsc::Sender<Chunk>,
+    room: Arc<Semaphore>,
+}
+
+/// The receiver of a streamed body has left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("the receiver has left")]
+pub struct ReceiverLeft;
+
+impl Sender {
+    /// Sends a chunk, after waiting until it fits beside those that the receiver has not taken yet.
+    ///
+    /// An error closes the connection before the end of the body, so that the receiver notices that it is truncated.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReceiverLeft`].
+    pub async fn send(&self, chunk: io::Result<Bytes>) -> Result<(), ReceiverLeft> {
+        let length = chunk.as_ref().map_or(0, Bytes::len);
+        let share = length.min(MAX_BUFFERED_BYTES) as u32;
+        let room = self.room.clone().acquire_many_owned(share);
+        let room = tokio::select! {
+            room = room => room.ok(),
+            () = self.closed() => return Err(ReceiverLeft),
+        };
+        let sent = self.chunks.send((chunk, room)).await;
+        sent.map_err(|_| ReceiverLeft)
+    }
+
+    /// Waits until the receiver has left.
+    pub async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+}
+
 /// Creates a streamed body and the sender of its chunks.
 pub fn stream() -> (Sender, Body) {
-    let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let sender = Sender {
+        chunks,
+        room: Arc::new(Semaphore::new(MAX_BUFFERED_BYTES)),
+    };
     let chunks = futures_util::stream::unfold(receiver, |mut receiver| async {
-        let chunk: io::Result<Bytes> = receiver.recv().await?;
+        let (chunk, _room): Chunk = receiver.recv().await?;
         Some((chunk, receiver))
     });
     let frames = chunks.map(|chunk| chunk.map(Frame::data));
--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -42,6 +42,11 @@
         Self(Memory::new(bytes))
     }
 
+    /// Creates a budget without a limit.
+    pub fn unlimited() -> Self {
+        Self::new(isize::MAX as usize)
+    }
+
     /// Returns the number of bytes that are left.
     pub fn left(&self) -> usize {
         self.0.left()
@@ -59,7 +64,7 @@
         let mut body = std::pin::pin!(body);
         let mut received = Received {
             bytes: Vec::new(),
-            reservation: self.0.reserve_anyway(0),
+            share: self.share(),
         };
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| ReadError::Truncated)?;
@@ -70,29 +75,72 @@
             if received.bytes.len() + data.len() > limit {
                 return Err(ReadError::TooLong(limit));
             }
-            received.push(&data, &self.0)?;
+            received.push(&data)?;
         }
         Ok(Bytes::from_owner(received))
     }
+
+    /// Returns bytes that count until the result is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::OverBudget`] when they do not fit into the budget.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let budget = net::BodyBudget::new(64_000);
+    /// let held = budget.hold(vec![0; 80_000])?;
+    /// assert!(budget.hold(vec![0; 80_000]).is_err());
+    /// drop(held);
+    /// assert!(budget.hold(vec![0; 80_000]).is_ok());
+    /// # Ok::<(), net::body::ReadError>(())
+    /// ```
+    pub fn hold(&self, bytes: Vec<u8>) -> Result<Bytes, ReadError> {
+        let mut share = self.share();
+        share.resize(bytes.capacity())?;
+        Ok(Bytes::from_owner(Received { bytes, share }))
+    }
+
+    /// Returns the share of an empty buffer.
+    pub fn share(&self) -> BufferShare {
+        BufferShare(self.0.reserve_anyway(0))
+    }
+}
+
+/// What a buffer takes of a budget, until it is dropped.
+#[derive(Debug)]
+pub struct BufferShare(Reservation);
+
+impl BufferShare {
+    /// Counts a buffer of so many bytes in place of the one before.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::OverBudget`] when it does not fit into the budget; the one before still counts.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), ReadError> {
+        let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
+        match self.0.resize(counted) {
+            true => Ok(()),
+            false => Err(ReadError::OverBudget),
+        }
+    }
 }
 
 /// The bytes of a body that have been received, and what of the budget they take.
 #[derive(Debug)]
 struct Received {
     bytes: Vec<u8>,
-    reservation: Reservation,
+    share: BufferShare,
 }
 
 impl Received {
     /// Appends bytes, after taking from the budget what the buffer grows by.
-    fn push(&mut self, data: &[u8], budget: &Memory) -> Result<(), ReadError> {
+    fn push(&mut self, data: &[u8]) -> Result<(), ReadError> {
         let length = self.bytes.len() + data.len();
         if length > self.bytes.capacity() {
             let capacity = length.max(self.bytes.capacity() * 2);
-            let counted = capacity.saturating_sub(UNCOUNTED_BYTES);
-            let growth = counted - self.reservation.bytes();
-            let reservation = budget.reserve(growth, 0).ok_or(ReadError::OverBudget)?;
-            self.reservation.merge(reservation);
+            self.share.resize(capacity)?;
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -117,8 +117,8 @@
 pub struct Client {
     inner: legacy::Client<Connector, RequestBody>,
     ids: IdHasher,
-    /// Memory for the bodies that are read, if it is limited.
-    bodies: Option<BodyBudget>,
+    /// Memory for the bodies that are read.
+    bodies: BodyBudget,
 }
 
 /// The result of an attempt to send a request on one connection.
@@ -159,7 +159,7 @@
         Self {
             inner,
             ids: IdHasher::default(),
-            bodies: None,
+            bodies: BodyBudget::unlimited(),
         }
     }
 
@@ -173,21 +173,22 @@
     /// ```
     #[must_use]
     pub fn limit_bodies(self, bytes: usize) -> Self {
-        let bodies = Some(BodyBudget::new(bytes));
+        let bodies = BodyBudget::new(bytes);
         Self { bodies, ..self }
     }
 
+    /// Returns the memory for the bodies that are read.
+    pub fn bodies(&self) -> &BodyBudget {
+        &self.bodies
+    }
+
     /// Reads the whole body of a response.
     ///
     /// # Errors
     ///
     /// Returns [`SendError`], also when the body is longer than `max_bytes` or does not fit beside others.
     pub async fn read_body(&self, body: Incoming, max_bytes: usize) -> Result<Bytes, SendError> {
-        let bytes = match &self.bodies {
-            Some(bodies) => bodies.read(body, max_bytes).await,
-            None => body::read(body, max_bytes).await,
-        };
-        Ok(bytes?)
+        Ok(self.bodies.read(body, max_bytes).await?)
     }
 
     /// Sends a request and waits up to `limit` for the head of the response.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -25,6 +25,7 @@
 pub use arrival::Arrival;
 pub use body::Reply;
 pub use budget::BodyBudget;
+pub use budget::BufferShare;
 pub use client::Client;
 pub use client::SendError;
 pub use condition::SendCondition;
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -70,9 +70,21 @@
         self.bytes
     }
 
-    /// Adds the bytes of another reservation of the same memory.
-    pub(crate) fn merge(&mut self, mut other: Self) {
-        self.bytes += std::mem::take(&mut other.bytes);
+    /// Changes the number of reserved bytes; returns false, and changes nothing, if there is no room for more.
+    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
+        let reserved = self.bytes;
+        let take = |left: isize| {
+            let rest = left + reserved as isize - bytes as isize;
+            (rest >= 0 || bytes <= reserved).then_some(rest)
+        };
+        let resized = self
+            .left
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take)
+            .is_ok();
+        if resized {
+            self.bytes = bytes;
+        }
+        resized
     }
 }
 
--- a/crates/node/src/event_run.rs
+++ b/crates/node/src/event_run.rs
@@ -10,6 +10,7 @@
 use http::header::CONTENT_TYPE;
 use hyper::body::Incoming;
 
+use crate::App;
 use crate::Dialect;
 use crate::answer::Answer;
 use crate::dialect::Event;
@@ -31,6 +32,9 @@
 /// A run has ended, but it is not known whether as a whole: [`RunItem::UnclearEnd`].
 pub(crate) const UNCLEAR_END: &str = "unclear end";
 
+/// The next event of a run does not fit into memory: [`RunItem::NoRoom`].
+pub(crate) const NO_ROOM: &str = "no room for the next event";
+
 /// Why an answer is no run of events.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum OpenError {
@@ -63,6 +67,8 @@
     UnclearEnd,
     /// The connection broke, the run ended inside an event, or it does not get on to the next one.
     Broken,
+    /// The next event does not fit into the memory for answers.
+    NoRoom,
     /// An event that does not follow the last one: some are missing, or one comes again.
     OutOfSequence,
 }
@@ -134,17 +140,17 @@
     /// Starts to read an answer whose head was checked, after event `last`; [`None`] if the first event may have any
     /// number.
     pub(crate) fn new(
-        dialect: &Arc<dyn Dialect>,
+        app: &App,
         answer: Answer<Incoming>,
         id: Arc<str>,
         upstream: Arc<str>,
         last: Option<u64>,
     ) -> Self {
         Self {
-            events: Events::new(answer.body),
+            events: Events::new(answer.body, app.http.bodies()),
             id,
             upstream,
-            dialect: dialect.clone(),
+            dialect: app.dialect.clone(),
             last,
             filler: Filler::default(),
             unnumbered: 0,
@@ -160,6 +166,7 @@
                 NextEvent::End if self.is_end_unclear => return RunItem::UnclearEnd,
                 NextEvent::End => return RunItem::End,
                 NextEvent::Broken => return RunItem::Broken,
+                NextEvent::NoRoom => return RunItem::NoRoom,
             };
             if let Some(event) = self.dialect.decode_event(&block) {
                 return self.advance(block, event);
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -8,10 +8,15 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use memchr::memmem;
+use net::BodyBudget;
+use net::BufferShare;
 
 /// Largest event in bytes; a stream with a longer one counts as broken.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Size of the buffer that is kept between events, in bytes.
+const KEPT_BYTES: usize = 16 << 10;
+
 /// What ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -24,6 +29,8 @@
     End,
     /// The stream broke, ended inside an event, or holds an event that is too long.
     Broken,
+    /// The event does not fit beside the other answers that are held in memory.
+    NoRoom,
 }
 
 /// Returns whether all lines of a block are comments.
@@ -74,6 +81,9 @@
         self.scanned = 0;
         let block = String::from_utf8_lossy(&self.bytes[..end]).into_owned();
         self.bytes.drain(..end + EVENT_END.len());
+        if self.bytes.len() <= KEPT_BYTES {
+            self.bytes.shrink_to(KEPT_BYTES);
+        }
         Some(block)
     }
 
@@ -92,21 +102,27 @@
 pub struct Events {
     body: Incoming,
     splitter: EventSplitter,
+    share: BufferShare,
 }
 
 impl Events {
-    /// Creates a reader of a body.
-    pub fn new(body: Incoming) -> Self {
+    /// Creates a reader of a body, whose buffer takes a share of the budget.
+    pub fn new(body: Incoming, budget: &BodyBudget) -> Self {
         Self {
             body,
             splitter: EventSplitter::default(),
+            share: budget.share(),
         }
     }
 
     /// Waits for the next item. Cancel safe: dropping the future loses no data.
     pub async fn next(&mut self) -> NextEvent {
         loop {
-            if let Some(block) = self.splitter.pop() {
+            let block = self.splitter.pop();
+            if self.share.resize(self.splitter.bytes.capacity()).is_err() {
+                return NextEvent::NoRoom;
+            }
+            if let Some(block) = block {
                 return NextEvent::Block(block);
             }
             match self.body.frame().await {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -33,6 +33,7 @@
 use crate::engine_slot::EngineSlot;
 use crate::event_run;
 use crate::event_run::EventRun;
+use crate::event_run::NO_ROOM;
 use crate::event_run::OpenError;
 use crate::event_run::RunItem;
 use crate::event_run::UNCLEAR_END;
@@ -243,7 +244,7 @@
         let version = answer.version;
         let last_event = draft.lock().last_event;
         let mut events = EventRun::new(
-            &self.app.dialect,
+            &self.app,
             answer,
             sample.id.clone(),
             self.engine.id.clone(),
@@ -309,6 +310,7 @@
                 Ok(RunItem::End) if draft.lock().last_event > 0 => return RunOutcome::Completed,
                 Ok(RunItem::End) => return RunOutcome::Broken("empty"),
                 Ok(RunItem::Broken) => return RunOutcome::Broken(STREAM_BROKE),
+                Ok(RunItem::NoRoom) => return RunOutcome::Broken(NO_ROOM),
                 Ok(RunItem::UnclearEnd) => return RunOutcome::Broken(UNCLEAR_END),
                 Ok(RunItem::OutOfSequence) => return RunOutcome::Broken(OUT_OF_SEQUENCE),
                 Err(_) => return RunOutcome::Broken("silent"),
--- a/crates/node/src/stream/pump.rs
+++ b/crates/node/src/stream/pump.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::StatusCode;
 use hyper::body::Incoming;
 use net::body::Sender;
@@ -15,6 +14,7 @@
 use super::Stream;
 use crate::answer::Answer;
 use crate::event_run::EventRun;
+use crate::event_run::NO_ROOM;
 use crate::event_run::RunItem;
 use crate::event_run::UNCLEAR_END;
 use crate::forwarded_request::UpstreamSlot;
@@ -22,12 +22,17 @@
 /// Time without an event after which a stream is continued at another upstream.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1_500);
 
+/// What ends an event.
+const EVENT_END: &str = "\n\n";
+
 /// How the forwarding of a run ended.
 enum RunEnd {
     /// The run has reached the end of the stream.
     Complete,
     /// The caller has closed its connection.
     CallerLeft,
+    /// The next event does not fit into the memory for answers. No other run would change that.
+    NoRoom,
     /// The connection to the upstream broke, or nothing more came.
     Broken,
     /// The run does not continue what the caller has received, for this reason.
@@ -61,6 +66,7 @@
             RunItem::End => ItemAction::End(RunEnd::Complete),
             RunItem::UnclearEnd => ItemAction::End(RunEnd::Unusable(UNCLEAR_END)),
             RunItem::Broken => ItemAction::End(RunEnd::Broken),
+            RunItem::NoRoom => ItemAction::End(RunEnd::NoRoom),
             RunItem::OutOfSequence => ItemAction::End(RunEnd::Unusable("event out of sequence")),
         }
     }
@@ -89,6 +95,11 @@
                     return true;
                 }
                 RunEnd::CallerLeft => return true,
+                RunEnd::NoRoom => {
+                    log::warn!(target: "stream", id = &*self.request.id,
+                        to = progress.last.as_deref().unwrap_or("nothing"), why = NO_ROOM; "stream not continued");
+                    return false;
+                }
                 RunEnd::Broken => self.request.check_crash(&slot.upstream).await,
                 RunEnd::Unusable(why) => {
                     log::warn!(target: "stream", id = &*self.request.id, upstream = &*slot.upstream.id,
@@ -121,7 +132,7 @@
         sender: &Sender,
     ) -> RunEnd {
         let mut run = EventRun::new(
-            &self.request.app.dialect,
+            &self.request.app,
             answer,
             self.request.id.clone(),
             upstream.clone(),
@@ -139,7 +150,11 @@
                 ItemAction::Forward(block) => block,
                 ItemAction::End(end) => return end,
             };
-            if sender.send(Ok(Bytes::from(block + "\n\n"))).await.is_err() {
+            let block = (block + EVENT_END).into_bytes();
+            let Ok(block) = self.request.app.http.bodies().hold(block) else {
+                return RunEnd::NoRoom;
+            };
+            if sender.send(Ok(block)).await.is_err() {
                 return RunEnd::CallerLeft;
             }
             if is_event {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -216,11 +216,8 @@
 /// Returns a reply whose body fails at once, so that the connection is closed before the first byte of the body is
 /// sent.
 pub fn aborted_reply() -> Reply {
-    let (sender, stream) = body::stream();
     let error = io::Error::new(io::ErrorKind::ConnectionAborted, "cut");
-    // Sending cannot fail: the receiver is part of the reply.
-    let _ = sender.try_send(Err(error));
-    let mut reply = Reply::new(stream);
+    let mut reply = Reply::new(body::broken(error));
     *reply.status_mut() = StatusCode::OK;
     reply
 }
