Bound what the kernel holds for connections, accepted or not

Callers saw nothing yet: the memory of an entry's machine is exceeded by bytes that have arrived and are not read, which count by the users' pages. platform/tests/unread_answers.rs, all crowds at once, of 88 MB: 31 MB in the process and 69,034 kB unread (30 and 70,001, 30 and 74,835 kB in other runs).

Cause: a receive buffer of 64 kB holds up to 127 kB unread, as a probe of this kernel shows (16 kB: 24 kB; 32 kB: 49 kB), and up to 1,024 connections that wait to be accepted have one each.

Change: connections start with 16 kB, and have 64 kB while a body longer than 16 kB is received, which is read at once and counts; then 16 kB again. In the probe a body of 32 MB takes 0.03 s with 64 kB from the start and with 16 kB that become 64, 0.06 s with 16 kB. Fewer connections wait to be accepted: as many as have places, at least 256 for callers and 64 for others. Bodies get 42% of the memory in place of 45%, still room for one of 32 MB on the smallest machine. So the parts together are about the memory.

Evidence: the same crowds, 30 MB and 19,966 kB unread; 28 and 18,882; 30 and 23,234. The case still fails in each of these three runs, since the ordinary request beside the crowds gets 502 or no answer in 20 s: a fault of its own, next.

--- a/crates/net/src/inbound.rs
+++ b/crates/net/src/inbound.rs
@@ -4,6 +4,8 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -39,6 +41,8 @@
     blocked: Mutex<Option<Instant>>,
     /// Whether the rest of a request's body is not read.
     unread: Mutex<bool>,
+    /// Whether a body is received that is longer than an ordinary one.
+    long_body: AtomicBool,
     closed: Notify,
     evicted: Notify,
 }
@@ -54,6 +58,7 @@
             }),
             blocked: Mutex::default(),
             unread: Mutex::default(),
+            long_body: AtomicBool::default(),
             closed: Notify::new(),
             evicted: Notify::new(),
         }
@@ -80,8 +85,19 @@
         };
     }
 
+    /// Records that a body that is received is a long one.
+    pub(crate) fn body_is_long(&self) {
+        self.long_body.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a long body is received.
+    pub(crate) fn receives_long_body(&self) -> bool {
+        self.long_body.load(Ordering::Relaxed)
+    }
+
     /// Records that a body is complete, or that no more of it is received.
     pub(crate) fn body_ended(&self) {
+        self.long_body.store(false, Ordering::Relaxed);
         *self.phase.lock() = Phase::Busy;
     }
 
--- a/crates/net/src/inbound_stream.rs
+++ b/crates/net/src/inbound_stream.rs
@@ -12,6 +12,7 @@
 use std::task::ready;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -20,6 +21,7 @@
 use tokio::time::sleep;
 
 use crate::Inbound;
+use crate::server::Buffers;
 
 /// Number of bytes that are read at a time: hyper enlarges the buffer of a connection whose reads fill it, and keeps it.
 const READ_BYTES: usize = (8 << 10) - 1;
@@ -38,6 +40,9 @@
 pub(crate) struct InboundStream {
     stream: TcpStream,
     inbound: Arc<Inbound>,
+    buffers: Buffers,
+    /// Whether the receive buffer has the size for long bodies.
+    is_wide: bool,
     linger: Option<Linger>,
 }
 
@@ -49,14 +54,30 @@
 }
 
 impl InboundStream {
-    pub(crate) fn new(stream: TcpStream, inbound: &Arc<Inbound>) -> Self {
+    pub(crate) fn new(stream: TcpStream, inbound: &Arc<Inbound>, buffers: Buffers) -> Self {
         Self {
             stream,
             inbound: inbound.clone(),
+            buffers,
+            is_wide: false,
             linger: None,
         }
     }
 
+    /// Gives the receive buffer the size that fits what is received.
+    fn fit_buffer(&mut self) {
+        let is_wide = self.inbound.receives_long_body();
+        if std::mem::replace(&mut self.is_wide, is_wide) == is_wide {
+            return;
+        }
+        let bytes = match is_wide {
+            true => self.buffers.body,
+            false => self.buffers.receive,
+        };
+        // A failure leaves a long body slow, or more room for one client.
+        let _ = SockRef::from(&self.stream).set_recv_buffer_size(bytes);
+    }
+
     /// Notes whether a write has to wait.
     fn note_write<T>(&self, result: Poll<T>) -> Poll<T> {
         self.inbound.record_write(result.is_pending());
@@ -90,6 +111,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.fit_buffer();
         let mut bytes = [MaybeUninit::uninit(); READ_BYTES];
         let size = buf.remaining().min(READ_BYTES);
         let mut part = ReadBuf::uninit(&mut bytes[..size]);
@@ -105,6 +127,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.fit_buffer();
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.note_write(result)
     }
@@ -114,6 +137,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.fit_buffer();
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.note_write(result)
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -37,6 +37,7 @@
 pub use payload::Payload;
 pub use places::ClosedConnections;
 pub use places::closed_connections;
+pub use server::Buffers;
 pub use server::Drain;
 pub use server::Limits;
 pub use uploads::UploadLimits;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -4,6 +4,7 @@
 //! connections with hyper-util and passes each request to gotham's router. When all places are taken, the connection that
 //! has waited longest without progress is closed for a new one.
 
+use std::io;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use socket2::SockRef;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -51,8 +53,8 @@
     pub grace: Duration,
     /// Time after which a connection is closed whose other side does not take its response.
     pub write_timeout: Duration,
-    /// Size of the kernel's buffers of a connection for each direction, in bytes.
-    pub buffer_bytes: usize,
+    /// Sizes of the kernel's buffers of a connection.
+    pub buffers: Buffers,
 }
 
 impl Default for Limits {
@@ -63,7 +65,28 @@
             head_bytes: 32 << 10,
             grace: Duration::from_secs(600),
             write_timeout: Duration::from_secs(20),
-            buffer_bytes: 64 << 10,
+            buffers: Buffers::default(),
+        }
+    }
+}
+
+/// Sizes of the kernel's buffers of a connection, in bytes. The kernel doubles them.
+#[derive(Clone, Copy, Debug)]
+pub struct Buffers {
+    /// What arrives, also before the connection is accepted.
+    pub receive: usize,
+    /// What arrives of a long body, which is read at once.
+    pub body: usize,
+    /// What is sent.
+    pub send: usize,
+}
+
+impl Default for Buffers {
+    fn default() -> Self {
+        Self {
+            receive: 16 << 10,
+            body: 64 << 10,
+            send: 64 << 10,
         }
     }
 }
@@ -106,6 +129,33 @@
     }
 }
 
+/// Listens on an address, where so many connections may wait to be accepted.
+///
+/// # Errors
+///
+/// Returns the error of the operating system, for instance when the address is taken.
+///
+/// # Examples
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> std::io::Result<()> {
+/// let listener = net::server::listen(([127, 0, 0, 1], 0).into(), 64)?;
+/// assert_ne!(listener.local_addr()?.port(), 0);
+/// # Ok(())
+/// # }
+/// ```
+pub fn listen(addr: SocketAddr, backlog: usize) -> io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Otherwise a restarted process cannot listen while connections of the one before are being closed.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(backlog as u32)
+}
+
 /// Serves connections until the drain begins, then waits until running requests have ended.
 ///
 /// Returns whether all requests ended within the grace period.
@@ -118,7 +168,7 @@
     // Dropping the set closes its connections, so that a server whose future is dropped leaves none open.
     let mut connections = JoinSet::new();
     let places = Places::new(limits.connections, limits.write_timeout);
-    set_buffers(&listener, limits.buffer_bytes);
+    set_buffers(&listener, limits.buffers);
     let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
     loop {
         let accepted = tokio::select! {
@@ -148,7 +198,7 @@
         let _ = stream.set_nodelay(true);
         let inbound = Arc::new(Inbound::new(from));
         let membership = places.open.add(&inbound);
-        let stream = InboundStream::new(stream, &inbound);
+        let stream = InboundStream::new(stream, &inbound, limits.buffers);
         let connection = serve_connection(stream, from, &inbound, &handler, limits, &graceful);
         connections.spawn(async move {
             tokio::select! {
@@ -163,12 +213,12 @@
     timeout(limits.grace, graceful.shutdown()).await.is_ok()
 }
 
-/// Bounds what the kernel holds for each connection that is accepted.
-fn set_buffers(listener: &TcpListener, bytes: usize) {
+/// Bounds what the kernel holds for each connection that is accepted, or waits for that.
+fn set_buffers(listener: &TcpListener, buffers: Buffers) {
     let socket = SockRef::from(listener);
     let result = socket
-        .set_recv_buffer_size(bytes)
-        .and_then(|()| socket.set_send_buffer_size(bytes));
+        .set_recv_buffer_size(buffers.receive)
+        .and_then(|()| socket.set_send_buffer_size(buffers.send));
     if let Err(error) = result {
         log::warn!(error = error.to_string().as_str(); "could not bound the buffers of connections");
     }
--- a/crates/net/src/uploads.rs
+++ b/crates/net/src/uploads.rs
@@ -289,6 +289,9 @@
     async fn begin_segment(&mut self) -> Result<(), ReadError> {
         let size = self.next_segment();
         let is_small = self.length + size <= SMALL_BYTES;
+        if !is_small {
+            self.inbound.body_is_long();
+        }
         let reservation = self.uploads.reserve_segment(size, is_small).await?;
         let segment = Segment {
             bytes: Vec::with_capacity(size),
--- a/crates/node/src/resources.rs
+++ b/crates/node/src/resources.rs
@@ -13,7 +13,7 @@
 const ANSWER_DIVISOR: usize = 8;
 
 /// Part of the memory for the bodies of callers' requests: room for one of 32 MB on a machine with 88 MB.
-const UPLOAD_PERCENT: usize = 45;
+const UPLOAD_PERCENT: usize = 42;
 
 /// Divisor of the memory that gives the memory for messages of other instances: what is decoded takes as much again, twice.
 const MESSAGE_DIVISOR: usize = 32;
@@ -41,6 +41,13 @@
 /// The most connections of a listener.
 const MAX_CONNECTIONS: usize = 4_096;
 
+/// The fewest connections that may wait to be accepted by a listener for callers, and by another one.
+const MIN_CALLER_BACKLOG: usize = 256;
+const MIN_BACKLOG: usize = 64;
+
+/// The most connections that may wait to be accepted.
+const MAX_BACKLOG: usize = 1_024;
+
 /// Time for which a connection may be idle or take for its headers: callers keep idle ones for about ten seconds,
 /// and a connection closed by this side just when a caller uses it costs that caller an attempt.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -85,6 +92,15 @@
     }
 }
 
+/// Returns the number of connections that may wait to be accepted. The kernel holds what has arrived on them.
+pub(crate) fn backlog(settings: &Settings, listener: Listener) -> usize {
+    let least = match listener {
+        Listener::Callers => MIN_CALLER_BACKLOG,
+        Listener::Peers | Listener::Readiness => MIN_BACKLOG,
+    };
+    connections(settings, listener).clamp(least, MAX_BACKLOG)
+}
+
 fn connections(settings: &Settings, listener: Listener) -> usize {
     let divisor = match (listener, settings.role) {
         (Listener::Callers, _) | (Listener::Peers, Role::Control) => MAIN_DIVISOR,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -1,5 +1,6 @@
 //! Starts an instance and stops it gracefully.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -99,10 +100,13 @@
         dialect: Arc<dyn Dialect>,
         protocol: Arc<dyn Protocol>,
     ) -> eyre::Result<Self> {
-        let internal = bind(SocketAddr::new(settings.address, settings.peer_port)).await?;
+        let internal = SocketAddr::new(settings.address, settings.peer_port);
+        let internal = bind(internal, &settings, Listener::Peers)?;
         settings.peer_port = internal.local_addr()?.port();
-        let readiness = bind_optional(&mut settings.readiness).await?;
-        let callers = bind_optional(&mut settings.listen).await?;
+        let readiness = bind_optional(settings.readiness, &settings, Listener::Readiness)?;
+        settings.readiness = local_addr(&readiness)?;
+        let callers = bind_optional(settings.listen, &settings, Listener::Callers)?;
+        settings.listen = local_addr(&callers)?;
         let plat = Client::with_protocol(vec![settings.platform], protocol);
         let app = App::new(settings, dialect, plat);
         let scrape = telemetry::install();
@@ -160,17 +164,23 @@
     }
 }
 
-async fn bind(addr: SocketAddr) -> eyre::Result<TcpListener> {
-    let listener = TcpListener::bind(addr).await;
-    listener.wrap_err_with(|| format!("could not listen on {addr}"))
+fn bind(addr: SocketAddr, settings: &Settings, listener: Listener) -> eyre::Result<TcpListener> {
+    let listening = net::server::listen(addr, resources::backlog(settings, listener));
+    listening.wrap_err_with(|| format!("could not listen on {addr}"))
 }
 
-/// Listens on an address if there is one, and stores the port that was assigned.
-async fn bind_optional(addr: &mut Option<SocketAddr>) -> eyre::Result<Option<TcpListener>> {
-    let Some(addr) = addr else { return Ok(None) };
-    let listener = bind(*addr).await?;
-    *addr = listener.local_addr()?;
-    Ok(Some(listener))
+/// Listens on an address if there is one.
+fn bind_optional(
+    addr: Option<SocketAddr>,
+    settings: &Settings,
+    listener: Listener,
+) -> eyre::Result<Option<TcpListener>> {
+    addr.map(|addr| bind(addr, settings, listener)).transpose()
+}
+
+/// Returns the address of a listener, with the port that was assigned.
+fn local_addr(listener: &Option<TcpListener>) -> io::Result<Option<SocketAddr>> {
+    listener.as_ref().map(TcpListener::local_addr).transpose()
 }
 
 fn serve<A: Send + Sync + 'static>(
