Close the connection after an invalid request and after metrics

Callers saw: no answer, or 502, while some hundred connections are there that each send 4,096 requests at once and do not read.

Cause: each such connection keeps its place until its answers block. A request without a name costs an answer and two log lines, and any GET at the listener for instances renders the text of all metrics. In a run of all crowds at once the entry wrote 1.2 million log lines in the 167 s until the ordinary request was given up; that one waits to be accepted behind those that wait for a place.

Change: an answer to an invalid request, and one with metrics, closes its connection.

--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -92,6 +92,10 @@
             let scheme = HeaderValue::from_static(AUTH_SCHEME);
             reply.headers_mut().insert(WWW_AUTHENTICATE, scheme);
         }
+        if self == Self::Invalid {
+            // Whoever sends such requests by the thousand has to connect for each of them.
+            close_connection(&mut reply);
+        }
         if let Some(delay) = self.retry_header() {
             reply.headers_mut().insert(RETRY_AFTER, delay);
         }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -36,6 +36,7 @@
 use crate::peer_relay::PeerRelay;
 use crate::peer_server;
 use crate::refusal::Refusal;
+use crate::refusal::close_connection;
 use crate::replication;
 use crate::reports;
 use crate::resources;
@@ -214,7 +215,10 @@
     }
     reports::publish_held(&state.app);
     let text = state.scrape.as_ref().map(PrometheusHandle::render);
-    net::body::reply(StatusCode::OK, "text/plain", text.unwrap_or_default())
+    let mut reply = net::body::reply(StatusCode::OK, "text/plain", text.unwrap_or_default());
+    // A text takes time: nobody gets more than one of them for a connection.
+    close_connection(&mut reply);
+    reply
 }
 
 /// Removes cached results that callers no longer read; they can be read again from the platform.
