Copy the bodies of samples no more than needed

Callers saw nothing yet: a step of 32 MB with a single sample takes 110 MB of 88, so a process may end at one legal request.

Cause: a sample's body was copied for each of its runs and for each read, its text was held beside its bytes until all samples were decoded, and all stored parts of a long sample were encoded before the first was written.

Change: bodies in records are shared bytes (encoded as before; messages between instances too), the text becomes bytes while it is parsed, and a long sample's parts are made one by one.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod leftovers;
 pub mod record;
 pub mod score;
+mod shared_bytes;
 pub mod waits;
 pub mod window;
 
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -1,11 +1,11 @@
 //! Records of a step that are stored at the platform, and their encoding.
 
-use std::collections::VecDeque;
 use std::hash::DefaultHasher;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use kernel::Millis;
 use serde::Deserialize;
 use serde::Serialize;
@@ -94,8 +94,8 @@
     /// Headers of the request.
     pub headers: Vec<(Arc<str>, Arc<str>)>,
     /// The body of the request.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
+    #[serde(with = "crate::shared_bytes")]
+    pub body: Bytes,
     /// Expected number of tokens; 0 if unknown.
     pub expected: u32,
     /// Number of prompt tokens; 0 if unknown.
@@ -118,8 +118,8 @@
     /// The path of the request.
     pub path: Arc<str>,
     /// The body of the request.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
+    #[serde(with = "crate::shared_bytes")]
+    pub body: Bytes,
 }
 
 impl Sample {
@@ -166,7 +166,7 @@
 /// use batch::{Sample, Spec, record::SpecDecoder};
 ///
 /// let sample = |id: &str| Sample {
-///     id: id.into(), group: "g".into(), path: "/a".into(), headers: Vec::new(), body: vec![1],
+///     id: id.into(), group: "g".into(), path: "/a".into(), headers: Vec::new(), body: vec![1].into(),
 ///     expected: 1, prompt: 1, scoring: None,
 /// };
 /// let spec = Spec { samples: vec![sample("a"), sample("b")] };
@@ -221,7 +221,7 @@
         Parts {
             spec: self,
             next: 0,
-            encoded: VecDeque::new(),
+            encoded: Encoded::default(),
         }
     }
 
@@ -279,24 +279,49 @@
     spec: &'a Spec,
     /// Index of the first sample that is not encoded.
     next: usize,
-    /// Encoded parts of the samples before it, of which a long sample has several.
-    encoded: VecDeque<Vec<u8>>,
+    /// The samples encoded last, of which a long one takes several parts.
+    encoded: Encoded,
+}
+
+/// Encoded samples that are passed on part by part.
+#[derive(Debug, Default)]
+struct Encoded {
+    /// Index of the first of them.
+    first: usize,
+    bytes: Vec<u8>,
+    /// Number of bytes that were passed on.
+    passed: usize,
+}
+
+impl Encoded {
+    fn is_passed(&self) -> bool {
+        self.passed == self.bytes.len()
+    }
+
+    fn next_part(&mut self) -> Result<Vec<u8>, RecordError> {
+        let rest = &self.bytes[self.passed..];
+        let chunk = &rest[..rest.len().min(MAX_PART_BYTES)];
+        self.passed += chunk.len();
+        encode(&Part {
+            first: self.first as u32,
+            more: !self.is_passed(),
+            bytes: chunk.to_vec(),
+        })
+    }
 }
 
 impl Parts<'_> {
     /// Encodes the next samples.
     fn advance(&mut self) -> Result<(), RecordError> {
-        let first = self.next;
-        let (count, bytes) = self.spec.encode_part(first)?;
+        // Freed before the next ones are encoded.
+        self.encoded = Encoded::default();
+        let (count, bytes) = self.spec.encode_part(self.next)?;
+        self.encoded = Encoded {
+            first: self.next,
+            bytes,
+            passed: 0,
+        };
         self.next += count;
-        let mut chunks = bytes.chunks(MAX_PART_BYTES).peekable();
-        while let Some(chunk) = chunks.next() {
-            self.encoded.push_back(encode(&Part {
-                first: first as u32,
-                more: chunks.peek().is_some(),
-                bytes: chunk.to_vec(),
-            })?);
-        }
         Ok(())
     }
 }
@@ -305,14 +330,16 @@
     type Item = Result<Vec<u8>, RecordError>;
 
     fn next(&mut self) -> Option<Self::Item> {
-        if self.encoded.is_empty() && self.next < self.spec.samples.len() {
-            let advanced = self.advance();
-            if let Err(error) = advanced {
+        if self.encoded.is_passed() {
+            if self.next >= self.spec.samples.len() {
+                return None;
+            }
+            if let Err(error) = self.advance() {
                 self.next = self.spec.samples.len();
                 return Some(Err(error));
             }
         }
-        self.encoded.pop_front().map(Ok)
+        Some(self.encoded.next_part())
     }
 }
 
--- a/crates/node/src/owner/owned_step.rs
+++ b/crates/node/src/owner/owned_step.rs
@@ -17,6 +17,7 @@
 use batch::Spec;
 use batch::draft::Checkpoints;
 use batch::keys;
+use bytes::Bytes;
 use kernel::Millis;
 use kernel::Priority;
 use kernel::Set;
@@ -226,7 +227,7 @@
     }
 
     /// The body of the request of the sample with this ID.
-    pub fn sample_body(&self, id: &str) -> Option<Vec<u8>> {
+    pub fn sample_body(&self, id: &str) -> Option<Bytes> {
         let found = self.spec.samples.iter().find(|sample| &*sample.id == id);
         found.map(|sample| sample.body.clone())
     }
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -96,7 +96,8 @@
         }
         PeerRequest::Body { step, sample } => {
             let owned = app.running_steps.get(&step);
-            PeerReply::Body(owned.map(|owned| owned.sample_body(&sample)))
+            let body = owned.map(|owned| owned.sample_body(&sample));
+            PeerReply::Body(body.map(|found| found.map(Vec::from)))
         }
         PeerRequest::Owner(step) => PeerReply::Owner(hint::get(app, &step)),
         PeerRequest::SetOwner { step, owner } => {
--- a/crates/node/src/steps.rs
+++ b/crates/node/src/steps.rs
@@ -7,6 +7,7 @@
 
 use batch::keys;
 use batch::record::SpecDecoder;
+use bytes::Bytes;
 use http::StatusCode;
 use kernel::Millis;
 use net::Reply;
@@ -173,11 +174,11 @@
     app: &App,
     step: &Arc<str>,
     sample: &Arc<str>,
-) -> Result<Option<Vec<u8>>, PlatError> {
+) -> Result<Option<Bytes>, PlatError> {
     if let Some(owner) = hint::find_owner(app, step).await
         && let Some(body) = peer::fetch_body(app, &owner, step, sample).await
     {
-        return Ok(body);
+        return Ok(body.map(Bytes::from));
     }
     read_platform_body(app, step, sample).await
 }
@@ -187,7 +188,7 @@
     app: &App,
     step: &str,
     sample: &str,
-) -> Result<Option<Vec<u8>>, PlatError> {
+) -> Result<Option<Bytes>, PlatError> {
     let prefix = keys::spec_prefix(step);
     let mut parts = SpecDecoder::default();
     let mut after = None;
