Hold a body in one buffer

Callers saw nothing yet: a step of 32 MB with a single sample, one request inside the limits, takes 102 MB of 88, as it does by chunks.

Cause: a body was held in segments of 64 kB, which the parser copied into one text. The segments are freed while it reads, but stay with the allocator, so the body counted twice beside the sample that is decoded from it.

Change: a body is received into one buffer, of the announced length or one that doubles. What is not filled takes no memory, and what counts is what is filled, as before; so a client that announces much and sends little holds little.

--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -70,6 +70,11 @@
         self.bytes
     }
 
+    /// Adds the bytes of another reservation of the same memory.
+    pub(crate) fn merge(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     /// Changes the number of reserved bytes; returns false, and changes nothing, if there is no room for more.
     pub(crate) fn resize(&mut self, bytes: usize) -> bool {
         let reserved = self.bytes;
--- a/crates/net/src/uploads.rs
+++ b/crates/net/src/uploads.rs
@@ -1,8 +1,9 @@
 //! The bodies of requests that are received and held, and a limit on the memory that they take together.
 //!
-//! Bytes are copied into segments, so that what is counted is what is held, however small the chunks are in which they
-//! arrive. A segment counts until the last clone of the body has passed it on. When the memory is used up, a body that has
-//! made no progress gives way to another one; a body that has arrived never does.
+//! The bytes of a body are copied into one buffer, so that what is counted is what is held, however small the chunks are in
+//! which they arrive. Only the filled part of a buffer takes memory, and only that counts, until the last clone of the body is
+//! dropped. When the memory is used up, a body that has made no progress gives way to another one; a body that has arrived
+//! never does.
 
 use std::sync::Arc;
 
@@ -27,11 +28,11 @@
 /// Divisor of the memory that gives what is left to the first [`SMALL_BYTES`] of bodies.
 const SMALL_DIVISOR: usize = 16;
 
-/// Length of the longest segment in bytes.
-const MAX_SEGMENT_BYTES: usize = 64 << 10;
+/// Largest number of bytes that are reserved at a time.
+const MAX_GROWTH_BYTES: usize = 64 << 10;
 
-/// Length of the first segment of a body of unknown length, in bytes.
-const MIN_SEGMENT_BYTES: usize = 2 << 10;
+/// Number of bytes that are reserved first for a body of unknown length.
+const MIN_GROWTH_BYTES: usize = 2 << 10;
 
 /// Number of bytes that count as progress of a body: one byte now and then does not keep its memory.
 const PROGRESS_BYTES: usize = 4 << 10;
@@ -179,19 +180,15 @@
             return Ok(payload.into_bytes());
         }
         let reservation = self.reserve(payload.remaining());
-        let joined = Segment {
-            _reservation: Some(reservation.ok_or(ReadError::OverBudget)?),
+        let joined = Buffer {
+            reservation: Some(reservation.ok_or(ReadError::OverBudget)?),
             bytes: payload.into_bytes().into(),
         };
         Ok(joined.into_bytes())
     }
 
-    /// Reserves memory for the next segment of a body, for which others give way if they can.
-    async fn reserve_segment(
-        &self,
-        bytes: usize,
-        is_small: bool,
-    ) -> Result<Reservation, ReadError> {
+    /// Reserves more memory for a body, for which others give way if they can.
+    async fn reserve_growth(&self, bytes: usize, is_small: bool) -> Result<Reservation, ReadError> {
         let floor = if is_small { 0 } else { self.small_part() };
         loop {
             let released = self.released.notified();
@@ -218,8 +215,7 @@
 struct Upload<'a> {
     uploads: &'a Uploads,
     inbound: &'a Inbound,
-    payload: Payload,
-    segment: Segment,
+    buffer: Buffer,
     /// Number of bytes received.
     length: usize,
     /// Number of bytes that were announced; 0 if unknown.
@@ -233,8 +229,7 @@
         Self {
             uploads,
             inbound,
-            payload: Payload::default(),
-            segment: Segment::default(),
+            buffer: Buffer::default(),
             length: 0,
             announced,
             progress: 0,
@@ -262,11 +257,11 @@
 
     async fn push(&mut self, mut data: &[u8]) -> Result<(), ReadError> {
         while !data.is_empty() {
-            if self.segment.room() == 0 {
-                self.begin_segment().await?;
+            if self.buffer.room() == 0 {
+                self.enlarge_buffer().await?;
             }
-            let (part, rest) = data.split_at(data.len().min(self.segment.room()));
-            self.segment.bytes.extend_from_slice(part);
+            let (part, rest) = data.split_at(data.len().min(self.buffer.room()));
+            self.buffer.bytes.extend_from_slice(part);
             self.length += part.len();
             data = rest;
         }
@@ -277,47 +272,55 @@
         Ok(())
     }
 
-    /// Returns the length of the next segment: what is left of an announced body, or about what there is already.
-    fn next_segment(&self) -> usize {
+    /// Returns how much memory is reserved next: for what is left of an announced body, or about what there is already.
+    fn next_growth(&self) -> usize {
         let expected = match self.announced.saturating_sub(self.length) {
-            0 => self.length.max(MIN_SEGMENT_BYTES),
+            0 => self.length.max(MIN_GROWTH_BYTES),
             left => left,
         };
-        expected.min(MAX_SEGMENT_BYTES)
+        expected.min(MAX_GROWTH_BYTES)
     }
 
-    async fn begin_segment(&mut self) -> Result<(), ReadError> {
-        let size = self.next_segment();
+    async fn enlarge_buffer(&mut self) -> Result<(), ReadError> {
+        let size = self.next_growth();
         let is_small = self.length + size <= SMALL_BYTES;
         if !is_small {
             self.inbound.body_is_long();
         }
-        let reservation = self.uploads.reserve_segment(size, is_small).await?;
-        let segment = Segment {
-            bytes: Vec::with_capacity(size),
-            _reservation: Some(reservation),
-        };
-        let full = std::mem::replace(&mut self.segment, segment);
-        self.payload.push(full.into_bytes());
+        let reservation = self.uploads.reserve_growth(size, is_small).await?;
+        self.buffer.grow(reservation, self.announced);
         Ok(())
     }
 
-    fn finish(mut self) -> Payload {
-        self.payload.push(self.segment.into_bytes());
-        self.payload
+    fn finish(self) -> Payload {
+        self.buffer.into_bytes().into()
     }
 }
 
-/// A part of a body, with the memory that it takes.
+/// The bytes of a body, with the memory that they take.
 #[derive(Debug, Default)]
-struct Segment {
+struct Buffer {
     bytes: Vec<u8>,
-    _reservation: Option<Reservation>,
+    reservation: Option<Reservation>,
 }
 
-impl Segment {
+impl Buffer {
     fn room(&self) -> usize {
-        self.bytes.capacity() - self.bytes.len()
+        let reserved = self.reservation.as_ref().map_or(0, Reservation::bytes);
+        reserved - self.bytes.len()
+    }
+
+    /// Adds memory. The body has this length in the end; 0 if unknown.
+    fn grow(&mut self, added: Reservation, length: usize) {
+        let needed = self.bytes.len() + added.bytes();
+        if self.bytes.capacity() < needed {
+            let capacity = length.max(needed).max(self.bytes.capacity() * 2);
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        match &mut self.reservation {
+            Some(reservation) => reservation.merge(added),
+            None => self.reservation = Some(added),
+        }
     }
 
     fn into_bytes(self) -> Bytes {
@@ -325,7 +328,7 @@
     }
 }
 
-impl AsRef<[u8]> for Segment {
+impl AsRef<[u8]> for Buffer {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
